--- /dev/null
+++ b/caller/directory.go
@@ -0,0 +1,33 @@
+// Package caller is the door for callers: OpenAI-style chat and text completions,
+// the model list, and calls of plain services. It checks the key, builds the
+// request and writes the answer or the verdict. The key goes no further than here.
+package caller
+
+import (
+	"context"
+
+	"github.com/cairnworks/cairnworks/object"
+	"github.com/cairnworks/cairnworks/route"
+)
+
+// Directory looks objects up in the published set in force.
+type Directory interface {
+	// Version is the log offset of the set.
+	Version() uint64
+	KeyByHash(hash string) (object.Key, bool)
+	Organisation(name string) (object.Organisation, bool)
+	Service(name string) (object.Service, bool)
+	ServiceByModel(model string) (object.Service, bool)
+	// Models returns the model names that an organisation may use, sorted.
+	Models(organisation string) []string
+}
+
+// ModelRunner answers model requests.
+type ModelRunner interface {
+	Run(ctx context.Context, req *Request, sink route.Sink) (route.Answer, error)
+}
+
+// PlainRunner answers calls of plain services.
+type PlainRunner interface {
+	Run(ctx context.Context, call route.PlainCall) (route.PlainAnswer, error)
+}
--- /dev/null
+++ b/caller/model.go
@@ -0,0 +1,116 @@
+package caller
+
+import (
+	"time"
+
+	"github.com/cairnworks/cairnworks/object"
+	"github.com/cairnworks/cairnworks/request"
+	"github.com/cairnworks/cairnworks/verdict"
+)
+
+func (s *Server) chat(x *exchange) error { return s.completion(x, true) }
+
+func (s *Server) text(x *exchange) error { return s.completion(x, false) }
+
+// completion answers a chat or text completion.
+func (s *Server) completion(x *exchange, chat bool) error {
+	data, err := readBody(x.r, defaultMaxBody)
+	if err != nil {
+		return err
+	}
+	body, prompt, err := parseCompletion(data, chat)
+	if err != nil {
+		return err
+	}
+	req, err := s.modelRequest(x, &body, prompt)
+	if err != nil {
+		return err
+	}
+	charge, err := s.Rate.Admit(x.ctx, req.Organisation, req.Cost())
+	if err != nil {
+		return err
+	}
+	writer := newCompletionWriter(x, req, chat, &body)
+	answer, err := s.Models.Run(x.ctx, req, writer)
+	s.Rate.Settle(charge, usedTokens(req, answer.PromptTokens, answer.OutputTokens, err))
+	if err != nil {
+		return err
+	}
+	return writer.finish(answer)
+}
+
+// usedTokens is what a request is charged in the end. The prompt is charged as
+// estimated at admission, so that the engine's own count, known later, can never
+// exceed what was taken from the bucket.
+func usedTokens(req *Request, promptTokens, outputTokens int, err error) uint64 {
+	if err != nil && verdict.From(err).Ran == verdict.NotRun {
+		return 0
+	}
+	if promptTokens == 0 || promptTokens > req.PromptTokens {
+		promptTokens = req.PromptTokens
+	}
+	return uint64(promptTokens + outputTokens)
+}
+
+// modelRequest checks the body against the published objects.
+func (s *Server) modelRequest(x *exchange, body *completionBody, prompt string) (*Request, error) {
+	service, ok := x.directory.ServiceByModel(body.Model)
+	if !ok || !mayUse(x.organisation, service.Name) {
+		return nil, verdict.Refuse(verdict.ReasonUnknownModel, 0, "the model %q is not known", body.Model)
+	}
+	x.service = service.Name
+	tokens, prefixes, fingerprint := measurePrompt(prompt)
+	if limit := positive(service.MaxPromptTokens, 32768); tokens > limit {
+		return nil, verdict.Refuse(verdict.ReasonPromptTooLong, 0,
+			"the prompt has about %d tokens; the model takes %d", tokens, limit)
+	}
+	req := x.request(service)
+	req.Model = body.Model
+	req.Prompt = prompt
+	req.PromptTokens = tokens
+	req.MaxTokens = outputBound(body.maxTokens(), positive(service.MaxOutputTokens, 4096))
+	req.PrefixHashes = prefixes
+	req.Fingerprint = fingerprint
+	req.Stream = body.Stream
+	return req, nil
+}
+
+// outputBound caps a caller's bound at the service's own.
+func outputBound(asked *int, limit int) int {
+	if asked == nil {
+		return min(defaultMaxTokens, limit)
+	}
+	return min(*asked, limit)
+}
+
+// request starts a request of the exchange's organisation for a service.
+func (x *exchange) request(service object.Service) *Request {
+	class := request.Interactive
+	if service.Deferrable || x.r.Header.Get("X-Request-Class") == request.Deferrable.String() {
+		class = request.Deferrable
+	}
+	return &Request{
+		ID: x.id, Organisation: x.organisation.Name, KeyID: x.key.Name, Service: service.Name,
+		Class: class, Arrived: x.arrived, Deadline: x.arrived.Add(maxWait(service, class)),
+		ConfigVersion: x.directory.Version(),
+	}
+}
+
+// maxWait is how long a request may wait for its first byte.
+func maxWait(service object.Service, class request.Class) time.Duration {
+	wait := service.MaxWaitMS
+	if wait == 0 {
+		wait = positive(service.FirstByteMS, 1700)
+		if class == request.Deferrable {
+			wait = 120_000
+		}
+	}
+	return time.Duration(wait) * time.Millisecond
+}
+
+func positive(value, otherwise int) int {
+	if value > 0 {
+		return value
+	}
+	return otherwise
+}
--- /dev/null
+++ b/caller/parse.go
@@ -0,0 +1,165 @@
+package caller
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cairnworks/cairnworks/verdict"
+)
+
+const (
+	// defaultMaxBody bounds a request body in bytes. The longest accepted prompt,
+	// some tens of thousands of tokens, takes a few hundred kilobytes.
+	defaultMaxBody = 1 << 20
+	// defaultMaxTokens is the output bound when a caller gives none.
+	defaultMaxTokens = 256
+	// prefixBlockWords is the length in words of a block of the prompt whose hash
+	// stands for its KV cache. Engines of the kind served cache in blocks of 16 to
+	// 64 tokens; a coarser block keeps a 30,000-token prompt under 500 hashes.
+	prefixBlockWords = 64
+	// maxPrefixHashes bounds the hashes sent with a request.
+	maxPrefixHashes = 64
+)
+
+// completionBody is the part of an OpenAI-style body that the router acts on.
+// Fields it does not know are accepted and ignored, as the usual clients send
+// many that have no meaning here.
+type completionBody struct {
+	Model     string          `json:"model"`
+	Messages  []chatMessage   `json:"messages"`
+	Prompt    json.RawMessage `json:"prompt"`
+	Stream    bool            `json:"stream"`
+	MaxTokens *int            `json:"max_tokens"`
+	// MaxCompletionTokens is the newer name of max_tokens.
+	MaxCompletionTokens *int           `json:"max_completion_tokens"`
+	N                   *int           `json:"n"`
+	StreamOptions       *streamOptions `json:"stream_options"`
+}
+
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+type chatMessage struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+type contentPart struct {
+	Type string `json:"type"`
+	Text string `json:"text"`
+}
+
+func badRequest(format string, args ...any) error {
+	return verdict.Refuse(verdict.ReasonBadRequest, 0, format, args...)
+}
+
+// readBody reads a body of at most limit bytes.
+func readBody(r *http.Request, limit int64) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, verdict.Refuse(verdict.ReasonBodyTooLarge, 0, "the body is longer than %d bytes", limit)
+	}
+	if err != nil {
+		return nil, badRequest("the body could not be read: %v", err)
+	}
+	return body, nil
+}
+
+// parseCompletion reads a chat or text completion body.
+func parseCompletion(data []byte, chat bool) (completionBody, string, error) {
+	var body completionBody
+	if err := json.Unmarshal(data, &body); err != nil {
+		return body, "", badRequest("the body is not valid JSON: %v", err)
+	}
+	if body.Model == "" {
+		return body, "", badRequest("'model' is missing")
+	}
+	if body.N != nil && *body.N != 1 {
+		return body, "", badRequest("'n' was %d; only 1 is allowed", *body.N)
+	}
+	if max := body.maxTokens(); max != nil && *max < 1 {
+		return body, "", badRequest("'max_tokens' was %d; it must be at least 1", *max)
+	}
+	prompt, err := body.prompt(chat)
+	if err == nil && strings.TrimSpace(prompt) == "" {
+		err = badRequest("the prompt is empty")
+	}
+	return body, prompt, err
+}
+
+func (b *completionBody) maxTokens() *int {
+	if b.MaxCompletionTokens != nil {
+		return b.MaxCompletionTokens
+	}
+	return b.MaxTokens
+}
+
+func (b *completionBody) prompt(chat bool) (string, error) {
+	if !chat {
+		var text string
+		if err := json.Unmarshal(b.Prompt, &text); err != nil {
+			return "", badRequest("'prompt' must be one string")
+		}
+		return text, nil
+	}
+	if len(b.Messages) == 0 {
+		return "", badRequest("'messages' is missing or empty")
+	}
+	var prompt strings.Builder
+	for i, message := range b.Messages {
+		content, err := message.text()
+		if err != nil {
+			return "", badRequest("messages[%d].content must be a string or a list of text parts", i)
+		}
+		prompt.WriteString(message.Role)
+		prompt.WriteString(": ")
+		prompt.WriteString(content)
+		prompt.WriteString("\n")
+	}
+	return prompt.String(), nil
+}
+
+func (m chatMessage) text() (string, error) {
+	content := bytes.TrimSpace(m.Content)
+	if len(content) > 0 && content[0] == '[' {
+		var parts []contentPart
+		if err := json.Unmarshal(content, &parts); err != nil {
+			return "", err
+		}
+		var text strings.Builder
+		for _, part := range parts {
+			if part.Type != "text" {
+				return "", errors.New("only text parts are served")
+			}
+			text.WriteString(part.Text)
+		}
+		return text.String(), nil
+	}
+	var text string
+	err := json.Unmarshal(content, &text)
+	return text, err
+}
+
+// measurePrompt estimates a prompt's length in tokens by its words, and hashes
+// its leading blocks. Engines report the true length; the estimate only has to
+// be good enough to place the request.
+func measurePrompt(prompt string) (tokens int, prefixes []uint64, fingerprint uint64) {
+	digest := xxhash.New()
+	for word := range strings.FieldsSeq(prompt) {
+		tokens++
+		_, _ = digest.WriteString(word)
+		_, _ = digest.WriteString(" ")
+		if tokens%prefixBlockWords == 0 && len(prefixes) < maxPrefixHashes {
+			prefixes = append(prefixes, digest.Sum64())
+		}
+	}
+	return tokens, prefixes, digest.Sum64()
+}
