Scheduler, settings, TLS and the instance, not yet wired

Cause: the parts of an instance have to come together. Change: the group scheduler's actor, client and takeover, the settings file, certificates that reload, the calls between instances, listeners and drain.

--- a/caller/auth.go
+++ b/caller/auth.go
@@ -1,8 +1,6 @@
 package caller
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"slices"
 	"strings"
 	"time"
@@ -24,19 +22,14 @@
 	if !ok || token == "" {
 		return verdict.Refuse(verdict.ReasonUnauthenticated, 0, "send the key as 'Authorization: Bearer KEY'")
 	}
-	sum := sha256.Sum256([]byte(token))
-	key, ok := x.directory.KeyByHash(hex.EncodeToString(sum[:]))
+	key, organisation, ok := x.directory.KeyByHash(object.HashKey(token))
 	if !ok {
 		return verdict.Refuse(verdict.ReasonUnauthenticated, 0, "the key is not known")
 	}
-	x.key = key
+	x.key, x.organisation = key, organisation
 	if key.Withdrawn {
 		return WithdrawnVerdict(key.Name)
 	}
-	x.organisation, ok = x.directory.Organisation(key.Organisation)
-	if !ok {
-		return verdict.Refuse(verdict.ReasonForbidden, 0, "the key's organisation is not configured")
-	}
 	return nil
 }
 
@@ -46,6 +39,6 @@
 }
 
 // mayUse reports whether the organisation may use the service.
-func mayUse(organisation object.Organisation, service string) bool {
+func mayUse(organisation *object.Organisation, service string) bool {
 	return len(organisation.Services) == 0 || slices.Contains(organisation.Services, service)
 }
--- a/caller/model.go
+++ b/caller/model.go
@@ -60,7 +60,7 @@
 	}
 	x.service = service.Name
 	tokens, prefixes, fingerprint := measurePrompt(prompt)
-	if limit := positive(service.MaxPromptTokens, 32768); tokens > limit {
+	if limit := service.MaxPromptTokens; tokens > limit {
 		return nil, verdict.Refuse(verdict.ReasonPromptTooLong, 0,
 			"the prompt has about %d tokens; the model takes %d", tokens, limit)
 	}
@@ -68,7 +68,7 @@
 	req.Model = body.Model
 	req.Prompt = prompt
 	req.PromptTokens = tokens
-	req.MaxTokens = outputBound(body.maxTokens(), positive(service.MaxOutputTokens, 4096))
+	req.MaxTokens = outputBound(body.maxTokens(), service.MaxOutputTokens)
 	req.PrefixHashes = prefixes
 	req.Fingerprint = fingerprint
 	req.Stream = body.Stream
@@ -84,7 +84,7 @@
 }
 
 // request starts a request of the exchange's organisation for a service.
-func (x *exchange) request(service object.Service) *Request {
+func (x *exchange) request(service *object.Service) *Request {
 	class := request.Interactive
 	if service.Deferrable || x.r.Header.Get("X-Request-Class") == request.Deferrable.String() {
 		class = request.Deferrable
@@ -97,20 +97,10 @@
 }
 
 // maxWait is how long a request may wait for its first byte.
-func maxWait(service object.Service, class request.Class) time.Duration {
+func maxWait(service *object.Service, class request.Class) time.Duration {
 	wait := service.MaxWaitMS
-	if wait == 0 {
-		wait = positive(service.FirstByteMS, 1700)
-		if class == request.Deferrable {
-			wait = 120_000
-		}
+	if class == request.Deferrable && !service.Deferrable {
+		wait = object.DefaultDeferrableWaitMS
 	}
 	return time.Duration(wait) * time.Millisecond
 }
-
-func positive(value, otherwise int) int {
-	if value > 0 {
-		return value
-	}
-	return otherwise
-}
--- a/caller/models.go
+++ b/caller/models.go
@@ -16,8 +16,13 @@
 // models lists the models that the key's organisation may use.
 func (s *Server) models(x *exchange) error {
 	list := modelList{Object: "list", Data: []modelEntry{}}
-	for _, name := range x.directory.Models(x.organisation.Name) {
-		list.Data = append(list.Data, modelEntry{ID: name, Object: "model", OwnedBy: "cairnworks"})
+	for _, service := range x.directory.Set().Services {
+		if !mayUse(x.organisation, service.Name) {
+			continue
+		}
+		for _, name := range service.Models {
+			list.Data = append(list.Data, modelEntry{ID: name, Object: "model", OwnedBy: "cairnworks"})
+		}
 	}
 	return writeJSON(x.w, list)
 }
--- a/caller/plain.go
+++ b/caller/plain.go
@@ -27,7 +27,7 @@
 	if err != nil {
 		return err
 	}
-	body, err := readBody(x.r, bodyLimit(service))
+	body, err := readBody(x.r, service.MaxBodyBytes)
 	if err != nil {
 		return err
 	}
@@ -59,7 +59,7 @@
 // callRule finds the first rule that matches. A service without rules takes any
 // call; GET, HEAD and OPTIONS are idempotent by HTTP's own definition, and
 // everything else is taken as one that may not be repeated.
-func callRule(service object.Service, method, path string) (object.Call, error) {
+func callRule(service *object.Service, method, path string) (object.Call, error) {
 	if len(service.Calls) == 0 {
 		return object.Call{Idempotent: method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions}, nil
 	}
@@ -79,13 +79,6 @@
 	return object.Call{}, verdict.Refuse(verdict.ReasonUnknownService, 0, "service %s has no call %s", service.Name, path)
 }
 
-func bodyLimit(service object.Service) int64 {
-	if service.MaxBodyBytes > 0 {
-		return service.MaxBodyBytes
-	}
-	return defaultMaxBody
-}
-
 // serviceRequest builds the upstream call from an allow-list. Headers are never
 // copied as a whole: one of them may carry a credential that the upstream must
 // not see.
--- a/caller/directory.go
+++ b/caller/runners.go
@@ -6,22 +6,9 @@
 import (
 	"context"
 
-	"github.com/cairnworks/cairnworks/object"
 	"github.com/cairnworks/cairnworks/route"
 )
 
-// Directory looks objects up in the published set in force.
-type Directory interface {
-	// Version is the log offset of the set.
-	Version() uint64
-	KeyByHash(hash string) (object.Key, bool)
-	Organisation(name string) (object.Organisation, bool)
-	Service(name string) (object.Service, bool)
-	ServiceByModel(model string) (object.Service, bool)
-	// Models returns the model names that an organisation may use, sorted.
-	Models(organisation string) []string
-}
-
 // ModelRunner answers model requests.
 type ModelRunner interface {
 	Run(ctx context.Context, req *Request, sink route.Sink) (route.Answer, error)
--- a/caller/server.go
+++ b/caller/server.go
@@ -23,7 +23,7 @@
 // Config is what the door needs from the rest of the instance.
 type Config struct {
 	// Directory returns the set in force, or nil while there is none.
-	Directory func() Directory
+	Directory func() *object.Index
 	Rate      route.RateLimiter
 	Models    ModelRunner
 	Plain     PlainRunner
@@ -71,9 +71,9 @@
 	ctx          context.Context
 	cancel       context.CancelCauseFunc
 	arrived      time.Time
-	directory    Directory
-	key          object.Key
-	organisation object.Organisation
+	directory    *object.Index
+	key          *object.Key
+	organisation *object.Organisation
 	service      string
 	log          *zap.Logger
 }
@@ -111,9 +111,11 @@
 func (s *Server) finish(x *exchange, err error) {
 	fields := []zap.Field{
 		zap.String("method", x.r.Method), zap.String("path", x.r.URL.Path),
-		zap.String("organisation", x.organisation.Name), zap.String("key", x.key.Name),
 		zap.String("service", x.service), zap.Duration("took", time.Since(x.arrived)),
 	}
+	if x.key != nil {
+		fields = append(fields, zap.String("organisation", x.key.Organisation), zap.String("key", x.key.Name))
+	}
 	if err == nil {
 		s.Metrics.Scope.Tagged(map[string]string{"service": x.service}).Counter("answers").Inc(1)
 		x.log.Info("answered", fields...)
--- a/gen/cairnworks/peer/v1/peerv1connect/peer.connect.go
+++ b/gen/cairnworks/peer/v1/peerv1connect/peer.connect.go
@@ -47,6 +47,9 @@
 	// SchedulerServiceReleaseProcedure is the fully-qualified name of the SchedulerService's Release
 	// RPC.
 	SchedulerServiceReleaseProcedure = "/cairnworks.peer.v1.SchedulerService/Release"
+	// SchedulerServicePrefillDoneProcedure is the fully-qualified name of the SchedulerService's
+	// PrefillDone RPC.
+	SchedulerServicePrefillDoneProcedure = "/cairnworks.peer.v1.SchedulerService/PrefillDone"
 	// SchedulerServiceStatusProcedure is the fully-qualified name of the SchedulerService's Status RPC.
 	SchedulerServiceStatusProcedure = "/cairnworks.peer.v1.SchedulerService/Status"
 	// ConfigServiceFetchProcedure is the fully-qualified name of the ConfigService's Fetch RPC.
@@ -73,6 +76,8 @@
 	Renew(context.Context, *connect.Request[v1.RenewRequest]) (*connect.Response[v1.RenewResponse], error)
 	// Release gives a grant back with what became of it.
 	Release(context.Context, *connect.Request[v1.ReleaseRequest]) (*connect.Response[v1.ReleaseResponse], error)
+	// PrefillDone frees the prefill place of a grant whose decode goes on.
+	PrefillDone(context.Context, *connect.Request[v1.PrefillDoneRequest]) (*connect.Response[v1.PrefillDoneResponse], error)
 	// Status reports the queue and the slots as the scheduler sees them.
 	Status(context.Context, *connect.Request[v1.StatusRequest]) (*connect.Response[v1.StatusResponse], error)
 }
@@ -106,6 +111,12 @@
 			connect.WithSchema(schedulerServiceMethods.ByName("Release")),
 			connect.WithClientOptions(opts...),
 		),
+		prefillDone: connect.NewClient[v1.PrefillDoneRequest, v1.PrefillDoneResponse](
+			httpClient,
+			baseURL+SchedulerServicePrefillDoneProcedure,
+			connect.WithSchema(schedulerServiceMethods.ByName("PrefillDone")),
+			connect.WithClientOptions(opts...),
+		),
 		status: connect.NewClient[v1.StatusRequest, v1.StatusResponse](
 			httpClient,
 			baseURL+SchedulerServiceStatusProcedure,
@@ -117,10 +128,11 @@
 
 // schedulerServiceClient implements SchedulerServiceClient.
 type schedulerServiceClient struct {
-	reserve *connect.Client[v1.ReserveRequest, v1.ReserveResponse]
-	renew   *connect.Client[v1.RenewRequest, v1.RenewResponse]
-	release *connect.Client[v1.ReleaseRequest, v1.ReleaseResponse]
-	status  *connect.Client[v1.StatusRequest, v1.StatusResponse]
+	reserve     *connect.Client[v1.ReserveRequest, v1.ReserveResponse]
+	renew       *connect.Client[v1.RenewRequest, v1.RenewResponse]
+	release     *connect.Client[v1.ReleaseRequest, v1.ReleaseResponse]
+	prefillDone *connect.Client[v1.PrefillDoneRequest, v1.PrefillDoneResponse]
+	status      *connect.Client[v1.StatusRequest, v1.StatusResponse]
 }
 
 // Reserve calls cairnworks.peer.v1.SchedulerService.Reserve.
@@ -138,6 +150,11 @@
 	return c.release.CallUnary(ctx, req)
 }
 
+// PrefillDone calls cairnworks.peer.v1.SchedulerService.PrefillDone.
+func (c *schedulerServiceClient) PrefillDone(ctx context.Context, req *connect.Request[v1.PrefillDoneRequest]) (*connect.Response[v1.PrefillDoneResponse], error) {
+	return c.prefillDone.CallUnary(ctx, req)
+}
+
 // Status calls cairnworks.peer.v1.SchedulerService.Status.
 func (c *schedulerServiceClient) Status(ctx context.Context, req *connect.Request[v1.StatusRequest]) (*connect.Response[v1.StatusResponse], error) {
 	return c.status.CallUnary(ctx, req)
@@ -153,6 +170,8 @@
 	Renew(context.Context, *connect.Request[v1.RenewRequest]) (*connect.Response[v1.RenewResponse], error)
 	// Release gives a grant back with what became of it.
 	Release(context.Context, *connect.Request[v1.ReleaseRequest]) (*connect.Response[v1.ReleaseResponse], error)
+	// PrefillDone frees the prefill place of a grant whose decode goes on.
+	PrefillDone(context.Context, *connect.Request[v1.PrefillDoneRequest]) (*connect.Response[v1.PrefillDoneResponse], error)
 	// Status reports the queue and the slots as the scheduler sees them.
 	Status(context.Context, *connect.Request[v1.StatusRequest]) (*connect.Response[v1.StatusResponse], error)
 }
@@ -182,6 +201,12 @@
 		connect.WithSchema(schedulerServiceMethods.ByName("Release")),
 		connect.WithHandlerOptions(opts...),
 	)
+	schedulerServicePrefillDoneHandler := connect.NewUnaryHandler(
+		SchedulerServicePrefillDoneProcedure,
+		svc.PrefillDone,
+		connect.WithSchema(schedulerServiceMethods.ByName("PrefillDone")),
+		connect.WithHandlerOptions(opts...),
+	)
 	schedulerServiceStatusHandler := connect.NewUnaryHandler(
 		SchedulerServiceStatusProcedure,
 		svc.Status,
@@ -196,6 +221,8 @@
 			schedulerServiceRenewHandler.ServeHTTP(w, r)
 		case SchedulerServiceReleaseProcedure:
 			schedulerServiceReleaseHandler.ServeHTTP(w, r)
+		case SchedulerServicePrefillDoneProcedure:
+			schedulerServicePrefillDoneHandler.ServeHTTP(w, r)
 		case SchedulerServiceStatusProcedure:
 			schedulerServiceStatusHandler.ServeHTTP(w, r)
 		default:
@@ -219,6 +246,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cairnworks.peer.v1.SchedulerService.Release is not implemented"))
 }
 
+func (UnimplementedSchedulerServiceHandler) PrefillDone(context.Context, *connect.Request[v1.PrefillDoneRequest]) (*connect.Response[v1.PrefillDoneResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cairnworks.peer.v1.SchedulerService.PrefillDone is not implemented"))
+}
+
 func (UnimplementedSchedulerServiceHandler) Status(context.Context, *connect.Request[v1.StatusRequest]) (*connect.Response[v1.StatusResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cairnworks.peer.v1.SchedulerService.Status is not implemented"))
 }
--- /dev/null
+++ b/instance/listen.go
@@ -0,0 +1,131 @@
+package instance
+
+import (
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/cairnworks/cairnworks/peer"
+	"github.com/cairnworks/cairnworks/settings"
+	"github.com/cairnworks/cairnworks/tlsfile"
+)
+
+// idleTimeout closes callers' connections that carry nothing. It is above the
+// usual 60 s of balancers, so that the balancer closes first and no request is
+// sent into a connection that is being closed.
+const idleTimeout = 90 * time.Second
+
+// listener is one bound address with the server behind it.
+type listener struct {
+	net.Listener
+	server *http.Server
+}
+
+func (l *listener) address() string { return l.Addr().String() }
+
+func (l *listener) serve() error {
+	var err error
+	if l.server.TLSConfig != nil {
+		err = l.server.ServeTLS(l.Listener, "", "")
+	} else {
+		err = l.server.Serve(l.Listener)
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return oops.In("instance").With("address", l.address()).Wrap(err)
+}
+
+// listeners are the three addresses of an instance.
+type listeners struct {
+	callers, peers, operators *listener
+}
+
+func (l *listeners) all() []*listener { return []*listener{l.callers, l.peers, l.operators} }
+
+func (l *listeners) close() {
+	for _, one := range l.all() {
+		if one == nil {
+			continue
+		}
+		if one.server != nil {
+			_ = one.server.Close()
+		}
+		_ = one.Close()
+	}
+}
+
+// listen binds the addresses, so that a taken one is found before anything runs.
+func (i *Instance) listen() error {
+	for _, a := range []struct {
+		target  **listener
+		address string
+	}{
+		{&i.listeners.callers, i.settings.Callers.Address},
+		{&i.listeners.peers, i.settings.Peers.Address},
+		{&i.listeners.operators, i.settings.Operators.Address},
+	} {
+		bound, err := net.Listen("tcp", a.address)
+		if err != nil {
+			i.listeners.close()
+			return oops.In("instance").With("address", a.address).Wrap(err)
+		}
+		*a.target = &listener{Listener: bound}
+	}
+	return nil
+}
+
+// buildServers puts the handlers behind the bound addresses.
+func (i *Instance) buildServers(secret string) error {
+	callersTLS, err := tlsfile.Server(i.settings.Callers.TLS)
+	if err != nil {
+		return err
+	}
+	peersTLS, err := tlsfile.Server(i.settings.Peers.TLS)
+	if err != nil {
+		return err
+	}
+	i.listeners.callers.server = callerServer(i.door, callersTLS, i.settings)
+	i.listeners.peers.server = peer.NewServer(i.peerHandler(), peersTLS, secret)
+	operators, err := i.operatorHandler()
+	if err != nil {
+		return err
+	}
+	i.listeners.operators.server = &http.Server{Handler: operators, ReadHeaderTimeout: headerTimeout(i.settings)}
+	return nil
+}
+
+func callerServer(handler http.Handler, config *tls.Config, s settings.Settings) *http.Server {
+	return &http.Server{
+		Handler: handler, TLSConfig: config, IdleTimeout: idleTimeout,
+		// A caller that sends its headers a byte at a time would hold a connection
+		// and a goroutine for ever.
+		ReadHeaderTimeout: headerTimeout(s), MaxHeaderBytes: 64 << 10,
+	}
+}
+
+func headerTimeout(s settings.Settings) time.Duration {
+	return time.Duration(s.HeaderSeconds) * time.Second
+}
+
+// readSecret reads a secret file without the line end that editors add.
+func readSecret(file string) (string, error) {
+	if file == "" {
+		return "", nil
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return "", oops.In("instance").Wrap(err)
+	}
+	secret := strings.TrimRight(string(data), "\r\n")
+	if secret == "" {
+		return "", oops.In("instance").With("file", file).Errorf("the secret file is empty")
+	}
+	return secret, nil
+}
--- a/route/attempt.go
+++ b/route/attempt.go
@@ -90,6 +90,7 @@
 		a.fail(OutcomePrefillFailed, a.grant.Prefill, err)
 		return result, err
 	}
+	a.Placer.PrefillDone(a.grant)
 	a.answer.PromptTokens, a.answer.CachedTokens = result.Tokens, result.CachedTokens
 	return result, nil
 }
--- a/route/stages.go
+++ b/route/stages.go
@@ -83,6 +83,8 @@
 type Placer interface {
 	// Reserve waits for a grant until the request's deadline or refuses.
 	Reserve(ctx context.Context, req *request.Request, attempt uint32, avoid []string) (*Grant, error)
+	// PrefillDone tells that the grant's prefill place is free again.
+	PrefillDone(grant *Grant)
 	// Release gives the grant back. It returns at once; an unsent release is
 	// covered by the grant's lease.
 	Release(grant *Grant, outcome Outcome)
--- /dev/null
+++ b/scheduler/query.go
@@ -0,0 +1,56 @@
+package scheduler
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+
+	"github.com/cairnworks/cairnworks/decision/group"
+	peerv1 "github.com/cairnworks/cairnworks/gen/cairnworks/peer/v1"
+)
+
+// Status implements the connect handler: the queue and the slots of one service.
+func (s *Server) Status(ctx context.Context, req *connect.Request[peerv1.StatusRequest]) (*connect.Response[peerv1.StatusResponse], error) {
+	pid, err := s.actorOf(req.Msg.Service)
+	if err != nil {
+		return nil, err
+	}
+	answer := make(chan group.Status, 1)
+	s.system.Root.Send(pid, statusMsg{answer})
+	select {
+	case status := <-answer:
+		return connect.NewResponse(statusResponse(status)), nil
+	case <-ctx.Done():
+		return nil, connect.NewError(connect.CodeCanceled, ctx.Err())
+	}
+}
+
+func statusResponse(status group.Status) *peerv1.StatusResponse {
+	response := &peerv1.StatusResponse{
+		QueuedInteractive: uint32(status.QueuedInteractive), QueuedDeferrable: uint32(status.QueuedDeferrable),
+	}
+	for _, u := range status.Upstreams {
+		response.Upstreams = append(response.Upstreams, &peerv1.UpstreamStatus{
+			Name: u.Name, Running: uint32(u.Running), Slots: uint32(u.Slots),
+			PiecesUsed: uint32(u.PiecesUsed), Pieces: uint32(u.Pieces), Health: healthText(u),
+		})
+	}
+	return response
+}
+
+func healthText(u group.UpstreamStatus) string {
+	switch {
+	case u.Leaving:
+		return "leaving"
+	case u.Health <= 0:
+		return "out"
+	case u.Health < 1:
+		return "reduced"
+	default:
+		return "full"
+	}
+}
+
+// Waiting returns the number of reservations without an answer. A drain waits
+// for it to reach zero.
+func (s *Server) Waiting() int64 { return s.waiting.Load() }
--- /dev/null
+++ b/scheduler/renew.go
@@ -0,0 +1,84 @@
+package scheduler
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+	"go.uber.org/zap"
+
+	peerv1 "github.com/cairnworks/cairnworks/gen/cairnworks/peer/v1"
+)
+
+// Run renews this instance's grants until ctx ends.
+func (c *Client) Run(ctx context.Context) error {
+	ticker := time.NewTicker(RenewInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			c.renewAll(ctx)
+		}
+	}
+}
+
+// renewAll sends one renewal to each scheduler, all its grants in one message.
+func (c *Client) renewAll(ctx context.Context) {
+	byScheduler := make(map[string][]*peerv1.HeldGrant)
+	c.mu.Lock()
+	for key, held := range c.held {
+		wire := &peerv1.HeldGrant{
+			Id: held.grant.ID, Service: held.grant.Service, RequestId: key.request, Attempt: key.attempt,
+			Prefill: held.grant.Prefill, Decode: held.grant.Decode, Organisation: held.organisation,
+		}
+		for _, address := range c.schedulersOf(held) {
+			byScheduler[address] = append(byScheduler[address], wire)
+		}
+	}
+	c.mu.Unlock()
+	for address, grants := range byScheduler {
+		go c.renew(ctx, address, grants)
+	}
+}
+
+func (c *Client) renew(ctx context.Context, address string, grants []*peerv1.HeldGrant) {
+	ctx, stop := context.WithTimeout(ctx, callTimeout)
+	defer stop()
+	resp, err := c.cfg.Dial(address).Renew(ctx, connect.NewRequest(&peerv1.RenewRequest{
+		Holder: wireHolder(c.cfg.Self), Grants: grants,
+	}))
+	if err != nil {
+		c.cfg.Log.Info("renewal failed", zap.String("scheduler", address), zap.Error(err))
+		return
+	}
+	lost := make(map[uint64]bool, len(resp.Msg.Lost))
+	for _, id := range resp.Msg.Lost {
+		lost[id] = true
+	}
+	c.drop(lost)
+}
+
+// drop ends the attempts whose grants a scheduler no longer honours.
+func (c *Client) drop(lost map[uint64]bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for key, held := range c.held {
+		if lost[held.grant.ID] {
+			delete(c.held, key)
+			close(held.lost)
+		}
+	}
+}
+
+// DropAll ends every attempt. It is called when this instance finds that the
+// fleet has declared it dead: its slots have been given to others.
+func (c *Client) DropAll() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for key, held := range c.held {
+		delete(c.held, key)
+		close(held.lost)
+	}
+}
