Stand-ins for the outside systems and their HTTP adapters

Cause: nothing outside the project could be reached, and no test could bring about what upstreams and the platform do when they fail. Change: package stand holds the engine, plain service, log, list and weight store; cmd/cairnstand runs each as a process; port/httpport reaches them and turns each failure into a verdict; port/httpport/wire holds the messages both sides share. Faults are switched by POST /faults, GET /stats tells what was seen. net/http repeats a request with an Idempotency-Key, and any GET, by itself when a kept-alive connection breaks; the plain adapter writes the header's map key in lower case and gives bodies that cannot be rewound. Measured: TestPlainCallIsSentOnce fails with the safeguard off for GET, POST and DELETE (the broken call comes back as a success: it was sent again) and passes with it. go test -race ./port/... passes. Conclusion: the thin path can be wired on these.

--- /dev/null
+++ b/port/httpport/client.go
@@ -0,0 +1,167 @@
+// Package httpport reaches the systems outside the project over HTTP/1.1 with
+// JSON. Every error is a *verdict.Verdict that says whether the other side may
+// have acted, which is what decides about retries.
+package httpport
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/cairnworks/cairnworks/port/httpport/wire"
+	"github.com/cairnworks/cairnworks/verdict"
+)
+
+const (
+	// dialTimeout is far above a round trip inside a region (about 1 ms) and far
+	// below the target of the first token (1.7 s), so that a dead address leaves
+	// time for another attempt.
+	dialTimeout = 500 * time.Millisecond
+	// idlePerHost covers a decode engine's twenty streams with room for queries.
+	idlePerHost = 64
+	idleTimeout = 30 * time.Second
+	// maxErrorBytes bounds how much of a refusal's body is read.
+	maxErrorBytes = 8 << 10
+)
+
+// NewClient returns an HTTP client for the adapters. It carries no overall
+// timeout: deadlines come with each call's context, and streams last long.
+func NewClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: idlePerHost,
+		IdleConnTimeout:     idleTimeout,
+		// Bodies pass through as the upstream wrote them.
+		DisableCompression: true,
+	}}
+}
+
+var sharedClient = NewClient()
+
+// remote is one address and the client that reaches it.
+type remote struct {
+	address string
+	client  *http.Client
+}
+
+func newRemote(address string, client *http.Client) remote {
+	if client == nil {
+		client = sharedClient
+	}
+	own := *client
+	// A followed redirect would send the request a second time, to an address
+	// that no object names.
+	own.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return remote{address: address, client: &own}
+}
+
+// do sends req. A failure before a connection was there is NotRun; any later one
+// is MayHaveRun, because bytes may have reached the other side.
+func (r remote) do(req *http.Request) (*http.Response, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	ctx := req.Context()
+	resp, err := r.client.Do(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	if err != nil {
+		return nil, r.transportVerdict(ctx, connected.Load(), err)
+	}
+	return resp, nil
+}
+
+func (r remote) transportVerdict(ctx context.Context, connected bool, err error) *verdict.Verdict {
+	ran := verdict.NotRun
+	reason := verdict.ReasonUpstreamUnreachable
+	if connected {
+		ran = verdict.MayHaveRun
+		reason = verdict.ReasonUpstreamCrashed
+	}
+	var netErr net.Error
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		reason = verdict.ReasonCancelled
+	case ctx.Err() != nil, connected && errors.As(err, &netErr) && netErr.Timeout():
+		reason = verdict.ReasonTimeout
+	}
+	return verdict.Fail(ran, reason, err, "call to %s failed", r.address)
+}
+
+// newRequest returns a request with a JSON body; in may be nil.
+func (r remote) newRequest(ctx context.Context, method, path string, in any) (*http.Request, error) {
+	var body io.Reader
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return nil, verdict.Fail(verdict.NotRun, verdict.ReasonInternal, err, "encoding a call")
+		}
+		body = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+r.address+path, body)
+	if err != nil {
+		return nil, verdict.Fail(verdict.NotRun, verdict.ReasonInternal, err, "building a call")
+	}
+	if in != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	return req, nil
+}
+
+// call sends in and decodes the answer into out; both may be nil.
+func (r remote) call(ctx context.Context, method, path string, in, out any) error {
+	req, err := r.newRequest(ctx, method, path, in)
+	if err != nil {
+		return err
+	}
+	resp, err := r.do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return refusal(r.address, resp)
+	}
+	if out == nil {
+		// Read to the end, so that a lost answer is noticed and the connection is reused.
+		_, err = io.Copy(io.Discard, resp.Body)
+	} else {
+		err = json.NewDecoder(resp.Body).Decode(out)
+	}
+	if err != nil {
+		return r.transportVerdict(ctx, true, err)
+	}
+	return nil
+}
+
+// refusal turns a status other than 200 into a verdict. Only a body that says
+// "not_run" is believed; anything else may have run.
+func refusal(address string, resp *http.Response) *verdict.Verdict {
+	data, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	v := parseRefusal(address, data)
+	if v == nil {
+		v = verdict.Fail(verdict.MayHaveRun, verdict.ReasonUpstreamCrashed, nil,
+			"%s answered status %d", address, resp.StatusCode)
+	}
+	return v
+}
+
+// parseRefusal returns the verdict of an error body, or nil when the body does
+// not say that nothing ran.
+func parseRefusal(address string, data []byte) *verdict.Verdict {
+	var body wire.ErrorBody
+	if json.Unmarshal(data, &body) != nil || body.Error.Ran != verdict.NotRun.String() {
+		return nil
+	}
+	reason := verdict.ReasonUpstreamRefused
+	switch body.Error.Code {
+	case wire.CodeKVExpired, wire.CodeKVUnreachable:
+		reason = verdict.ReasonTransferExpired
+	}
+	after := time.Duration(body.Error.RetryAfterMS) * time.Millisecond
+	return verdict.Refuse(reason, after, "%s refused: %s: %s", address, body.Error.Code, body.Error.Message)
+}
--- /dev/null
+++ b/port/httpport/wire/wire.go
@@ -0,0 +1,214 @@
+// Package wire holds the JSON messages between an instance and the systems
+// outside the project. The adapters in port/httpport and the stand-ins in package
+// stand share them, so that both sides speak one protocol; docs/PROTOCOLS.md
+// states it for other implementers.
+package wire
+
+import (
+	"time"
+
+	"github.com/cairnworks/cairnworks/port"
+	"github.com/cairnworks/cairnworks/request"
+)
+
+// Header names of calls to upstreams.
+const (
+	HeaderRequestID    = "X-Request-Id"
+	HeaderOrganisation = "X-Organisation"
+	// HeaderIdempotencyKey is written in lower case on purpose, see
+	// httpport.plainService.
+	HeaderIdempotencyKey = "idempotency-key"
+)
+
+// FramesContentType is the media type of a decode stream: one JSON frame a line.
+const FramesContentType = "application/x-ndjson"
+
+// Codes of refusals that an adapter tells apart. Others read as a plain refusal.
+const (
+	CodeKVExpired       = "kv_expired"
+	CodeKVUnreachable   = "kv_unreachable"
+	CodeSlotsFull       = "slots_full"
+	CodeMemoryShort     = "memory_short"
+	CodeQueueFull       = "queue_full"
+	CodeWrongRole       = "wrong_role"
+	CodeUnknownModel    = "unknown_model"
+	CodeUnknownStream   = "unknown_stream"
+	CodeStaleFence      = "stale_fence"
+	CodeUnavailable     = "unavailable"
+	CodeTooManyAppends  = "too_many_appends"
+	CodeInvalid         = "invalid"
+	CodeUnknownResource = "not_found"
+)
+
+// Error is the body of every refusal. Ran is "not_run" only when the refusing
+// side has begun nothing of the request.
+type Error struct {
+	Code         string `json:"code"`
+	Message      string `json:"message"`
+	Ran          string `json:"ran"`
+	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
+}
+
+// ErrorBody wraps Error.
+type ErrorBody struct {
+	Error Error `json:"error"`
+}
+
+// Stream is port.StreamID with its owner written flat.
+type Stream struct {
+	RequestID   string `json:"request_id"`
+	Attempt     uint32 `json:"attempt"`
+	Instance    string `json:"instance"`
+	Incarnation uint64 `json:"incarnation"`
+	Address     string `json:"address,omitempty"`
+}
+
+// FromStream returns the wire form of id.
+func FromStream(id port.StreamID) Stream {
+	return Stream{
+		RequestID: id.RequestID, Attempt: id.Attempt,
+		Instance: id.Owner.Instance, Incarnation: id.Owner.Incarnation, Address: id.Owner.Address,
+	}
+}
+
+// ID returns the port form of s.
+func (s Stream) ID() port.StreamID {
+	owner := request.Holder{Instance: s.Instance, Incarnation: s.Incarnation, Address: s.Address}
+	return port.StreamID{RequestID: s.RequestID, Attempt: s.Attempt, Owner: owner}
+}
+
+// PrefillRequest is the body of POST /v1/prefill.
+type PrefillRequest struct {
+	Stream
+	Model    string `json:"model"`
+	Prompt   string `json:"prompt"`
+	Priority int    `json:"priority"`
+}
+
+// PrefillResult answers POST /v1/prefill.
+type PrefillResult struct {
+	Handle       string `json:"handle"`
+	Tokens       int    `json:"tokens"`
+	CachedTokens int    `json:"cached_tokens"`
+	ExpiresMS    int64  `json:"expires_ms"`
+	Bytes        int64  `json:"bytes"`
+}
+
+// KV describes a KV cache that waits on a prefill engine: GET /v1/kv/{handle}
+// reads it, DELETE takes it.
+type KV struct {
+	Model  string `json:"model"`
+	Tokens int    `json:"tokens"`
+	Bytes  int64  `json:"bytes"`
+	// PromptHash stands for the content of the cache.
+	PromptHash string `json:"prompt_hash"`
+	// Sample is the first and last 512 bytes of the prompt.
+	Sample string `json:"sample"`
+}
+
+// ImportRequest is the body of POST /v1/import.
+type ImportRequest struct {
+	Stream
+	Model     string `json:"model"`
+	Source    string `json:"source"`
+	Handle    string `json:"handle"`
+	MaxTokens int    `json:"max_tokens"`
+}
+
+// DecodeRequest is the body of POST /v1/decode.
+type DecodeRequest struct {
+	Stream
+	Model      string `json:"model"`
+	MaxTokens  int    `json:"max_tokens"`
+	ResumeFrom int    `json:"resume_from"`
+	Priority   int    `json:"priority"`
+}
+
+// Frame is one line of a decode stream; the fields are those of port.Frame.
+type Frame struct {
+	RequestID    string `json:"request_id"`
+	Attempt      uint32 `json:"attempt"`
+	Seq          int    `json:"seq"`
+	Token        string `json:"token,omitempty"`
+	Done         bool   `json:"done,omitempty"`
+	FinishReason string `json:"finish_reason,omitempty"`
+}
+
+// StreamState is one entry of GET /v1/streams.
+type StreamState struct {
+	Stream
+	Phase  string `json:"phase"`
+	Pieces int    `json:"pieces"`
+}
+
+// Load answers GET /v1/load; the fields are those of port.Load.
+type Load struct {
+	Role       string `json:"role"`
+	Running    int    `json:"running"`
+	Slots      int    `json:"slots"`
+	PiecesUsed int    `json:"pieces_used"`
+	Pieces     int    `json:"pieces"`
+	Queued     int    `json:"queued"`
+	Leaving    bool   `json:"leaving"`
+	Start      string `json:"start"`
+}
+
+// CacheEvent is one entry of GET /v1/cache-events; the fields are those of
+// port.CacheEvent.
+type CacheEvent struct {
+	Seq    uint64 `json:"seq"`
+	Hash   uint64 `json:"hash"`
+	Stored bool   `json:"stored"`
+}
+
+// Order is the body of POST /v1/orders; the fields are those of port.Order.
+type Order struct {
+	Kind  string `json:"kind"`
+	Name  string `json:"name"`
+	Fence uint64 `json:"fence"`
+}
+
+// Entry is a record to append; the fields are those of port.Entry.
+type Entry struct {
+	ID   string `json:"id"`
+	Data []byte `json:"data"`
+}
+
+// AppendRequest is the body of POST /v1/streams/{stream}/records.
+type AppendRequest struct {
+	Entries []Entry `json:"entries"`
+}
+
+// AppendResult answers it.
+type AppendResult struct {
+	First uint64 `json:"first"`
+}
+
+// Record is one entry of a page; the fields are those of port.Record.
+type Record struct {
+	Offset   uint64    `json:"offset"`
+	ID       string    `json:"id"`
+	Data     []byte    `json:"data"`
+	Appended time.Time `json:"appended"`
+}
+
+// Page answers GET /v1/streams/{stream}/records.
+type Page struct {
+	Records []Record `json:"records"`
+	First   uint64   `json:"first"`
+	Next    uint64   `json:"next"`
+}
+
+// Listed is one entry of the instance list; the fields are those of
+// port.ListedInstance.
+type Listed struct {
+	Name       string `json:"name"`
+	Address    string `json:"address"`
+	DataCentre string `json:"data_centre"`
+	Leaving    bool   `json:"leaving"`
+}
+
+// Weights answers GET /v1/weights/{model}.
+type Weights struct {
+	Bytes int64 `json:"bytes"`
+}
--- /dev/null
+++ b/stand/control.go
@@ -0,0 +1,137 @@
+package stand
+
+import (
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cairnworks/cairnworks/port/httpport/wire"
+)
+
+// Kinds of orders.
+const (
+	orderLoadModel   = "load_model"
+	orderLoadAdapter = "load_adapter"
+	orderSetRole     = "set_role"
+)
+
+func itoa(n int) string { return strconv.Itoa(n) }
+
+// handleCancel frees whatever is held for an attempt. An unknown one is no error.
+func (e *Engine) handleCancel(w http.ResponseWriter, r *http.Request) {
+	var id wire.Stream
+	if !readJSON(w, r, &id) {
+		return
+	}
+	e.mu.Lock()
+	e.runs(id).Cancels++
+	if stop, ok := e.prefills[keyOf(id)]; ok {
+		stop()
+	}
+	for _, kv := range e.caches {
+		if keyOf(kv.stream) == keyOf(id) {
+			e.drop(kv)
+			e.wasted(kv)
+		}
+	}
+	if s, ok := e.streams[keyOf(id)]; ok {
+		e.free(s)
+	}
+	e.mu.Unlock()
+	e.gate.answer(w, struct{}{})
+}
+
+// handleOrder loads or changes the role. An engine that does not check fencing
+// obeys any order, the newest to arrive last.
+func (e *Engine) handleOrder(w http.ResponseWriter, r *http.Request) {
+	var order wire.Order
+	if !readJSON(w, r, &order) || !e.fenced(w, order) {
+		return
+	}
+	if order.Kind != orderSetRole && !e.load(r, order.Name) {
+		writeError(w, http.StatusServiceUnavailable, wire.CodeUnavailable, "the weights could not be loaded")
+		return
+	}
+	e.mu.Lock()
+	switch order.Kind {
+	case orderSetRole:
+		e.role = order.Name
+	case orderLoadModel:
+		e.models = append(e.models, order.Name)
+	}
+	e.stats.Orders = append(e.stats.Orders, order)
+	e.changed()
+	e.mu.Unlock()
+	e.gate.answer(w, struct{}{})
+}
+
+func (e *Engine) fenced(w http.ResponseWriter, order wire.Order) bool {
+	switch order.Kind {
+	case orderLoadModel, orderLoadAdapter, orderSetRole:
+	default:
+		writeError(w, http.StatusBadRequest, wire.CodeInvalid, "unknown kind of order")
+		return false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.cfg.ChecksFencing && order.Fence < e.fence {
+		e.stats.StaleOrders++
+		writeError(w, http.StatusConflict, wire.CodeStaleFence, "a newer order was given")
+		return false
+	}
+	e.fence = max(e.fence, order.Fence)
+	return true
+}
+
+// load waits for the weights, from the weight store when one is set.
+func (e *Engine) load(r *http.Request, name string) bool {
+	if e.cfg.Weights == "" {
+		return sleep(r.Context(), e.gate.slowed(e.cfg.LoadTime))
+	}
+	target := "http://" + e.cfg.Weights + "/v1/weights/" + url.PathEscape(name) + "/content"
+	req, err := http.NewRequestWithContext(r.Context(), http.MethodGet, target, nil)
+	if err != nil {
+		return false
+	}
+	resp, err := e.client.Do(req)
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (e *Engine) handleStreams(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	states := []wire.StreamState{}
+	for _, s := range e.streams {
+		phase := s.phase
+		if phase == phaseImporting {
+			phase = phaseImported
+		}
+		states = append(states, wire.StreamState{Stream: s.id, Phase: phase, Pieces: s.pieces})
+	}
+	for _, kv := range e.caches {
+		states = append(states, wire.StreamState{Stream: kv.stream, Phase: phasePrefilled, Pieces: kv.pieces})
+	}
+	e.mu.Unlock()
+	writeJSON(w, states)
+}
+
+func (e *Engine) handleLoad(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	// The next report is always under way, so that a leaving engine says so.
+	e.changed()
+	report := e.report
+	e.mu.Unlock()
+	writeJSON(w, report)
+}
+
+func (e *Engine) handleCacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.FormValue("after"), 10, 64)
+	e.mu.Lock()
+	events := e.prefixes.after(after, time.Now())
+	e.mu.Unlock()
+	writeJSON(w, events)
+}
