Membership: gossip among instances over UDP

Cause: homes, grants and the spread of configuration need to know which instances live, under which incarnation and at which version, without a coordination service and within the control budget.

--- /dev/null
+++ b/membership/gossip/config.go
@@ -0,0 +1,114 @@
+package gossip
+
+import (
+	"math"
+	"time"
+)
+
+// Config holds the protocol's figures. The zero value of a figure means its
+// default.
+type Config struct {
+	// Self is this instance's first record; its Seq and State are set by NewNode.
+	Self Record
+	// Seeds are addresses (IP:port) to find others by.
+	Seeds []string
+	// ProbeInterval is the period of pings. The default of 500 ms gives two pings
+	// a second, which is what the byte budget carries at 400 members.
+	ProbeInterval time.Duration
+	// AckTimeout is the wait before other members are asked to ping. The default
+	// of 150 ms is far above the 1 ms between data centres, so that a garbage
+	// collection or a busy core seldom costs an indirect probe.
+	AckTimeout time.Duration
+	// Suspicion is the time a suspect has to refute at up to 10 members; it grows
+	// with the logarithm of their number, as the time of spreading does. The
+	// default of 1 s lets the member that suspects ping the suspect four more
+	// times: at 10 % loss each way all fail in about one of 800 suspicions.
+	Suspicion time.Duration
+	// Retention is how long dead and left records are kept. The default of 24 h is
+	// far above the hour that regions may be parted for, so that an instance from
+	// the other side cannot return under an incarnation declared dead here.
+	Retention time.Duration
+}
+
+const (
+	defaultProbeInterval = 500 * time.Millisecond
+	defaultAckTimeout    = 150 * time.Millisecond
+	defaultSuspicion     = time.Second
+	defaultRetention     = 24 * time.Hour
+
+	// indirectProbes members are asked to ping a silent one. Three keep a single
+	// lossy path from raising a suspicion and bound the cost of a real death.
+	indirectProbes = 3
+	// confirmInterval is how often a member pings a suspect of its own.
+	confirmInterval = 250 * time.Millisecond
+	// hearsayFactor lengthens the suspicion for members that only heard of it.
+	// The refutation reaches them by another path and up to some seconds after
+	// the suspicion; declaring a death at the same age would kill live members.
+	hearsayFactor = 4
+	// lateTick is a gap between ticks from which this process is taken to have
+	// been paused. Its own late timers would then look like others' silence.
+	lateTick = time.Second
+	// reconnectInterval is how often an address that is not a live member (a
+	// seed, a listed instance, a dead member) is pinged. It heals partitions.
+	reconnectInterval = time.Second
+	// behindInterval is how often the owner is told again that a peer holds a
+	// higher configuration, in case its fetch failed.
+	behindInterval = time.Second
+	// leavePushes is the number of members told directly of a leave.
+	leavePushes = 6
+
+	// buckets of the table digest: at 400 members a bucket is some 13 records,
+	// which fit a page.
+	bucketCount = 32
+	// pageBytes bounds the records of one packet below the smallest usual MTU of
+	// 1280 bytes, so that a packet is never fragmented.
+	pageBytes = 1100
+	// newsBytes bounds the records that ride on one ping or ack.
+	newsBytes = 420
+	// newsRate and newsBurst bound the bytes of news a second beyond the fixed
+	// pings; a burst carries a rack's failure at once.
+	newsRate  = 500
+	newsBurst = 8000
+	// syncRate and syncBurst bound the bytes a second of answers to sync
+	// requests. The burst is one whole table of 400 members, so that a new
+	// instance learns it within seconds.
+	syncRate  = 800
+	syncBurst = 30000
+	// syncQuiet is how long the table must have been unchanged before a differing
+	// digest is worth a sync: news under way explains a difference.
+	syncQuiet = 2 * time.Second
+	// syncPatience is how long a table that never comes to rest goes without sync.
+	syncPatience = 10 * time.Second
+	// syncInterval and joinSyncInterval space the sync requests of one member, the
+	// latter while it knows less than half of a peer's records.
+	syncInterval     = time.Second
+	joinSyncInterval = 100 * time.Millisecond
+	// transmitFactor times log10 of the number of members is how often each
+	// member repeats a piece of news; 4 is the usual choice of SWIM libraries, and
+	// the bucket digests repair what is missed.
+	transmitFactor = 4
+)
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.ProbeInterval, defaultProbeInterval)
+	setDefault(&c.AckTimeout, defaultAckTimeout)
+	setDefault(&c.Suspicion, defaultSuspicion)
+	setDefault(&c.Retention, defaultRetention)
+	return c
+}
+
+func setDefault(d *time.Duration, value time.Duration) {
+	if *d == 0 {
+		*d = value
+	}
+}
+
+// suspicion is the time that a suspect has to refute among n members.
+func (c Config) suspicion(n int) time.Duration {
+	scale := math.Max(1, math.Log10(float64(n)))
+	return time.Duration(scale * float64(c.Suspicion))
+}
+
+func transmitLimit(n int) int {
+	return transmitFactor * int(math.Ceil(math.Log10(float64(n+1))))
+}
--- /dev/null
+++ b/membership/metrics.go
@@ -0,0 +1,37 @@
+package membership
+
+import "github.com/uber-go/tally/v4"
+
+// headerBytes are the IPv4 and UDP headers of a datagram, counted so that the
+// metric can be held against the control budget.
+const headerBytes = 28
+
+type metrics struct {
+	members         tally.Gauge
+	renewals        tally.Counter
+	unauthenticated tally.Counter
+	malformed       tally.Counter
+	listErrors      tally.Counter
+	readErrors      tally.Counter
+	sendErrors      tally.Counter
+	sentBytes       tally.Counter
+	receivedBytes   tally.Counter
+}
+
+func newMetrics(scope tally.Scope) metrics {
+	scope = scope.SubScope("membership")
+	return metrics{
+		members:         scope.Gauge("members"),
+		renewals:        scope.Counter("renewals"),
+		unauthenticated: scope.Counter("unauthenticated_datagrams"),
+		malformed:       scope.Counter("malformed_datagrams"),
+		listErrors:      scope.Counter("list_errors"),
+		readErrors:      scope.Counter("read_errors"),
+		sendErrors:      scope.Counter("send_errors"),
+		sentBytes:       scope.Counter("sent_bytes"),
+		receivedBytes:   scope.Counter("received_bytes"),
+	}
+}
+
+func (m metrics) sent(bytes int)     { m.sentBytes.Inc(int64(bytes + headerBytes)) }
+func (m metrics) received(bytes int) { m.receivedBytes.Inc(int64(bytes + headerBytes)) }
