--- a/route/stages.go
+++ b/route/stages.go
@@ -33,6 +33,8 @@
 	Share  uint32
 	Shard  uint32
 	Term   uint64
+	// Charge names the grant in the share's bucket.
+	Charge uint64
 	Tokens uint64
 }
 
