The whole path runs: caller, scheduler, prefill, transfer, decode, answer

Cause: the parts stood side by side; nothing served a request. The drain test failed first: with every instance draining nobody scheduled and a late request was refused after 20 s with queue_timeout; now an instance schedules for itself when no other may.

--- /dev/null
+++ b/e2e/fleet_test.go
@@ -0,0 +1,198 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cairnworks/cairnworks/config"
+	"github.com/cairnworks/cairnworks/object"
+	"github.com/cairnworks/cairnworks/port"
+	"github.com/cairnworks/cairnworks/port/httpport"
+	"github.com/cairnworks/cairnworks/settings"
+)
+
+// dataCentres are those of the smaller of the two users.
+var dataCentres = []string{"split-a", "rijeka-b", "zadar-c"}
+
+// daemon is one running instance and its addresses.
+type daemon struct {
+	*process
+	callers, peers, operators string
+}
+
+// fleet is a platform of stand-ins with instances in front.
+type fleet struct {
+	t         *testing.T
+	log       string
+	list      string
+	set       object.Set
+	version   uint64
+	keys      map[string]string
+	upstreams map[string]*process
+	instances []*daemon
+}
+
+// fleetConfig sizes a fleet.
+type fleetConfig struct {
+	instances, prefill, decode, plain int
+	// tokenTime is the engines' time for a token.
+	tokenTime time.Duration
+	// limit applies to both organisations; zero means one that no test reaches.
+	limit object.Limit
+	// engineArgs are further arguments of every engine.
+	engineArgs []string
+	// graceSeconds is how long a draining instance still takes requests.
+	graceSeconds int
+}
+
+// newFleet starts everything and waits until each instance is ready.
+func newFleet(t *testing.T, cfg fleetConfig) *fleet {
+	t.Helper()
+	f := &fleet{t: t, keys: map[string]string{"alpha": "key-of-alpha", "beta": "key-of-beta"}, upstreams: map[string]*process{}}
+	log := start(t, "log", "cairnstand", "log", "--listen", "127.0.0.1:0")
+	f.log = log.field(t, "address=", "address")
+	f.upstreams["log"] = log
+	list := start(t, "list", "cairnstand", "list", "--listen", "127.0.0.1:0", "--lag", "1s")
+	f.list = list.field(t, "address=", "address")
+	f.set = f.objects(cfg)
+	f.publish()
+	for n := range cfg.instances {
+		f.startInstance(n, cfg.graceSeconds)
+	}
+	f.waitReady()
+	return f
+}
+
+func (f *fleet) objects(cfg fleetConfig) object.Set {
+	limit := cfg.limit
+	if limit.TokensPerSecond == 0 {
+		limit = object.Limit{TokensPerSecond: 1_000_000, Burst: 10_000_000}
+	}
+	limit.Name = "member"
+	set := object.Set{
+		Limits: []object.Limit{limit},
+		Services: []object.Service{
+			{Name: "pisar", Kind: object.KindModel, Models: []string{"pisar-small"}, MaxPromptTokens: 8000, MaxOutputTokens: 1000, MaxWaitMS: 20_000},
+			{Name: "dezurstva", Kind: object.KindPlain, MaxWaitMS: 20_000, Calls: []object.Call{
+				{Method: http.MethodGet, Path: "/roster/", Idempotent: true},
+				{Method: http.MethodPost, Path: "/swaps"},
+			}},
+		},
+	}
+	for _, name := range []string{"alpha", "beta"} {
+		set.Organisations = append(set.Organisations, object.Organisation{Name: name, Limit: limit.Name})
+		set.Keys = append(set.Keys, object.Key{Name: name + "-1", Organisation: name, Hash: object.HashKey(f.keys[name])})
+	}
+	engine := []string{"engine", "--listen", "127.0.0.1:0", "--crash-in-place", "--token-time", cfg.tokenTime.String()}
+	engine = append(engine, cfg.engineArgs...)
+	for n := range cfg.prefill {
+		set.Upstreams = append(set.Upstreams, f.upstream(fmt.Sprintf("prefill-%d", n), "pisar", object.RolePrefill, append(engine, "--role", "prefill")))
+	}
+	for n := range cfg.decode {
+		set.Upstreams = append(set.Upstreams, f.upstream(fmt.Sprintf("decode-%d", n), "pisar", object.RoleDecode, append(engine, "--role", "decode")))
+	}
+	for n := range cfg.plain {
+		set.Upstreams = append(set.Upstreams, f.upstream(fmt.Sprintf("plain-%d", n), "dezurstva", object.RolePlain, []string{"plain", "--listen", "127.0.0.1:0", "--crash-in-place"}))
+	}
+	return set
+}
+
+func (f *fleet) upstream(name, service string, role object.Role, args []string) object.Upstream {
+	p := start(f.t, name, "cairnstand", args...)
+	f.upstreams[name] = p
+	u := object.Upstream{
+		Name: name, Service: service, Role: role, Address: p.field(f.t, "address=", "address"),
+		DataCentre: dataCentres[len(f.upstreams)%len(dataCentres)], Slots: 20,
+	}
+	if role == object.RoleDecode {
+		u.Pieces, u.LinkBytesPerSecond = 400, 2_500_000_000
+	}
+	return u
+}
+
+// publish publishes the fleet's set on top of the last version.
+func (f *fleet) publish() {
+	f.t.Helper()
+	ctx, stop := context.WithTimeout(context.Background(), patience)
+	defer stop()
+	version, err := config.NewPublisher(f.logPort()).Publish(ctx, f.set, f.version, "test")
+	assert.NilError(f.t, err)
+	f.version = version
+}
+
+func (f *fleet) logPort() port.Log { return httpport.NewLog(f.log, nil) }
+
+func (f *fleet) startInstance(n, grace int) *daemon {
+	f.t.Helper()
+	s := settings.Default()
+	s.Instance, s.DataCentre = fmt.Sprintf("instance-%d", n), dataCentres[n%len(dataCentres)]
+	s.Callers.Address, s.Peers.Address, s.Operators.Address = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+	s.Platform.Log, s.Platform.List = f.log, f.list
+	s.DrainGraceSeconds = grace
+	for _, other := range f.instances {
+		s.Peers.Seeds = append(s.Peers.Seeds, other.peers)
+	}
+	data, err := json.Marshal(s)
+	assert.NilError(f.t, err)
+	file := filepath.Join(f.t.TempDir(), "settings.json")
+	assert.NilError(f.t, os.WriteFile(file, data, 0o600))
+	d := &daemon{process: start(f.t, s.Instance, "cairnworksd", "run", "--settings", file)}
+	d.callers = d.field(f.t, "msg=started", "callers")
+	d.peers = d.field(f.t, "msg=started", "peers")
+	d.operators = d.field(f.t, "msg=started", "operators")
+	f.instances = append(f.instances, d)
+	return d
+}
+
+// waitReady waits until every instance is ready and sees all the others.
+func (f *fleet) waitReady() {
+	f.t.Helper()
+	for _, d := range f.instances {
+		eventually(f.t, d.name+" ready", func() bool { return status(d.operators, "/readyz") == http.StatusOK })
+	}
+}
+
+func status(address, path string) int {
+	resp, err := http.Get("http://" + address + path)
+	if err != nil {
+		return 0
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+// fault switches a fault on at a stand-in.
+func (f *fleet) fault(upstream string, fault any) {
+	f.t.Helper()
+	data, err := json.Marshal(fault)
+	assert.NilError(f.t, err)
+	resp, err := http.Post("http://"+f.address(upstream)+"/faults", "application/json", bytes.NewReader(data))
+	assert.NilError(f.t, err)
+	resp.Body.Close()
+	assert.Equal(f.t, resp.StatusCode/100, 2, upstream)
+}
+
+// stats reads what a stand-in saw.
+func (f *fleet) stats(upstream string, into any) {
+	f.t.Helper()
+	resp, err := http.Get("http://" + f.address(upstream) + "/stats")
+	assert.NilError(f.t, err)
+	defer resp.Body.Close()
+	assert.NilError(f.t, json.NewDecoder(resp.Body).Decode(into))
+}
+
+func (f *fleet) address(upstream string) string {
+	if upstream == "log" {
+		return f.log
+	}
+	return f.upstreams[upstream].field(f.t, "address=", "address")
+}
--- /dev/null
+++ b/e2e/gone_test.go
@@ -0,0 +1,110 @@
+package e2e
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cairnworks/cairnworks/stand"
+)
+
+// held sums what all engines hold.
+func (f *fleet) held() int {
+	total := 0
+	for name := range f.upstreams {
+		if !strings.HasPrefix(name, "prefill") && !strings.HasPrefix(name, "decode") {
+			continue
+		}
+		var stats stand.EngineStats
+		f.stats(name, &stats)
+		total += stats.Held
+	}
+	return total
+}
+
+// openStreams opens n long streams through an instance and returns once all of
+// them have received a token.
+func (f *fleet) openStreams(ctx context.Context, d *daemon, n int) (answers []answer, wait func()) {
+	answers = make([]answer, n)
+	var flowing, all sync.WaitGroup
+	for k := range n {
+		flowing.Add(1)
+		var once sync.Once
+		all.Go(func() {
+			answers[k] = chat(ctx, d.callers, f.keys["alpha"], prompt(0, k), longAnswer, func(int) { once.Do(flowing.Done) })
+			once.Do(flowing.Done)
+		})
+	}
+	flowing.Wait()
+	return answers, all.Wait
+}
+
+// longAnswer is an output bound that no answer reaches before a test has acted.
+const longAnswer = 900
+
+// Callers hang up in the middle of long answers. Their streams hold slots and
+// memory on the decode engines; if nobody cancels them, the pool fills with work
+// for people who have left, and those who stayed are refused.
+func TestEngineMemoryIsFreedWhenCallersLeave(t *testing.T) {
+	f := newFleet(t, fleetConfig{instances: 1, prefill: 1, decode: 1, plain: 1, tokenTime: 50 * time.Millisecond})
+	ctx, hangUp := context.WithCancel(context.Background())
+	_, wait := f.openStreams(ctx, f.instances[0], 6)
+	assert.Equal(t, f.held(), 6)
+	hangUp()
+	wait()
+	eventually(t, "engines hold nothing", func() bool { return f.held() == 0 })
+}
+
+// An instance is killed while it streams. Nobody is left who knows of its
+// requests, and the engines would hold their memory until their own time-out,
+// which is set far beyond the test. Its grants lapse and their streams are
+// cancelled by the scheduler, wherever that runs by then.
+func TestEngineMemoryIsFreedWhenAnInstanceDies(t *testing.T) {
+	f := newFleet(t, fleetConfig{
+		instances: 3, prefill: 1, decode: 1, plain: 1, tokenTime: 50 * time.Millisecond,
+		engineArgs: []string{"--resume-ttl", "1h"},
+	})
+	for len(f.instances) > 1 {
+		_, wait := f.openStreams(context.Background(), f.instances[0], 4)
+		f.instances[0].kill()
+		f.instances = f.instances[1:]
+		wait()
+		eventually(t, "engines hold nothing", func() bool { return f.held() == 0 })
+	}
+}
+
+// An instance is stopped for longer than its leases, as when its machine is
+// moved, and then goes on as if nothing had happened. Its slots have been given
+// to others by then. Its callers must not be told that half an answer is whole,
+// and the engines must not work for requests that were given up.
+func TestPausedInstanceLosesItsStreams(t *testing.T) {
+	f := newFleet(t, fleetConfig{
+		instances: 3, prefill: 1, decode: 2, plain: 1, tokenTime: 50 * time.Millisecond,
+		engineArgs: []string{"--resume-ttl", "1h"},
+	})
+	answers, wait := f.openStreams(context.Background(), f.instances[0], 4)
+	f.instances[0].signal(syscall.SIGSTOP)
+	eventually(t, "engines hold nothing", func() bool { return f.held() == 0 })
+	f.instances[0].signal(syscall.SIGCONT)
+	wait()
+	for k := range answers {
+		wrong := answers[k].wrong(prompt(0, k), longAnswer)
+		assert.Assert(t, wrong == "" || !answers[k].whole, "a broken answer looked whole: %s", wrong)
+	}
+	eventually(t, "engines hold nothing at the end", func() bool { return f.held() == 0 })
+}
+
+// A decode stream breaks off without its terminator, again and again, as behind
+// a broken network element. The caller must receive every token once, in order,
+// and no sign of the break.
+func TestTruncatedStreamsAreResumedWithoutLossOrRepetition(t *testing.T) {
+	f := newFleet(t, fleetConfig{instances: 1, prefill: 1, decode: 1, plain: 1, tokenTime: 2 * time.Millisecond})
+	f.fault("decode-0", stand.Faults{TruncateAfter: 40})
+	a := chat(context.Background(), f.instances[0].callers, f.keys["alpha"], prompt(1, 1), 60, nil)
+	assert.Equal(t, a.wrong(prompt(1, 1), 60), "")
+}
--- /dev/null
+++ b/e2e/process_test.go
@@ -0,0 +1,158 @@
+// Package e2e builds the programs, runs them as processes on loopback and judges
+// them by what callers receive.
+package e2e
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// patience bounds every wait for a condition. It is long, because a loaded
+// machine may take its time and no test asserts speed.
+const patience = 60 * time.Second
+
+var binaries struct {
+	once sync.Once
+	dir  string
+	err  error
+}
+
+// TestMain removes the built programs.
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if binaries.dir != "" {
+		_ = os.RemoveAll(binaries.dir)
+	}
+	os.Exit(code)
+}
+
+// build compiles the programs once for all tests.
+func build(t *testing.T) string {
+	t.Helper()
+	binaries.once.Do(func() {
+		binaries.dir, binaries.err = os.MkdirTemp("", "cairnworks-e2e-")
+		if binaries.err != nil {
+			return
+		}
+		out, err := exec.Command("go", "build", "-o", binaries.dir+"/", "../cmd/...").CombinedOutput()
+		if err != nil {
+			binaries.err = fmt.Errorf("build: %w\n%s", err, out)
+		}
+	})
+	if binaries.err != nil {
+		t.Fatal(binaries.err)
+	}
+	return binaries.dir
+}
+
+// process is one running program and the key=value lines it prints.
+type process struct {
+	name string
+	cmd  *exec.Cmd
+	done chan struct{}
+
+	mu    sync.Mutex
+	lines []string
+}
+
+// start runs a program until the test ends.
+func start(t *testing.T, name, program string, args ...string) *process {
+	t.Helper()
+	p := &process{name: name, cmd: exec.Command(filepath.Join(build(t), program), args...), done: make(chan struct{})}
+	out, err := p.cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.cmd.Stderr = p.cmd.Stdout
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go p.read(bufio.NewScanner(out))
+	t.Cleanup(func() {
+		p.signal(syscall.SIGCONT)
+		p.kill()
+		if t.Failed() {
+			t.Logf("--- %s\n%s", name, strings.Join(p.printed(), "\n"))
+		}
+	})
+	return p
+}
+
+func (p *process) read(scanner *bufio.Scanner) {
+	scanner.Buffer(nil, 1<<20)
+	for scanner.Scan() {
+		p.mu.Lock()
+		p.lines = append(p.lines, scanner.Text())
+		p.mu.Unlock()
+	}
+	_ = p.cmd.Wait()
+	close(p.done)
+}
+
+func (p *process) printed() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]string(nil), p.lines...)
+}
+
+// field waits for a line that contains marker and returns the value of a key in it.
+func (p *process) field(t *testing.T, marker, key string) string {
+	t.Helper()
+	var value string
+	eventually(t, p.name+" prints "+marker, func() bool {
+		for _, line := range p.printed() {
+			if !strings.Contains(line, marker) {
+				continue
+			}
+			for _, pair := range strings.Fields(line) {
+				if v, ok := strings.CutPrefix(pair, key+"="); ok {
+					value = strings.Trim(v, `"`)
+					return true
+				}
+			}
+		}
+		return false
+	})
+	return value
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// kill ends the process at once and waits for it.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// exitCode waits for the process to end by itself.
+func (p *process) exitCode(t *testing.T) int {
+	t.Helper()
+	select {
+	case <-p.done:
+		return p.cmd.ProcessState.ExitCode()
+	case <-time.After(patience):
+		t.Fatalf("%s did not exit", p.name)
+		return -1
+	}
+}
+
+// eventually waits for a condition.
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); ; time.Sleep(20 * time.Millisecond) {
+		if condition() {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("never came about: %s", what)
+		}
+	}
+}
--- a/instance/fleet.go
+++ b/instance/fleet.go
@@ -6,22 +6,15 @@
 )
 
 // schedulerHome returns the instance that schedules a service by this instance's
-// view of the fleet.
+// view of the fleet. When every instance is draining each schedules for itself:
+// the requests that still arrive must be served, and an upstream refuses what two
+// schedulers ask too much of it.
 func (i *Instance) schedulerHome(service string) (request.Holder, bool) {
 	home, ok := membership.Home("scheduler/"+service, i.members.Members())
-	return home.Holder, ok
-}
-
-// placedHolders are the instances that may be given homes: alive, not draining.
-func (i *Instance) placedHolders() []request.Holder {
-	members := i.members.Members()
-	holders := make([]request.Holder, 0, len(members))
-	for _, m := range members {
-		if !m.Draining {
-			holders = append(holders, m.Holder)
-		}
+	if !ok {
+		return i.self(), true
 	}
-	return holders
+	return home.Holder, true
 }
 
 // self is this instance with its present incarnation, which changes when the
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -168,4 +168,3 @@
 		Operators: i.listeners.operators.address(),
 	}
 }
-
--- a/route/model.go
+++ b/route/model.go
@@ -45,7 +45,7 @@
 // ModelRunner runs model requests: a grant, prefill, KV transfer, decode, and
 // further attempts where that is allowed.
 type ModelRunner struct {
-	Self    request.Holder
+	Self    func() request.Holder
 	Placer  Placer
 	Engines port.EngineDialer
 	// Address returns the IP:port of an upstream by its object's name.
@@ -144,7 +144,7 @@
 	a := &modelAttempt{
 		modelRun: r,
 		grant:    grant,
-		stream:   port.StreamID{RequestID: r.req.ID, Attempt: attempt, Owner: r.Self},
+		stream:   port.StreamID{RequestID: r.req.ID, Attempt: attempt, Owner: r.Self()},
 		started:  time.Now(),
 	}
 	err = a.run(ctx)
--- a/route/stages.go
+++ b/route/stages.go
@@ -30,9 +30,9 @@
 
 // ChargePart is the charge against one share of the organisation's bucket.
 type ChargePart struct {
-	Share  uint32
-	Shard  uint32
-	Term   uint64
+	Share uint32
+	Shard uint32
+	Term  uint64
 	// Charge names the grant in the share's bucket.
 	Charge uint64
 	Tokens uint64
--- a/scheduler/client.go
+++ b/scheduler/client.go
@@ -26,7 +26,8 @@
 
 // ClientConfig is what the client needs from its instance.
 type ClientConfig struct {
-	Self       request.Holder
+	// Self returns this instance with its present incarnation.
+	Self       func() request.Holder
 	DataCentre string
 	// Home returns the instance that schedules a service.
 	Home func(service string) (request.Holder, bool)
@@ -88,7 +89,7 @@
 	ctx, stop := context.WithTimeout(ctx, budget+callTimeout)
 	defer stop()
 	resp, err := c.cfg.Dial(home.Address).Reserve(ctx, connect.NewRequest(&peerv1.ReserveRequest{
-		Holder: wireHolder(c.cfg.Self), Service: req.Service, Organisation: req.Organisation, RequestId: req.ID,
+		Holder: wireHolder(c.cfg.Self()), Service: req.Service, Organisation: req.Organisation, RequestId: req.ID,
 		Class: uint32(req.Class), PromptTokens: uint32(req.PromptTokens), MaxTokens: uint32(req.MaxTokens),
 		PrefixHashes: req.PrefixHashes, BudgetMs: uint32(budget.Milliseconds()), Fingerprint: req.Fingerprint,
 		Attempt: attempt, Avoid: avoid, KeyId: req.KeyID, ConfigVersion: req.ConfigVersion, DataCentre: c.cfg.DataCentre,
@@ -170,7 +171,7 @@
 	ctx, stop := context.WithTimeout(context.Background(), callTimeout)
 	defer stop()
 	_, err := c.cfg.Dial(address).Release(ctx, connect.NewRequest(&peerv1.ReleaseRequest{
-		Holder: wireHolder(c.cfg.Self), Service: grant.Service, GrantId: grant.ID,
+		Holder: wireHolder(c.cfg.Self()), Service: grant.Service, GrantId: grant.ID,
 		RequestId: grant.RequestID, Attempt: grant.Attempt, Outcome: wireOutcome(outcome),
 	}))
 	if err != nil {
--- a/scheduler/renew.go
+++ b/scheduler/renew.go
@@ -47,7 +47,7 @@
 	ctx, stop := context.WithTimeout(ctx, callTimeout)
 	defer stop()
 	resp, err := c.cfg.Dial(address).Renew(ctx, connect.NewRequest(&peerv1.RenewRequest{
-		Holder: wireHolder(c.cfg.Self), Grants: grants,
+		Holder: wireHolder(c.cfg.Self()), Grants: grants,
 	}))
 	if err != nil {
 		c.cfg.Log.Info("renewal failed", zap.String("scheduler", address), zap.Error(err))
--- a/scheduler/server.go
+++ b/scheduler/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -54,8 +55,9 @@
 
 // running is one service's actor and the watch over its upstreams.
 type running struct {
-	pid  *actor.PID
-	stop context.CancelFunc
+	pid        *actor.PID
+	stop       context.CancelFunc
+	configured configureMsg
 }
 
 // NewServer returns a server without any running service.
@@ -94,13 +96,11 @@
 	if !ok {
 		return nil, connect.NewError(connect.CodeNotFound, errUnknownService)
 	}
-	upstreams := catalogue.Upstreams(name)
 	a := s.newActor(service)
 	pid := s.system.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return a }))
-	s.system.Root.Send(pid, configureMsg{service, upstreams})
-	ctx, stop := context.WithCancel(context.Background())
-	s.services[name] = &running{pid, stop}
-	s.watch(ctx, pid, service, upstreams)
+	r := &running{pid: pid, stop: func() {}}
+	s.services[name] = r
+	s.configure(r, service, catalogue.Upstreams(name))
 	return pid, nil
 }
 
@@ -128,15 +128,16 @@
 	return ok && home.Instance == s.cfg.Self.Instance
 }
 
-// Refresh applies a new object set and starts the services that this instance
-// is the home of, so that streams left behind by a dead scheduler's callers are
-// found even when nobody asks for a new grant.
+// Refresh applies the object set in force and starts the services that this
+// instance is the home of, so that streams left behind by a dead scheduler's
+// callers are found even when nobody asks for a new grant.
 func (s *Server) Refresh(services []object.Service) {
 	for _, service := range services {
-		if s.isHome(service.Name) {
-			if _, err := s.actorOf(service.Name); err != nil {
-				s.cfg.Log.Info("scheduler not started", zap.String("service", service.Name), zap.Error(err))
-			}
+		if !s.isHome(service.Name) {
+			continue
+		}
+		if _, err := s.actorOf(service.Name); err != nil {
+			s.cfg.Log.Info("scheduler not started", zap.String("service", service.Name), zap.Error(err))
 		}
 	}
 	s.mu.Lock()
@@ -148,13 +149,23 @@
 			s.stopService(name, r)
 			continue
 		}
-		upstreams := catalogue.Upstreams(name)
-		s.system.Root.Send(r.pid, configureMsg{service, upstreams})
-		r.stop()
-		ctx, stop := context.WithCancel(context.Background())
-		r.stop = stop
-		s.watch(ctx, r.pid, service, upstreams)
+		s.configure(r, service, catalogue.Upstreams(name))
+	}
+}
+
+// configure gives a service's actor its upstreams and watches them. Unchanged
+// ones are left alone, as a new watch forgets how far it has read their events.
+func (s *Server) configure(r *running, service *object.Service, upstreams []*object.Upstream) {
+	msg := configureMsg{service, upstreams}
+	if reflect.DeepEqual(msg, r.configured) {
+		return
 	}
+	r.configured = msg
+	r.stop()
+	ctx, stop := context.WithCancel(context.Background())
+	r.stop = stop
+	s.system.Root.Send(r.pid, msg)
+	s.watch(ctx, r.pid, service, upstreams)
 }
 
 // Reserve implements the connect handler.
--- a/settings/load.go
+++ b/settings/load.go
@@ -33,9 +33,22 @@
 	return Parse(file, data)
 }
 
+// LoadPartial reads a settings file over given settings: fields that the file
+// does not name keep what base says.
+func LoadPartial(file string, base Settings) (Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, err
+	}
+	return parseOver(file, data, base)
+}
+
 // Parse checks the settings in data; file only names them in errors.
 func Parse(file string, data []byte) (Settings, error) {
-	s := defaults()
+	return parseOver(file, data, Default())
+}
+
+func parseOver(file string, data []byte, s Settings) (Settings, error) {
 	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&s); err != nil {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -61,7 +61,7 @@
 	Weights string `json:"weights" doc:"address of the weight store" unit:"IP:port" default:"none"`
 }
 
-// defaults returns the settings that hold where a file says nothing.
-func defaults() Settings {
+// Default returns the settings that hold where a file says nothing.
+func Default() Settings {
 	return Settings{LogLevel: "info", HeaderSeconds: 5, DrainGraceSeconds: 5}
 }
