--- a/port/httpport/wire/prefix.go
+++ b/port/httpport/wire/prefix.go
@@ -1,22 +1,31 @@
 package wire
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"strings"
 
-// PrefixBlockBytes is the length of a block of the prefix cache. 2,048 bytes are
-// some 400 tokens of prose: far below the shared prefixes of thousands of tokens
-// that are worth a placement, so that rounding down to a block loses little.
-const PrefixBlockBytes = 2048
+	"github.com/cespare/xxhash/v2"
+)
+
+// PrefixBlockWords is the length of a block of the prefix cache in words. Engines
+// of the kind served cache in blocks of 16 to 64 tokens; the coarsest of these
+// keeps the number of hashes low.
+const PrefixBlockWords = 64
 
 // PrefixHashes returns the hashes under which engines report cached prefixes:
-// XXH64 over the prompt's first 1, 2, 3, ... whole blocks, shortest first.
+// XXH64 over the prompt's first 64, 128, 192, ... words, each followed by one
+// space, shortest first. Words stand between white space.
 func PrefixHashes(prompt string) []uint64 {
-	blocks := len(prompt) / PrefixBlockBytes
-	hashes := make([]uint64, 0, blocks)
+	var hashes []uint64
 	digest := xxhash.New()
-	for i := range blocks {
+	words := 0
+	for word := range strings.FieldsSeq(prompt) {
+		words++
 		// Digest.WriteString never fails.
-		_, _ = digest.WriteString(prompt[i*PrefixBlockBytes : (i+1)*PrefixBlockBytes])
-		hashes = append(hashes, digest.Sum64())
+		_, _ = digest.WriteString(word)
+		_, _ = digest.WriteString(" ")
+		if words%PrefixBlockWords == 0 {
+			hashes = append(hashes, digest.Sum64())
+		}
 	}
 	return hashes
 }
--- a/stand/control.go
+++ b/stand/control.go
@@ -16,8 +16,6 @@
 	orderSetRole     = "set_role"
 )
 
-func itoa(n int) string { return strconv.Itoa(n) }
-
 // handleCancel frees whatever is held for an attempt. An unknown one is no error.
 func (e *Engine) handleCancel(w http.ResponseWriter, r *http.Request) {
 	var id wire.Stream
--- a/stand/engine.go
+++ b/stand/engine.go
@@ -49,7 +49,8 @@
 	LinkBytesPerSecond int64
 	// ResumeTTL is how long a stream without a connection is held; 30 s.
 	ResumeTTL time.Duration
-	// CacheBlocks bounds the prefix cache, in blocks of wire.PrefixBlockBytes; 512.
+	// CacheBlocks bounds the prefix cache, in blocks of wire.PrefixBlockWords
+	// tokens; 8192, which is some twenty prompts of the longest kind.
 	CacheBlocks int
 	// EventLag delays cache events; 500 ms. Every EventLossEvery-th is lost; 16.
 	EventLag       time.Duration
@@ -78,7 +79,7 @@
 	setDefault(&c.KVBytesPerToken, 32<<10)
 	setDefault(&c.LinkBytesPerSecond, 2_500_000_000)
 	setDefault(&c.ResumeTTL, 30*time.Second)
-	setDefault(&c.CacheBlocks, 512)
+	setDefault(&c.CacheBlocks, 8192)
 	setDefault(&c.EventLag, 500*time.Millisecond)
 	setDefault(&c.EventLossEvery, 16)
 	setDefault(&c.LoadLag, 500*time.Millisecond)
@@ -123,7 +124,7 @@
 	prefills   map[streamKey]context.CancelFunc
 	turns      turnQueue
 	linkFree   time.Time
-	prefixes   prefixCache
+	prefixes   *prefixCache
 	fence      uint64
 	report     wire.Load
 	reportDue  bool
@@ -159,7 +160,7 @@
 	e.streams = map[streamKey]*stream{}
 	e.caches = map[string]*kvCache{}
 	e.prefills = map[streamKey]context.CancelFunc{}
-	e.prefixes = prefixCache{max: e.cfg.CacheBlocks, lossEvery: e.cfg.EventLossEvery}
+	e.prefixes = newPrefixCache(e.cfg.CacheBlocks, e.cfg.EventLossEvery)
 	e.used = 0
 	e.epoch++
 	e.stats.Starts++
--- a/stand/prefill.go
+++ b/stand/prefill.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -132,10 +133,7 @@
 	runs.Prefills++
 	runs.PromptHash = kv.kv.PromptHash
 	e.stats.PrefillTokens += tokens
-	cached := 0
-	if blocks := e.prefixes.match(hashes); blocks > 0 {
-		cached = tokens * blocks * wire.PrefixBlockBytes / len(req.Prompt)
-	}
+	cached := e.prefixes.match(hashes) * wire.PrefixBlockWords
 	epoch := e.epoch
 	e.mu.Unlock()
 
@@ -160,7 +158,7 @@
 // keep holds a KV cache until it is taken or expires; the caller holds mu.
 func (e *Engine) keep(kv *kvCache) {
 	e.nextHandle++
-	kv.handle = e.start + "-" + kv.stream.RequestID + "-" + itoa(e.nextHandle)
+	kv.handle = e.start + "-" + kv.stream.RequestID + "-" + strconv.Itoa(e.nextHandle)
 	e.caches[kv.handle] = kv
 	kv.expiry = time.AfterFunc(e.cfg.KVTTL, func() {
 		e.mu.Lock()
--- a/stand/prefix.go
+++ b/stand/prefix.go
@@ -1,23 +1,24 @@
 package stand
 
 import (
-	"slices"
+	"container/list"
 	"time"
 
 	"github.com/cairnworks/cairnworks/port/httpport/wire"
 )
 
 // eventsKept bounds the cache events that an engine still tells; older ones are
-// lost to a reader that comes late.
-const eventsKept = 1024
+// lost to a reader that comes late. It covers some seconds of long prompts.
+const eventsKept = 16384
 
 // prefixCache remembers the hashes of prompt prefixes, least recently used out
 // first, and tells of changes late and with gaps.
 type prefixCache struct {
 	max       int
 	lossEvery uint64
-	// recent lists the hashes, least recently used first.
-	recent []uint64
+	// recent holds the hashes, least recently used first; places finds them.
+	recent *list.List
+	places map[uint64]*list.Element
 	seq    uint64
 	events []lateEvent
 }
@@ -27,28 +28,34 @@
 	event wire.CacheEvent
 }
 
+func newPrefixCache(max int, lossEvery uint64) *prefixCache {
+	return &prefixCache{max: max, lossEvery: lossEvery, recent: list.New(), places: map[uint64]*list.Element{}}
+}
+
 // match returns how many leading blocks are cached.
 func (c *prefixCache) match(hashes []uint64) int {
-	blocks := 0
-	for blocks < len(hashes) && slices.Contains(c.recent, hashes[blocks]) {
-		blocks++
+	for blocks, hash := range hashes {
+		if c.places[hash] == nil {
+			return blocks
+		}
 	}
-	return blocks
+	return len(hashes)
 }
 
 // store puts the blocks of a prompt in; due is when readers learn of it.
 func (c *prefixCache) store(hashes []uint64, due time.Time) {
 	for _, hash := range hashes {
-		if at := slices.Index(c.recent, hash); at >= 0 {
-			c.recent = slices.Delete(c.recent, at, at+1)
-		} else {
-			c.tell(hash, true, due)
+		if place := c.places[hash]; place != nil {
+			c.recent.MoveToBack(place)
+			continue
 		}
-		c.recent = append(c.recent, hash)
+		c.places[hash] = c.recent.PushBack(hash)
+		c.tell(hash, true, due)
 	}
-	for len(c.recent) > c.max {
-		c.tell(c.recent[0], false, due)
-		c.recent = c.recent[1:]
+	for c.recent.Len() > c.max {
+		oldest := c.recent.Remove(c.recent.Front()).(uint64)
+		delete(c.places, oldest)
+		c.tell(oldest, false, due)
 	}
 }
 
