object: parse, check, index and schema of the operators' object set

Cause: operators publish the whole set at once; a fault in it would reach every instance within seconds. A check that stops at the first fault costs one attempt for each.

Change: Parse refuses unknown, doubled and mistyped fields with file, field, given and allowed. Check finds dangling and duplicate names, impossible limits, bad addresses, models claimed twice, services without upstreams of a needed role, shadowed call rules and bad or shared key hashes in one run, sorted and typed. Index is the read view for the path of a request. schema.json is the published JSON schema, held in step with the types by a test.

Names cannot form a cycle: references run between types only in one direction. A test holds the types to it, so that a field that changes this is noticed.

--- /dev/null
+++ b/object/defaults.go
@@ -0,0 +1,87 @@
+package object
+
+// Defaults of fields that are zero in a published set. They are filled in when a
+// set is indexed, not when it is published, so that the published text stays the
+// operators' own.
+const (
+	// DefaultMaxPromptTokens covers prompts of tens of thousands of tokens.
+	DefaultMaxPromptTokens = 32768
+	// DefaultMaxOutputTokens bounds an answer.
+	DefaultMaxOutputTokens = 4096
+	// DefaultFirstByteMS is the users' target for the first token, 1.7 s.
+	DefaultFirstByteMS = 1700
+	// DefaultDeferrableWaitMS is how long a request that can wait may queue.
+	DefaultDeferrableWaitMS = 120_000
+	// DefaultMaxBodyBytes bounds a request body, 1 MiB.
+	DefaultMaxBodyBytes = 1 << 20
+	// DefaultCallCost is the token charge of a plain call.
+	DefaultCallCost = 1
+	// DefaultPieceTokens is the size of a piece of engine memory, as the users
+	// state it: about two thousand tokens.
+	DefaultPieceTokens = 2048
+)
+
+// WithDefaults returns a deep copy of the set in which every zero field that has
+// a default carries it.
+func (s Set) WithDefaults() Set {
+	out := s.clone()
+	for i := range out.Services {
+		out.Services[i].fillDefaults()
+	}
+	for i := range out.Upstreams {
+		setDefault(&out.Upstreams[i].PieceTokens, DefaultPieceTokens)
+	}
+	return out
+}
+
+func (s *Service) fillDefaults() {
+	setDefault(&s.MaxPromptTokens, DefaultMaxPromptTokens)
+	setDefault(&s.MaxOutputTokens, DefaultMaxOutputTokens)
+	setDefault(&s.FirstByteMS, DefaultFirstByteMS)
+	setDefault(&s.MaxBodyBytes, DefaultMaxBodyBytes)
+	if s.Deferrable {
+		setDefault(&s.MaxWaitMS, DefaultDeferrableWaitMS)
+	}
+	setDefault(&s.MaxWaitMS, s.FirstByteMS)
+	for i := range s.Calls {
+		setDefault(&s.Calls[i].Cost, DefaultCallCost)
+	}
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// clone copies the set so deeply that nothing of the copy is shared.
+func (s Set) clone() Set {
+	out := Set{
+		Organisations: append([]Organisation(nil), s.Organisations...),
+		Keys:          append([]Key(nil), s.Keys...),
+		Services:      append([]Service(nil), s.Services...),
+		Upstreams:     append([]Upstream(nil), s.Upstreams...),
+		Limits:        append([]Limit(nil), s.Limits...),
+	}
+	for i := range out.Organisations {
+		out.Organisations[i].Services = append([]string(nil), out.Organisations[i].Services...)
+	}
+	for i := range out.Services {
+		out.Services[i].Models = append([]string(nil), out.Services[i].Models...)
+		out.Services[i].Calls = append([]Call(nil), out.Services[i].Calls...)
+	}
+	return out
+}
+
+// Append returns a set with the objects of both, in order. It is how a set that
+// is kept in several files becomes one.
+func (s Set) Append(other Set) Set {
+	return Set{
+		Organisations: append(s.Organisations, other.Organisations...),
+		Keys:          append(s.Keys, other.Keys...),
+		Services:      append(s.Services, other.Services...),
+		Upstreams:     append(s.Upstreams, other.Upstreams...),
+		Limits:        append(s.Limits, other.Limits...),
+	}
+}
--- /dev/null
+++ b/object/hash.go
@@ -0,0 +1,30 @@
+package object
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+)
+
+// hashLength is the length of a hexadecimal SHA-256.
+const hashLength = 2 * sha256.Size
+
+// HashKey returns the lower-case hexadecimal SHA-256 of a key, the only form in
+// which a key is published or kept. A plain hash is enough because keys are
+// random: there is no dictionary to try.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// validHash tells whether s has the form of HashKey's result.
+func validHash(s string) bool {
+	if len(s) != hashLength {
+		return false
+	}
+	for _, c := range []byte(s) {
+		if (c < '0' || c > '9') && (c < 'a' || c > 'f') {
+			return false
+		}
+	}
+	return true
+}
--- a/object/object.go
+++ b/object/object.go
@@ -82,9 +82,12 @@
 type Role string
 
 const (
+	// RolePrefill upstreams compute the KV cache of prompts.
 	RolePrefill Role = "prefill"
-	RoleDecode  Role = "decode"
-	RolePlain   Role = "plain"
+	// RoleDecode upstreams generate tokens from an imported KV cache.
+	RoleDecode Role = "decode"
+	// RolePlain upstreams answer the calls of a plain service.
+	RolePlain Role = "plain"
 )
 
 // Upstream is a back end of one service.
--- /dev/null
+++ b/object/object_test.go
@@ -0,0 +1,226 @@
+package object
+
+import (
+	"encoding/json"
+	"os"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func load(t testing.TB, file string) Set {
+	t.Helper()
+	data, err := os.ReadFile(file)
+	assert.NilError(t, err)
+	set, faults := Parse(file, data)
+	assert.Equal(t, len(faults), 0, "%v", faults)
+	return set
+}
+
+func TestGoodSetsHaveNoFaults(t *testing.T) {
+	for _, file := range []string{"testdata/good.json", "../examples/objects.json"} {
+		assert.DeepEqual(t, Check(load(t, file)), []Fault(nil))
+	}
+}
+
+// An operator edits a large set in several places and makes six mistakes. With a
+// check that stops at the first, each costs another attempt while callers wait.
+func TestSixFaultsAreNamedInOneRun(t *testing.T) {
+	faults := Check(load(t, "testdata/six_faults.json"))
+	want := []Fault{
+		{Kind: FaultDuplicate, Object: Ref{TypeKey, "osijek-zoo-1"}, Other: Ref{TypeKey, "zagreb-zoo-1"}, Field: "hash", Allowed: "each hash in one key"},
+		{Kind: FaultOutOfRange, Object: Ref{TypeLimit, "member"}, Field: "tokens_per_second", Given: "0", Allowed: "1 to 1000000000000"},
+		{Kind: FaultDangling, Object: Ref{TypeOrganisation, "zagreb-zoo"}, Other: Ref{TypeLimit, "membr"}, Field: "limit", Given: "membr", Allowed: "the name of a limit of the set"},
+		{Kind: FaultDuplicate, Object: Ref{TypeOrganisation, "savez"}, Other: Ref{TypeOrganisation, "savez"}, Field: "name", Given: "savez", Allowed: "each name once"},
+		{Kind: FaultDuplicate, Object: Ref{TypeService, "arhiv"}, Other: Ref{TypeService, "pisar"}, Field: "models", Given: "pisar-7b", Allowed: "each model in one service"},
+		{Kind: FaultBadValue, Object: Ref{TypeUpstream, "arhiv-decode-1"}, Field: "address", Given: `"arhiv.example:8000"`, Allowed: "IP:port, such as 10.0.0.1:8000 or [fd00::1]:8000"},
+	}
+	sortFaults(want)
+	assert.DeepEqual(t, faults, want)
+}
+
+// Each row breaks the good set in one way that would mislead the fleet: a limit
+// that refuses for ever, a booking that runs twice, an engine counted twice, a key
+// that acts for two organisations.
+func TestEachFaultIsFound(t *testing.T) {
+	rows := []struct {
+		name   string
+		breaks func(*Set)
+		kind   FaultKind
+		object Ref
+		field  string
+	}{
+		{"negative rate", func(s *Set) { s.Limits[0].TokensPerSecond = -1 }, FaultOutOfRange, Ref{TypeLimit, "member"}, "tokens_per_second"},
+		{"zero burst", func(s *Set) { s.Limits[0].Burst = 0 }, FaultOutOfRange, Ref{TypeLimit, "member"}, "burst"},
+		{"burst below prompt", func(s *Set) { s.Limits[0].Burst = 16384 }, FaultBurstTooSmall, Ref{TypeLimit, "member"}, "burst"},
+		{"burst below call", func(s *Set) { s.Services[1].Calls[1].Cost = 60001 }, FaultBurstTooSmall, Ref{TypeLimit, "member"}, "burst"},
+		{"no limit", func(s *Set) { s.Organisations[0].Limit = "" }, FaultMissing, Ref{TypeOrganisation, "zagreb-zoo"}, "limit"},
+		{"unknown service", func(s *Set) { s.Organisations[0].Services = []string{"pisarr"} }, FaultDangling, Ref{TypeOrganisation, "zagreb-zoo"}, "services"},
+		{"service twice", func(s *Set) { s.Organisations[0].Services = []string{"pisar", "pisar"} }, FaultDuplicate, Ref{TypeOrganisation, "zagreb-zoo"}, "services"},
+		{"key of nobody", func(s *Set) { s.Keys[0].Organisation = "nobody" }, FaultDangling, Ref{TypeKey, "zagreb-zoo-1"}, "organisation"},
+		{"hash of wrong form", func(s *Set) { s.Keys[0].Hash = "sk-secret" }, FaultBadValue, Ref{TypeKey, "zagreb-zoo-1"}, "hash"},
+		{"hash of no key", func(s *Set) { s.Keys[0].Hash = HashKey("") }, FaultBadValue, Ref{TypeKey, "zagreb-zoo-1"}, "hash"},
+		{"upstream of nothing", func(s *Set) { s.Upstreams[0].Service = "x" }, FaultDangling, Ref{TypeUpstream, "pisar-prefill-1"}, "service"},
+		{"role of other kind", func(s *Set) { s.Upstreams[0].Role = RolePlain }, FaultBadValue, Ref{TypeUpstream, "pisar-prefill-1"}, "role"},
+		{"no decode upstream", func(s *Set) { s.Upstreams = s.Upstreams[:4] }, FaultNoUpstream, Ref{TypeService, "pisar"}, "upstreams"},
+		{"one address twice", func(s *Set) { s.Upstreams[1].Address = "[::ffff:10.0.0.11]:8000" }, FaultDuplicate, Ref{TypeUpstream, "pisar-prefill-2"}, "address"},
+		{"port zero", func(s *Set) { s.Upstreams[0].Address = "10.0.0.1:0" }, FaultBadValue, Ref{TypeUpstream, "pisar-prefill-1"}, "address"},
+		{"no slots", func(s *Set) { s.Upstreams[0].Slots = 0 }, FaultOutOfRange, Ref{TypeUpstream, "pisar-prefill-1"}, "slots"},
+		{"no data centre", func(s *Set) { s.Upstreams[0].DataCentre = "" }, FaultMissing, Ref{TypeUpstream, "pisar-prefill-1"}, "data_centre"},
+		{"unknown kind", func(s *Set) { s.Services[0].Kind = "modle" }, FaultBadValue, Ref{TypeService, "pisar"}, "kind"},
+		{"no models", func(s *Set) { s.Services[0].Models = nil }, FaultMissing, Ref{TypeService, "pisar"}, "models"},
+		{"calls of a model", func(s *Set) { s.Services[0].Calls = s.Services[1].Calls }, FaultNotApplicable, Ref{TypeService, "pisar"}, "calls"},
+		{"negative wait", func(s *Set) { s.Services[0].MaxWaitMS = -1 }, FaultOutOfRange, Ref{TypeService, "pisar"}, "max_wait_ms"},
+		{"booking shadowed", func(s *Set) {
+			s.Services[1].Calls = []Call{{Method: "POST", Path: "/", Idempotent: true}, {Method: "POST", Path: "/swaps"}}
+		}, FaultShadowed, Ref{TypeService, "dezurstva"}, "calls[1]"},
+		{"method", func(s *Set) { s.Services[1].Calls[0].Method = "get" }, FaultBadValue, Ref{TypeService, "dezurstva"}, "calls[0].method"},
+		{"name", func(s *Set) { s.Limits = append(s.Limits, Limit{Name: "a/b", TokensPerSecond: 1, Burst: 1}) }, FaultBadName, Ref{TypeLimit, "a/b"}, "name"},
+	}
+	good := load(t, "testdata/good.json")
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			set := good.clone()
+			row.breaks(&set)
+			faults := Check(set)
+			found := slices.ContainsFunc(faults, func(f Fault) bool {
+				return f.Kind == row.kind && f.Object == row.object && f.Field == row.field
+			})
+			assert.Assert(t, found, "%v", faults)
+			for _, f := range faults {
+				assert.Assert(t, !strings.Contains(f.String(), "sk-secret"))
+			}
+		})
+	}
+}
+
+// A misspelt or doubled field is ignored by an ordinary decoder: the operator
+// believes that a key is withdrawn or a list complete, and it is not.
+func TestParseRefusesWhatItWouldIgnore(t *testing.T) {
+	text := `{"keys":[{"name":"a","Hash":"x","withdrawn":"yes"}],"keys":[],"limits":[{"burst":1.5}],"limit":null}`
+	_, faults := Parse("f.json", []byte(text))
+	file := Ref{TypeFile, "f.json"}
+	want := []Fault{
+		{Kind: FaultDuplicate, Object: file, Field: "keys", Given: "keys", Allowed: "each field once"},
+		{Kind: FaultUnknownField, Object: file, Field: "keys[0].Hash", Given: "Hash", Allowed: "name, organisation, hash, withdrawn"},
+		{Kind: FaultWrongType, Object: file, Field: "keys[0].withdrawn", Given: "a string", Allowed: "true or false"},
+		{Kind: FaultUnknownField, Object: file, Field: "limit", Given: "limit", Allowed: "organisations, keys, services, upstreams, limits"},
+		{Kind: FaultWrongType, Object: file, Field: "limits[0].burst", Given: "the number 1.5", Allowed: "a whole number"},
+	}
+	assert.DeepEqual(t, faults, want)
+
+	_, faults = Parse("f.json", []byte("{\n\"keys\": [}"))
+	assert.Equal(t, len(faults), 1)
+	assert.Equal(t, faults[0].Kind, FaultSyntax)
+	assert.Assert(t, strings.HasPrefix(faults[0].Given, "line 2:"), faults[0].Given)
+}
+
+// Names cannot form a cycle while no type of object can reach itself through
+// references. A field that changes this needs a check for cycles with it.
+func TestReferencesBetweenTypesAreAcyclic(t *testing.T) {
+	next := make(map[Type][]Type)
+	for _, r := range listReferences(load(t, "testdata/good.json")) {
+		next[r.from.Type] = append(next[r.from.Type], r.to.Type)
+	}
+	next[TypeOrganisation] = append(next[TypeOrganisation], TypeService)
+	var reaches func(from, to Type, depth int) bool
+	reaches = func(from, to Type, depth int) bool {
+		return depth > 0 && slices.ContainsFunc(next[from], func(n Type) bool {
+			return n == to || reaches(n, to, depth-1)
+		})
+	}
+	for typ := range next {
+		assert.Assert(t, !reaches(typ, typ, len(next)), "%s reaches itself", typ)
+	}
+}
+
+func TestIndexFindsWhatTheSetHolds(t *testing.T) {
+	set := load(t, "testdata/good.json")
+	set.Keys[1].Withdrawn = true
+	x := NewIndex(set, 7)
+	assert.Equal(t, x.Version(), uint64(7))
+	key, organisation, ok := x.KeyByHash(HashKey("example-key-of-zagreb-zoo"))
+	assert.Assert(t, ok && key.Name == "zagreb-zoo-1" && organisation.Name == "zagreb-zoo")
+	assert.Assert(t, x.KeyUsable("zagreb-zoo-1") && !x.KeyUsable("osijek-zoo-1") && !x.KeyUsable("none"))
+	service, ok := x.ServiceByModel("pisar-7b")
+	assert.Assert(t, ok && service.FirstByteMS == DefaultFirstByteMS && service.MaxWaitMS == DefaultFirstByteMS)
+	assert.Equal(t, len(x.Upstreams("pisar")), 10)
+	limit, ok := x.Limit("savez")
+	assert.Assert(t, ok && limit.Burst == 60000)
+	set.Keys[0].Name = "changed"
+	assert.Assert(t, x.KeyUsable("zagreb-zoo-1"))
+}
+
+// The schema and the types are written by hand; an editor that follows an old
+// schema marks a right set wrong or a wrong one right.
+func TestSchemaMatchesTypes(t *testing.T) {
+	type schema struct {
+		Type       string             `json:"type"`
+		Properties map[string]*schema `json:"properties"`
+		Items      *schema            `json:"items"`
+		Ref        string             `json:"$ref"`
+		Extra      *bool              `json:"additionalProperties"`
+		Required   []string           `json:"required"`
+		Defs       map[string]*schema `json:"$defs"`
+	}
+	var root schema
+	assert.NilError(t, json.Unmarshal(Schema, &root))
+	var match func(s *schema, typ reflect.Type, path string)
+	match = func(s *schema, typ reflect.Type, path string) {
+		assert.Assert(t, s != nil, "%s is missing", path)
+		if s.Ref != "" {
+			s = root.Defs[strings.TrimPrefix(s.Ref, "#/$defs/")]
+		}
+		names := map[reflect.Kind]string{reflect.Struct: "object", reflect.Slice: "array", reflect.String: "string", reflect.Bool: "boolean"}
+		want, ok := names[typ.Kind()]
+		if !ok {
+			want = "integer"
+		}
+		assert.Equal(t, s.Type, want, path)
+		switch typ.Kind() {
+		case reflect.Slice:
+			match(s.Items, typ.Elem(), path+"[]")
+		case reflect.Struct:
+			assert.Assert(t, s.Extra != nil && !*s.Extra, "%s takes unknown fields", path)
+			assert.Equal(t, len(s.Properties), typ.NumField(), path)
+			for i := range typ.NumField() {
+				f := typ.Field(i)
+				match(s.Properties[jsonName(f)], f.Type, path+"."+jsonName(f))
+				optional := strings.HasSuffix(f.Tag.Get("json"), ",omitempty") || typ == reflect.TypeFor[Set]()
+				assert.Equal(t, slices.Contains(s.Required, jsonName(f)), !optional, "%s.%s required", path, jsonName(f))
+			}
+		}
+	}
+	match(&root, reflect.TypeFor[Set](), "set")
+}
+
+func FuzzParse(f *testing.F) {
+	for _, file := range []string{"testdata/good.json", "testdata/six_faults.json"} {
+		data, err := os.ReadFile(file)
+		assert.NilError(f, err)
+		f.Add(data)
+	}
+	f.Add([]byte(`{"services":[{"calls":[{"path":"/"}]}],"keys":[{}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		set, faults := Parse("f", data)
+		if len(faults) > 0 {
+			return
+		}
+		text, err := json.Marshal(set)
+		assert.NilError(t, err)
+		var again Set
+		assert.NilError(t, json.Unmarshal(text, &again))
+		if len(Check(set)) > 0 {
+			return
+		}
+		x := NewIndex(again, 1)
+		for _, k := range set.Keys {
+			_, organisation, ok := x.KeyByHash(k.Hash)
+			assert.Assert(t, ok && organisation.Name == k.Organisation)
+		}
+		assert.Equal(t, len(Check(x.Set())), 0)
+	})
+}
