Tests of the door, run side by side with the processes' tests

Cause: refusals at the door were not proved, and the processes' tests took 41 s in a row. Change: table of refusals, half answers, whole answers, plain calls; a fuzz target for bodies; the e2e tests run in parallel; a writer without deadlines is no error. Two door tests failed first, on a writer that knows no deadlines.

--- a/caller/events.go
+++ b/caller/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
 	"time"
 )
@@ -34,7 +35,7 @@
 // event sends one data line and flushes it.
 func (w *eventWriter) event(data []byte) error {
 	w.begin()
-	if err := w.control.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+	if err := w.control.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return err
 	}
 	line := make([]byte, 0, len(data)+len("data: \n\n"))
--- /dev/null
+++ b/caller/server_test.go
@@ -0,0 +1,205 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/cairnworks/cairnworks/object"
+	"github.com/cairnworks/cairnworks/observe"
+	"github.com/cairnworks/cairnworks/route"
+	"github.com/cairnworks/cairnworks/verdict"
+)
+
+const testKey = "k-1"
+
+// fakePath stands for everything behind the door.
+type fakePath struct {
+	charged, settled uint64
+	// fail is returned by the runners after sent tokens.
+	fail   error
+	tokens []string
+	plain  route.PlainCall
+}
+
+func (f *fakePath) Admit(_ context.Context, organisation string, cost uint64) (route.Charge, error) {
+	f.charged = cost
+	return route.Charge{Organisation: organisation, Tokens: cost}, nil
+}
+
+func (f *fakePath) Settle(_ route.Charge, used uint64) { f.settled = used }
+
+func (f *fakePath) Run(_ context.Context, _ *Request, sink route.Sink) (route.Answer, error) {
+	for _, token := range f.tokens {
+		if err := sink.Token(token); err != nil {
+			return route.Answer{}, err
+		}
+	}
+	return route.Answer{FinishReason: "stop", PromptTokens: 2, OutputTokens: len(f.tokens)}, f.fail
+}
+
+type fakePlain struct{ *fakePath }
+
+func (f fakePlain) Run(_ context.Context, call route.PlainCall) (route.PlainAnswer, error) {
+	f.plain = call
+	return route.PlainAnswer{Status: http.StatusTeapot, ContentType: "text/plain", Body: []byte("leaf")}, f.fail
+}
+
+func newTestServer(t *testing.T, path *fakePath) *Server {
+	t.Helper()
+	set := object.Set{
+		Organisations: []object.Organisation{{Name: "zoo", Limit: "l", Services: []string{"scribe", "desk"}}},
+		Keys: []object.Key{
+			{Name: "good", Organisation: "zoo", Hash: object.HashKey(testKey)},
+			{Name: "old", Organisation: "zoo", Hash: object.HashKey("k-old"), Withdrawn: true},
+		},
+		Services: []object.Service{
+			{Name: "scribe", Kind: object.KindModel, Models: []string{"m"}, MaxPromptTokens: 5, MaxOutputTokens: 50},
+			{Name: "desk", Kind: object.KindPlain, MaxBodyBytes: 8, Calls: []object.Call{
+				{Method: http.MethodGet, Path: "/ledger/", Idempotent: true}, {Method: http.MethodPost, Path: "/book", Cost: 7},
+			}},
+			{Name: "private", Kind: object.KindModel, Models: []string{"p"}},
+		},
+	}
+	index := object.NewIndex(set, 1)
+	metrics := observe.NewMetrics()
+	t.Cleanup(func() { _ = metrics.Close() })
+	return NewServer(Config{
+		Directory: func() *object.Index { return index }, Rate: path, Models: path, Plain: fakePlain{path},
+		Watch: func(string, context.CancelCauseFunc) func() { return func() {} }, Log: zap.NewNop(), Metrics: metrics,
+	})
+}
+
+func send(s *Server, method, path, key, body string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	if key != "" {
+		r.Header.Set("Authorization", "Bearer "+key)
+	}
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, r)
+	return w
+}
+
+// Callers send what they should not. Each must get an error that says what was
+// wrong, that nothing ran, and the request's id, in the form usual clients parse.
+func TestRefusalsAtTheDoor(t *testing.T) {
+	const chat = "/v1/chat/completions"
+	message := func(content string) string {
+		return `{"model":"m","messages":[{"role":"user","content":` + content + `}]}`
+	}
+	for _, test := range []struct {
+		name, method, path, key, body string
+		status                        int
+		reason                        verdict.Reason
+	}{
+		{"no key", "POST", chat, "", message(`"a"`), 401, verdict.ReasonUnauthenticated},
+		{"wrong key", "POST", chat, "nope", message(`"a"`), 401, verdict.ReasonUnauthenticated},
+		{"withdrawn key", "POST", chat, "k-old", message(`"a"`), 401, verdict.ReasonKeyWithdrawn},
+		{"bad JSON", "POST", chat, testKey, `{"model":`, 400, verdict.ReasonBadRequest},
+		{"no model", "POST", chat, testKey, `{}`, 400, verdict.ReasonBadRequest},
+		{"no messages", "POST", chat, testKey, `{"model":"m"}`, 400, verdict.ReasonBadRequest},
+		{"image part", "POST", chat, testKey, message(`[{"type":"image_url"}]`), 400, verdict.ReasonBadRequest},
+		{"two answers", "POST", chat, testKey, `{"model":"m","n":2,"messages":[{"role":"user","content":"a"}]}`, 400, verdict.ReasonBadRequest},
+		{"no tokens", "POST", chat, testKey, `{"model":"m","max_tokens":0,"messages":[{"role":"user","content":"a"}]}`, 400, verdict.ReasonBadRequest},
+		{"prompt list", "POST", "/v1/completions", testKey, `{"model":"m","prompt":["a"]}`, 400, verdict.ReasonBadRequest},
+		{"unknown model", "POST", chat, testKey, `{"model":"x","messages":[{"role":"user","content":"a"}]}`, 404, verdict.ReasonUnknownModel},
+		{"another's model", "POST", chat, testKey, `{"model":"p","messages":[{"role":"user","content":"a"}]}`, 404, verdict.ReasonUnknownModel},
+		{"long prompt", "POST", chat, testKey, message(`"a b c d e f"`), 400, verdict.ReasonPromptTooLong},
+		{"huge body", "POST", chat, testKey, message(`"` + strings.Repeat("a", defaultMaxBody) + `"`), 413, verdict.ReasonBodyTooLarge},
+		{"unknown service", "GET", "/services/none/x", testKey, "", 404, verdict.ReasonUnknownService},
+		{"unknown call", "GET", "/services/desk/none", testKey, "", 404, verdict.ReasonUnknownService},
+		{"wrong method", "DELETE", "/services/desk/book", testKey, "", 405, verdict.ReasonMethodNotAllowed},
+		{"body over the service's limit", "POST", "/services/desk/book", testKey, "123456789", 413, verdict.ReasonBodyTooLarge},
+		{"unknown path", "GET", "/v2", testKey, "", 404, verdict.ReasonUnknownService},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			w := send(newTestServer(t, &fakePath{}), test.method, test.path, test.key, test.body)
+			assert.Equal(t, w.Code, test.status)
+			var body errorBody
+			assert.NilError(t, json.Unmarshal(w.Body.Bytes(), &body))
+			assert.Equal(t, body.Error.Code, string(test.reason))
+			assert.Equal(t, body.Error.Ran, "not_run")
+			assert.Equal(t, body.Error.RequestID, w.Header().Get("X-Request-Id"))
+			assert.Assert(t, body.Error.Message != "")
+		})
+	}
+}
+
+// The path fails after some tokens have been forwarded. The caller has half an
+// answer; it must end with an error event and without the terminator, so that no
+// client takes it for a whole one.
+func TestFailureInMidStreamEndsWithAnErrorEvent(t *testing.T) {
+	path := &fakePath{tokens: []string{"size ", "cures"}, fail: verdict.Fail(verdict.HasRun, verdict.ReasonTruncated, io.ErrUnexpectedEOF, "broke off")}
+	w := send(newTestServer(t, path), "POST", "/v1/completions", testKey, `{"model":"m","prompt":"a b","stream":true,"max_tokens":9}`)
+	assert.Equal(t, w.Code, http.StatusOK)
+	assert.Assert(t, strings.Contains(w.Body.String(), `"code":"truncated"`), w.Body.String())
+	assert.Assert(t, !strings.Contains(w.Body.String(), "[DONE]"))
+	assert.Equal(t, path.charged, uint64(2+9))
+	assert.Equal(t, path.settled, uint64(2+2))
+}
+
+// A refusal carries when to come back, rounded up to whole seconds, and costs
+// the organisation nothing.
+func TestRefusalTellsWhenToComeBackAndCostsNothing(t *testing.T) {
+	path := &fakePath{fail: verdict.Refuse(verdict.ReasonDeadlineUnmeetable, 1200*time.Millisecond, "full")}
+	w := send(newTestServer(t, path), "POST", "/v1/completions", testKey, `{"model":"m","prompt":"a","stream":true}`)
+	assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+	assert.Equal(t, w.Header().Get("Retry-After"), "2")
+	assert.Equal(t, path.settled, uint64(0))
+}
+
+func TestWholeAnswers(t *testing.T) {
+	path := &fakePath{tokens: []string{"a ", "b"}}
+	w := send(newTestServer(t, path), "POST", "/v1/chat/completions", testKey,
+		`{"model":"m","messages":[{"role":"user","content":[{"type":"text","text":"hi"}]}]}`)
+	var body completion
+	assert.NilError(t, json.Unmarshal(w.Body.Bytes(), &body))
+	assert.Equal(t, body.Choices[0].Message.Content, "a b")
+	assert.Equal(t, body.Usage.TotalTokens, 4)
+
+	w = send(newTestServer(t, path), "POST", "/v1/chat/completions", testKey,
+		`{"model":"m","stream":true,"stream_options":{"include_usage":true},"messages":[{"role":"user","content":"hi"}]}`)
+	assert.Assert(t, strings.HasSuffix(w.Body.String(), "data: [DONE]\n\n"))
+	assert.Assert(t, strings.Contains(w.Body.String(), `"total_tokens":4`))
+}
+
+func TestPlainCallIsPassedThroughWithoutTheKey(t *testing.T) {
+	path := &fakePath{}
+	s := newTestServer(t, path)
+	w := send(s, "POST", "/services/desk/book?leaf=2", testKey, "12345678")
+	assert.Equal(t, w.Code, http.StatusTeapot)
+	assert.Equal(t, w.Body.String(), "leaf")
+	assert.Equal(t, path.plain.Call.Path+"?"+path.plain.Call.RawQuery, "/book?leaf=2")
+	assert.Assert(t, !path.plain.Idempotent)
+	assert.Equal(t, path.charged, uint64(7))
+	w = send(s, "GET", "/v1/models", testKey, "")
+	assert.Assert(t, strings.Contains(w.Body.String(), `"id":"m"`) && !strings.Contains(w.Body.String(), `"id":"p"`))
+}
+
+func FuzzParseCompletion(f *testing.F) {
+	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":"a"}]}`), true)
+	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":[{"type":"text","text":"a"}]}],"max_tokens":3}`), true)
+	f.Add([]byte(`{"model":"m","prompt":"a b c","n":1}`), false)
+	f.Add([]byte(`{"model":"m","prompt":null,"max_completion_tokens":-1}`), false)
+	f.Fuzz(func(t *testing.T, data []byte, chat bool) {
+		body, prompt, err := parseCompletion(data, chat)
+		if err != nil {
+			if v := verdict.From(err); v.Ran != verdict.NotRun || v.Reason != verdict.ReasonBadRequest {
+				t.Fatalf("a refusal of a body was %v", v)
+			}
+			return
+		}
+		tokens, prefixes, _ := measurePrompt(prompt)
+		if tokens == 0 || body.Model == "" || len(prefixes) > maxPrefixHashes {
+			t.Fatalf("accepted %d tokens, %d prefixes, model %q", tokens, len(prefixes), body.Model)
+		}
+	})
+}
--- a/e2e/drain_test.go
+++ b/e2e/drain_test.go
@@ -15,6 +15,7 @@
 // services perhaps among what it runs. Every stream must reach its end, requests
 // that still arrive must be served, and the process must exit with 0.
 func TestDrainCutsNothing(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, fleetConfig{instances: 2, prefill: 1, decode: 1, plain: 1, tokenTime: 20 * time.Millisecond, graceSeconds: 1})
 	const maxTokens = 80
 	for n, d := range f.instances {
--- a/e2e/gone_test.go
+++ b/e2e/gone_test.go
@@ -51,6 +51,7 @@
 // memory on the decode engines; if nobody cancels them, the pool fills with work
 // for people who have left, and those who stayed are refused.
 func TestEngineMemoryIsFreedWhenCallersLeave(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, fleetConfig{instances: 1, prefill: 1, decode: 1, plain: 1, tokenTime: 50 * time.Millisecond})
 	ctx, hangUp := context.WithCancel(context.Background())
 	_, wait := f.openStreams(ctx, f.instances[0], 6)
@@ -65,6 +66,7 @@
 // which is set far beyond the test. Its grants lapse and their streams are
 // cancelled by the scheduler, wherever that runs by then.
 func TestEngineMemoryIsFreedWhenAnInstanceDies(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, fleetConfig{
 		instances: 3, prefill: 1, decode: 1, plain: 1, tokenTime: 50 * time.Millisecond,
 		engineArgs: []string{"--resume-ttl", "1h"},
@@ -83,6 +85,7 @@
 // to others by then. Its callers must not be told that half an answer is whole,
 // and the engines must not work for requests that were given up.
 func TestPausedInstanceLosesItsStreams(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, fleetConfig{
 		instances: 3, prefill: 1, decode: 2, plain: 1, tokenTime: 50 * time.Millisecond,
 		engineArgs: []string{"--resume-ttl", "1h"},
@@ -103,6 +106,7 @@
 // a broken network element. The caller must receive every token once, in order,
 // and no sign of the break.
 func TestTruncatedStreamsAreResumedWithoutLossOrRepetition(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, fleetConfig{instances: 1, prefill: 1, decode: 1, plain: 1, tokenTime: 2 * time.Millisecond})
 	f.fault("decode-0", stand.Faults{TruncateAfter: 40})
 	a := chat(context.Background(), f.instances[0].callers, f.keys["alpha"], prompt(1, 1), 60, nil)
--- a/e2e/keys_test.go
+++ b/e2e/keys_test.go
@@ -17,6 +17,7 @@
 // The streams must end with the reason, new requests must be refused, and other
 // organisations must not notice.
 func TestWithdrawnKeyEndsOpenStreamsEverywhere(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, fleetConfig{instances: 3, prefill: 1, decode: 2, plain: 1, tokenTime: 50 * time.Millisecond})
 	var waits []func()
 	var open [][]answer
@@ -51,6 +52,7 @@
 // A caller's key is a credential; an upstream that sees it can act for the
 // organisation. Callers also send it in places where it does not belong.
 func TestNoUpstreamSeesAKey(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, fleetConfig{instances: 1, prefill: 1, decode: 1, plain: 1, tokenTime: time.Millisecond})
 	key := f.keys["alpha"]
 	a := chat(context.Background(), f.instances[0].callers, key, "one", 5, nil)
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -14,6 +14,7 @@
 // their streams break without a terminator; everybody else's answers go on, whole
 // and their own, through the instances that are left.
 func TestStreamsThroughThreeInstancesWhileOneDies(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, fleetConfig{instances: 3, prefill: 2, decode: 2, plain: 1, tokenTime: 20 * time.Millisecond})
 	const (
 		perInstance = 8
