Group scheduler: fair queue, admission by time, reserved placement

Cause: first come, first served gives the service to the loudest organisation, and placement without memory and link time wastes prefills. Change: queue (start-time fair queueing over class, organisation, key), placement (slots, pieces, adaptive limit), prefill (prefix index, learnt speed), transfer (link calendar), joined behind the same API.

--- a/decision/group/config.go
+++ b/decision/group/config.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cairnworks/cairnworks/decision/queue"
 	"github.com/cairnworks/cairnworks/object"
 )
 
@@ -14,34 +15,114 @@
 	// every id that its predecessors gave, so that a late release of an old grant
 	// cannot free a new one.
 	FirstGrantID uint64
-	// FirstToken is the target from arrival to first token.
+	// FirstToken is the target from arrival to first token or byte. It bounds the
+	// wait of interactive requests; deferrable ones wait until their deadline.
 	FirstToken time.Duration
 	// BetweenTokens is the target between tokens.
 	BetweenTokens time.Duration
+	// KVExpiry is how long a prefill result lives.
+	KVExpiry time.Duration
+	// KVBytesPerToken is the size of a prompt token's KV cache on a link.
+	KVBytesPerToken int64
+	// PrefixBlockTokens is the length of the blocks of Request.PrefixHashes; 0
+	// means that the hashes divide a prompt evenly.
+	PrefixBlockTokens int
+	// DeferrableShare is the part of the engine time for deferrable requests while
+	// interactive ones wait.
+	DeferrableShare float64
+	// Start are the estimates used before outcomes are known.
+	Start StartEstimates
+}
+
+// StartEstimates stand in until outcomes are known. Each is replaced by what
+// outcomes show within some twenty of them.
+type StartEstimates struct {
+	// BetweenTokens is the time between tokens.
+	BetweenTokens time.Duration
+	// OutputRatio is the part of MaxTokens that an answer uses.
+	OutputRatio float64
+	// OutputTokens is the length of an answer, for the first estimate of how long
+	// a decode slot is held.
+	OutputTokens int
+	// Call is the duration of a plain call.
+	Call time.Duration
 }
 
-// Targets of the product: first token in 1.7 s and 53 ms between tokens, for 95
-// requests in 100.
 const (
+	// DefaultFirstToken and DefaultBetweenTokens are the product's targets, for 95
+	// requests in 100.
 	DefaultFirstToken    = 1700 * time.Millisecond
 	DefaultBetweenTokens = 53 * time.Millisecond
+	// DefaultKVExpiry is below the second that platforms state at most.
+	DefaultKVExpiry = 800 * time.Millisecond
+	// DefaultKVBytesPerToken is the KV cache of a token in a model of 80 layers
+	// with 8 key-value heads of 128 values in 8 bits: 80*8*128*2 bytes.
+	DefaultKVBytesPerToken = 163840
 )
 
-// defaultPieceTokens is the piece size of the platform's engines.
-const defaultPieceTokens = 2048
+// defaultStart: tokens come a little faster than the target on a healthy engine;
+// answers use about half of what callers allow; a plain lookup takes tens of
+// milliseconds.
+var defaultStart = StartEstimates{
+	BetweenTokens: 40 * time.Millisecond,
+	OutputRatio:   0.5,
+	OutputTokens:  200,
+	Call:          50 * time.Millisecond,
+}
+
+const (
+	// kvWaitPart is the part of KVExpiry that a result may be planned to wait for
+	// a link. The other half is for prefills that end at another time than
+	// estimated and move the transfers before this one.
+	kvWaitPart = 0.5
+	// kvSafePart is the part of KVExpiry within which the transfer must be planned
+	// to end.
+	kvSafePart = 0.9
+	// waitPart is the least part of a request's time to its deadline that it may
+	// wait. Without it a prompt whose prefill alone takes the whole target would
+	// be refused for ever while anything is queued, and an estimate that is once
+	// too long would refuse all and never be corrected by an outcome.
+	waitPart = 0.25
+	// maxParked bounds the requests taken from the queue that wait for memory or a
+	// link, because each is tried again at each decision.
+	maxParked = 8
+	// parkedRetry is how often parked requests are tried when nothing else
+	// happens: a small part of the time that a link booking lasts.
+	parkedRetry = 10 * time.Millisecond
+	// noUpstreamRetry is the advice when no upstream is usable: health probes and
+	// changes of configuration take effect within seconds.
+	noUpstreamRetry = 2 * time.Second
+	// minRetry is the shortest advice: under it a caller would come back before
+	// anything can have changed.
+	minRetry = 100 * time.Millisecond
+	// prefillGrace is by how much a prefill place is kept beyond its estimate when
+	// the driver does not tell the end of prefills.
+	prefillGrace = 1.25
+	// dataCentreFill is how much fuller an upstream in the near data centre may be
+	// and still be preferred: a hop of a millisecond is worth no more than that.
+	dataCentreFill = 0.02
+)
 
 func (c Config) withDefaults() Config {
 	if c.Kind == "" {
 		c.Kind = object.KindModel
 	}
-	if c.FirstGrantID == 0 {
-		c.FirstGrantID = 1
-	}
-	if c.FirstToken == 0 {
-		c.FirstToken = DefaultFirstToken
-	}
-	if c.BetweenTokens == 0 {
-		c.BetweenTokens = DefaultBetweenTokens
-	}
+	setDefault(&c.FirstGrantID, 1)
+	setDefault(&c.FirstToken, DefaultFirstToken)
+	setDefault(&c.BetweenTokens, DefaultBetweenTokens)
+	setDefault(&c.KVExpiry, DefaultKVExpiry)
+	setDefault(&c.KVBytesPerToken, DefaultKVBytesPerToken)
+	setDefault(&c.DeferrableShare, queue.DeferrableShare)
+	setDefault(&c.Start.BetweenTokens, defaultStart.BetweenTokens)
+	setDefault(&c.Start.OutputRatio, defaultStart.OutputRatio)
+	setDefault(&c.Start.OutputTokens, defaultStart.OutputTokens)
+	setDefault(&c.Start.Call, defaultStart.Call)
 	return c
 }
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- a/decision/group/group.go
+++ b/decision/group/group.go
@@ -1,269 +1,153 @@
-// Package group is the whole decision of one service's scheduler: who waits, who
-// is refused, and which upstreams a request gets. It is a pure state machine;
-// times are passed in and must not go backwards. It is not safe for concurrent use.
 package group
 
 import (
-	"slices"
 	"time"
 
+	"github.com/cairnworks/cairnworks/decision/prefill"
+	"github.com/cairnworks/cairnworks/decision/queue"
 	"github.com/cairnworks/cairnworks/object"
 	"github.com/cairnworks/cairnworks/request"
-	"github.com/cairnworks/cairnworks/verdict"
 )
 
 // Group schedules the requests of one service onto its upstreams.
 type Group struct {
-	cfg       Config
-	upstreams []*upstream
-	byName    map[string]*upstream
-	waiting   []Request
-	grants    map[uint64]*held
-	nextID    uint64
-}
-
-type upstream struct {
-	Upstream
-	running int
-	pieces  int
-	health  float64
-	leaving bool
-}
-
+	cfg Config
+
+	// entries are plain upstreams or prefill upstreams; sinks are plain or decode
+	// upstreams, which answer. For plain services entries is empty.
+	entries []*upstream
+	sinks   []*upstream
+	ordered []*upstream
+	byName  map[string]*upstream
+	byIndex map[int]*upstream
+	indexes int
+
+	queue  *queue.Queue[*waiter]
+	parked []*waiter
+	grants map[uint64]*held
+	nextID uint64
+	uses   uint64
+
+	cache    *prefill.Index
+	estimate *estimates
+	// tellsPrefill is set once the driver has told the end of a prefill; from then
+	// on prefill places are kept until it does.
+	tellsPrefill bool
+	out          []Decision
+}
+
+// waiter is a request without a grant.
+type waiter struct {
+	Request
+	submitted time.Time
+	// latest is when it can no longer meet its deadline.
+	latest time.Time
+	// cost is the estimated engine time in seconds.
+	cost float64
+	// claim is the upstream whose memory gathers for a parked request.
+	claim       *upstream
+	claimPieces int
+}
+
+// held is a granted request.
 type held struct {
 	Held
-	prefilling bool
+	class   request.Class
+	key     string
+	adopted bool
+	granted time.Time
+	cost    float64
+	// engineShare is the part of the decode upstream that the request takes.
+	engineShare float64
+	uncached    int
+	maxTokens   int
+	// prefillEstimate and firstToken were expected at the grant.
+	prefillEstimate time.Duration
+	firstToken      time.Duration
+	prefilling      bool
+	// runningAtGrant is the size of the decode batch that it joined.
+	runningAtGrant int
+	prefix         []uint64
+
+	from, to *upstream
 }
 
 // New returns a group without upstreams.
 func New(cfg Config) *Group {
 	cfg = cfg.withDefaults()
 	return &Group{
-		cfg:    cfg,
-		byName: make(map[string]*upstream),
-		grants: make(map[uint64]*held),
-		nextID: cfg.FirstGrantID,
+		cfg:      cfg,
+		byName:   make(map[string]*upstream),
+		byIndex:  make(map[int]*upstream),
+		queue:    queue.New[*waiter](cfg.DeferrableShare),
+		grants:   make(map[uint64]*held),
+		nextID:   cfg.FirstGrantID,
+		cache:    prefill.NewIndex(),
+		estimate: newEstimates(cfg),
 	}
 }
 
 // SetUpstreams replaces the set of upstreams. Grants on upstreams that are no
 // longer in the set stay until they are released.
 func (g *Group) SetUpstreams(now time.Time, ups []Upstream) []Decision {
-	byName := make(map[string]*upstream, len(ups))
-	list := make([]*upstream, 0, len(ups))
+	for _, u := range g.ordered {
+		u.gone = true
+	}
+	g.entries, g.sinks, g.ordered = nil, nil, nil
 	for _, spec := range ups {
-		u := g.byName[spec.Name]
-		if u == nil {
-			u = &upstream{health: 1}
+		u := g.upstream(spec)
+		u.configure(spec)
+		g.ordered = append(g.ordered, u)
+		if u.spec.Role == object.RolePrefill {
+			g.entries = append(g.entries, u)
+		} else {
+			g.sinks = append(g.sinks, u)
 		}
-		u.Upstream = spec
-		byName[spec.Name] = u
-		list = append(list, u)
-	}
-	g.byName, g.upstreams = byName, list
-	return g.dispatch(now)
-}
-
-// Submit adds a request. The decisions may concern other requests too.
-func (g *Group) Submit(now time.Time, req Request) []Decision {
-	g.remove(req.ID)
-	g.waiting = append(g.waiting, req)
-	return g.dispatch(now)
-}
-
-// Withdraw removes a waiting request whose caller is gone. It gets no decision.
-func (g *Group) Withdraw(now time.Time, requestID string) []Decision {
-	g.remove(requestID)
-	return g.dispatch(now)
-}
-
-// PrefillDone frees the prefill place of a grant whose decode goes on.
-func (g *Group) PrefillDone(now time.Time, grantID uint64) []Decision {
-	if h := g.grants[grantID]; h != nil {
-		g.freePrefill(h)
 	}
+	g.forgetGone()
 	return g.dispatch(now)
 }
 
-// Release frees everything that a grant holds. Unknown grants are ignored, so
-// that a release can be repeated.
-func (g *Group) Release(now time.Time, grantID uint64, out Outcome) []Decision {
-	h := g.grants[grantID]
-	if h == nil {
-		return nil
-	}
-	delete(g.grants, grantID)
-	g.freePrefill(h)
-	if u := g.byName[h.Decode]; u != nil {
-		u.running--
-		u.pieces -= h.Pieces
+// upstream returns the account of an upstream and opens one if needed. An
+// upstream that changed its role keeps the account, because its grants do.
+func (g *Group) upstream(spec Upstream) *upstream {
+	if u := g.byName[spec.Name]; u != nil {
+		return u
+	}
+	u := &upstream{index: g.indexes, health: 1, speed: prefill.NewUpstream()}
+	g.indexes++
+	g.byName[spec.Name] = u
+	g.byIndex[u.index] = u
+	return u
+}
+
+// forgetGone drops upstreams that left the set and hold nothing any more. Those
+// that still hold something keep their account: if they come back, the slots in
+// use must still be counted.
+func (g *Group) forgetGone() {
+	for name, u := range g.byName {
+		if u.gone && u.account.Running() == 0 {
+			delete(g.byName, name)
+			delete(g.byIndex, u.index)
+			g.cache.Forget(u.index)
+		}
 	}
-	return g.dispatch(now)
 }
 
 // Adopt counts a grant that an instance still uses and another scheduler gave.
+// It fills the places it uses even beyond their number.
 func (g *Group) Adopt(now time.Time, h Held) {
 	if g.grants[h.ID] != nil {
 		return
 	}
-	g.hold(&held{Held: h})
-}
-
-// Report takes in an upstream's lagging report of itself.
-func (g *Group) Report(now time.Time, name string, load Load) {
-	if u := g.byName[name]; u != nil {
-		u.leaving = load.Leaving
-	}
-}
-
-// SetHealth sets the weight of an upstream: 0 takes it out, 1 is full.
-func (g *Group) SetHealth(now time.Time, name string, weight float64) {
-	if u := g.byName[name]; u != nil {
-		u.health = weight
-	}
-}
-
-// CacheEvent tells that a prefill upstream stored or dropped a prefix.
-func (g *Group) CacheEvent(now time.Time, name string, hash uint64, stored bool) {}
-
-// CacheReset forgets what is believed of an upstream's prefix cache, after a gap
-// in its events or a restart.
-func (g *Group) CacheReset(name string) {}
-
-// Advance handles what is due at now. It returns when it must be called next;
-// the zero time means that nothing is due.
-func (g *Group) Advance(now time.Time) ([]Decision, time.Time) {
-	decisions := g.dispatch(now)
-	var next time.Time
-	for _, req := range g.waiting {
-		if next.IsZero() || req.Deadline.Before(next) {
-			next = req.Deadline
-		}
-	}
-	return decisions, next
-}
-
-// Status reports queue lengths and use per upstream.
-func (g *Group) Status(now time.Time) Status {
-	status := Status{Granted: len(g.grants)}
-	for _, req := range g.waiting {
-		if req.Class == request.Deferrable {
-			status.QueuedDeferrable++
-		} else {
-			status.QueuedInteractive++
-		}
-	}
-	for _, u := range g.upstreams {
-		status.Upstreams = append(status.Upstreams, UpstreamStatus{
-			Name: u.Name, Role: u.Role, Running: u.running, Slots: u.Slots,
-			PiecesUsed: u.pieces, Pieces: u.Pieces, Health: u.health, Leaving: u.Leaving || u.leaving,
-		})
-	}
-	return status
-}
-
-func (g *Group) remove(requestID string) {
-	g.waiting = slices.DeleteFunc(g.waiting, func(r Request) bool { return r.ID == requestID })
-}
-
-func (g *Group) dispatch(now time.Time) []Decision {
-	var decisions []Decision
-	rest := g.waiting[:0]
-	for _, req := range g.waiting {
-		if !now.Before(req.Deadline) {
-			refusal := verdict.Refuse(verdict.ReasonQueueTimeout, time.Second, "no place before the deadline")
-			decisions = append(decisions, Decision{RequestID: req.ID, Refusal: refusal})
-			continue
-		}
-		if grant := g.place(now, req); grant != nil {
-			decisions = append(decisions, Decision{RequestID: req.ID, Grant: grant})
-			continue
-		}
-		rest = append(rest, req)
-	}
-	g.waiting = rest
-	return decisions
-}
-
-func (g *Group) place(now time.Time, req Request) *Grant {
-	role := object.RolePlain
-	var prefill string
-	if g.cfg.Kind == object.KindModel {
-		role = object.RoleDecode
-		p := g.leastLoaded(object.RolePrefill, req)
-		if p == nil {
-			return nil
-		}
-		prefill = p.Name
-	}
-	d := g.leastLoaded(role, req)
-	if d == nil {
-		return nil
-	}
-	h := &held{Held: Held{
-		ID: g.nextID, RequestID: req.ID, Organisation: req.Organisation,
-		Prefill: prefill, Decode: d.Name, Pieces: piecesFor(d, req),
-	}}
-	g.nextID++
-	h.prefilling = prefill != ""
-	g.hold(h)
-	return &Grant{
-		ID: h.ID, RequestID: req.ID, Prefill: prefill, Decode: d.Name,
-		Pieces: h.Pieces, TransferAfter: now, Queued: now.Sub(req.Arrived),
-	}
-}
-
-func (g *Group) leastLoaded(role object.Role, req Request) *upstream {
-	var best *upstream
-	for _, u := range g.upstreams {
-		if u.Role != role || !u.takes(req) {
-			continue
-		}
-		if best == nil || u.running < best.running {
-			best = u
-		}
-	}
-	return best
-}
-
-func (u *upstream) takes(req Request) bool {
-	if u.Leaving || u.leaving || u.health <= 0 || u.running >= u.Slots {
-		return false
-	}
-	if u.Pieces > 0 && u.pieces+piecesFor(u, req) > u.Pieces {
-		return false
-	}
-	return !slices.Contains(req.Avoid, u.Name)
-}
-
-func piecesFor(u *upstream, req Request) int {
-	size := u.PieceTokens
-	if size == 0 {
-		size = defaultPieceTokens
-	}
-	if u.Role != object.RoleDecode {
-		return 0
-	}
-	return (req.PromptTokens + req.MaxTokens + size - 1) / size
-}
-
-func (g *Group) hold(h *held) {
-	g.grants[h.ID] = h
-	if u := g.byName[h.Decode]; u != nil {
-		u.running++
-		u.pieces += h.Pieces
-	}
-	if u := g.byName[h.Prefill]; u != nil && h.prefilling {
-		u.running++
-	}
-}
-
-func (g *Group) freePrefill(h *held) {
-	if !h.prefilling {
-		return
-	}
-	h.prefilling = false
-	if u := g.byName[h.Prefill]; u != nil {
-		u.running--
+	to := g.byName[h.Decode]
+	if to == nil {
+		to = g.upstream(Upstream{Name: h.Decode})
+		to.gone = true
 	}
+	// The prefill is taken as done: a prefill lasts far less than a takeover.
+	g.grants[h.ID] = &held{Held: h, adopted: true, granted: now, to: to}
+	to.account.Hold(h.Pieces)
+	// Grant ids never meet, also when a driver started this group too low.
+	g.nextID = max(g.nextID, h.ID+1)
 }
--- /dev/null
+++ b/decision/group/place.go
@@ -0,0 +1,185 @@
+package group
+
+import (
+	"time"
+
+	"github.com/cairnworks/cairnworks/decision/prefill"
+	"github.com/cairnworks/cairnworks/decision/transfer"
+	"github.com/cairnworks/cairnworks/object"
+)
+
+// place finds upstreams for a request; nil if it fits nowhere now.
+func (g *Group) place(now time.Time, w *waiter) *reservation {
+	if g.cfg.Kind == object.KindPlain {
+		return g.placePlain(now, w)
+	}
+	r := g.placePrefill(now, w)
+	if r == nil {
+		return nil
+	}
+	return g.placeDecode(now, w, r)
+}
+
+// reservation is a place found and not yet held.
+type reservation struct {
+	from, to *upstream
+	pieces   int
+	uncached int
+	// prefill is the expected duration; transfer is the booked one.
+	prefill  time.Duration
+	transfer time.Duration
+	// transferAt is the start of the booking.
+	transferAt time.Time
+}
+
+func (g *Group) placePlain(now time.Time, w *waiter) *reservation {
+	var best *upstream
+	var bestScore float64
+	for _, u := range g.sinks {
+		if !u.free(now) || avoided(w, u, g.sinks) {
+			continue
+		}
+		score := sinkScore(now, u, 0, w.DataCentre)
+		if best == nil || score < bestScore || (score == bestScore && u.lastUse < best.lastUse) {
+			best, bestScore = u, score
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return &reservation{to: best}
+}
+
+// sinkScore is how full the upstream will be, weighted by health; lower is better.
+func sinkScore(now time.Time, u *upstream, pieces int, dataCentre string) float64 {
+	score := u.account.Fill(now, pieces) / u.health
+	if u.spec.DataCentre != dataCentre {
+		score += dataCentreFill
+	}
+	return score
+}
+
+// placePrefill picks the free prefill upstream whose result is on its way first:
+// prefill time after what is cached, hop, and the wait for its own link.
+func (g *Group) placePrefill(now time.Time, w *waiter) *reservation {
+	hashes := len(w.PrefixHashes)
+	g.cache.Match(now, w.PrefixHashes, g.noteMatch)
+	var best reservation
+	var bestEnd time.Duration
+	for _, u := range g.entries {
+		matched := u.matched
+		u.matched = 0
+		if !u.free(now) || avoided(w, u, g.entries) {
+			continue
+		}
+		r := reservation{from: u}
+		r.uncached = prefill.Uncached(w.PromptTokens, hashes, matched, g.cfg.PrefixBlockTokens)
+		r.prefill = u.speed.Estimate(g.estimate.speed.Estimate(r.uncached))
+		// Several prefills on one upstream share its processors.
+		r.prefill *= time.Duration(u.account.Used(now).Requests + 1)
+		if u.spec.DataCentre != w.DataCentre {
+			r.prefill += prefill.Hop
+		}
+		u.link.Expire(now)
+		ready := now.Add(r.prefill)
+		length := transfer.Duration(&u.link, &transfer.Link{}, g.kvBytes(w))
+		end := transfer.Earliest(&u.link, &transfer.Link{}, ready, length).Add(length).Sub(now)
+		end = time.Duration(float64(end) / u.health)
+		if best.from == nil || end < bestEnd || (end == bestEnd && u.lastUse < best.from.lastUse) {
+			best, bestEnd = r, end
+		}
+	}
+	if best.from == nil {
+		return nil
+	}
+	return &best
+}
+
+func (g *Group) noteMatch(index, matched int) {
+	if u := g.byIndex[index]; u != nil {
+		u.matched = max(u.matched, matched)
+	}
+}
+
+func (g *Group) kvBytes(w *waiter) int64 { return int64(w.PromptTokens) * g.cfg.KVBytesPerToken }
+
+// placeDecode picks the emptiest decode upstream that has a slot and the memory,
+// and to which the result can be transferred before it expires.
+func (g *Group) placeDecode(now time.Time, w *waiter, r *reservation) *reservation {
+	ready := now.Add(r.prefill)
+	var bestScore float64
+	for _, u := range g.sinks {
+		if !u.free(now) || avoided(w, u, g.sinks) {
+			continue
+		}
+		pieces := u.account.PiecesFor(w.PromptTokens, w.MaxTokens)
+		if !u.account.Fits(now, pieces) {
+			continue
+		}
+		score := sinkScore(now, u, pieces, r.from.spec.DataCentre)
+		if r.to != nil && (score > bestScore || (score == bestScore && u.lastUse > r.to.lastUse)) {
+			continue
+		}
+		u.link.Expire(now)
+		length := transfer.Duration(&r.from.link, &u.link, g.kvBytes(w))
+		at := transfer.Earliest(&r.from.link, &u.link, ready, length)
+		if at.Sub(ready) > g.longestLinkWait(length) {
+			continue
+		}
+		r.to, r.pieces, r.transfer, r.transferAt, bestScore = u, pieces, length, at, score
+	}
+	if r.to == nil {
+		return nil
+	}
+	return r
+}
+
+// longestLinkWait is how long a prefill result may wait for a link so that its
+// transfer, which takes length, ends before the result expires. A transfer that
+// takes longer than a result lives may only start at once: whether it can succeed
+// is the engine's to say.
+func (g *Group) longestLinkWait(length time.Duration) time.Duration {
+	expiry := float64(g.cfg.KVExpiry)
+	return time.Duration(max(0, min(kvWaitPart*expiry, kvSafePart*expiry-float64(length))))
+}
+
+// grant holds what the reservation found.
+func (g *Group) grant(now time.Time, w *waiter, r *reservation) {
+	h := &held{
+		Held: Held{
+			ID: g.nextID, RequestID: w.ID, Organisation: w.Organisation,
+			Decode: r.to.spec.Name, Pieces: r.pieces,
+		},
+		class: w.Class, key: w.KeyID, granted: now, cost: w.cost,
+		engineShare: g.shareOf(r.to, r.pieces), uncached: r.uncached, maxTokens: w.MaxTokens,
+		prefillEstimate: r.prefill, prefix: w.PrefixHashes,
+		from: r.from, to: r.to,
+	}
+	g.nextID++
+	g.uses++
+	g.grants[h.ID] = h
+	r.to.account.Hold(r.pieces)
+	r.to.lastUse = g.uses
+	h.runningAtGrant = r.to.account.Running()
+	grant := &Grant{
+		ID: h.ID, RequestID: w.ID, Decode: h.Decode, Pieces: r.pieces,
+		Queued: now.Sub(w.submitted),
+	}
+	if r.from != nil {
+		g.holdPrefill(h, r)
+		grant.Prefill = h.Prefill
+		grant.TransferAfter = r.transferAt
+	}
+	g.estimate.granted(now, w)
+	g.out = append(g.out, Decision{RequestID: w.ID, Grant: grant})
+}
+
+func (g *Group) holdPrefill(h *held, r *reservation) {
+	h.Prefill = r.from.spec.Name
+	h.prefilling = true
+	h.firstToken = r.transferAt.Sub(h.granted) + r.transfer + g.estimate.step()
+	r.from.account.Hold(0)
+	r.from.lastUse = g.uses
+	r.from.link.Book(h.ID, r.transferAt, r.transfer)
+	r.to.link.Book(h.ID, r.transferAt, r.transfer)
+}
--- /dev/null
+++ b/decision/group/release.go
@@ -0,0 +1,97 @@
+package group
+
+import "time"
+
+// PrefillDone frees the prefill place of a grant whose decode goes on. A driver
+// that never calls it has its prefill places freed at their estimated end.
+func (g *Group) PrefillDone(now time.Time, grantID uint64) []Decision {
+	g.tellsPrefill = true
+	h := g.grants[grantID]
+	if h == nil || !h.prefilling {
+		return nil
+	}
+	g.freePrefill(now, h)
+	g.estimate.prefillHeld(now.Sub(h.granted))
+	for _, hash := range h.prefix {
+		g.cache.Store(now, h.from.index, hash)
+	}
+	return g.dispatch(now)
+}
+
+// Release frees everything that a grant holds. Unknown grants are ignored, so
+// that a release can be repeated.
+func (g *Group) Release(now time.Time, grantID uint64, out Outcome) []Decision {
+	h := g.grants[grantID]
+	if h == nil {
+		return nil
+	}
+	delete(g.grants, grantID)
+	g.freePrefill(now, h)
+	h.to.account.Free(now, h.Pieces)
+	h.to.link.Cancel(h.ID)
+	if h.from != nil {
+		h.from.link.Cancel(h.ID)
+	}
+	if !h.adopted {
+		g.learn(now, h, out)
+	}
+	if u := g.byName[out.FailedUpstream]; u != nil && out.Kind == OutcomeUpstreamCrashed {
+		g.cache.Reset(u.index)
+	}
+	if h.to.gone {
+		g.forgetGone()
+	}
+	return g.dispatch(now)
+}
+
+func (g *Group) freePrefill(now time.Time, h *held) {
+	if !h.prefilling {
+		return
+	}
+	h.prefilling = false
+	h.from.account.Free(now, 0)
+}
+
+// prefillBy is when a prefill place is taken for free without being told.
+func (h *held) prefillBy() time.Time {
+	return h.granted.Add(time.Duration(prefillGrace * float64(h.prefillEstimate)))
+}
+
+func (g *Group) freeUntoldPrefills(now time.Time) {
+	if g.tellsPrefill {
+		return
+	}
+	for _, h := range g.grants {
+		if h.prefilling && !h.prefillBy().After(now) {
+			g.freePrefill(now, h)
+		}
+	}
+}
+
+// learn feeds the estimates and settles the organisation's charge by what the
+// attempt really used.
+func (g *Group) learn(now time.Time, h *held, out Outcome) {
+	took := now.Sub(h.granted)
+	prefilled := min(took, h.prefillEstimate)
+	if out.Prefill > 0 {
+		prefilled = min(took, out.Prefill)
+	}
+	cost := prefilled.Seconds() + (took-prefilled).Seconds()*h.engineShare
+	g.queue.Settle(h.class, h.Organisation, h.key, cost-h.cost)
+	g.estimate.released(took, cost)
+	if out.Kind != OutcomeDone {
+		return
+	}
+	g.estimate.answered(h, out)
+	if h.from != nil && out.Prefill > 0 {
+		h.from.speed.Learn(g.estimate.speed.Estimate(h.uncached), out.Prefill)
+		g.estimate.speed.Learn(h.uncached, out.Prefill)
+		if !g.tellsPrefill {
+			g.estimate.prefillHeld(out.Prefill)
+		}
+	}
+	if out.OutputTokens > 1 && out.Decode > 0 {
+		between := out.Decode / time.Duration(out.OutputTokens-1)
+		h.to.account.Observe(h.granted, h.runningAtGrant, now, between, g.cfg.BetweenTokens)
+	}
+}
--- /dev/null
+++ b/decision/group/submit.go
@@ -0,0 +1,150 @@
+package group
+
+import (
+	"time"
+
+	"github.com/cairnworks/cairnworks/decision/queue"
+	"github.com/cairnworks/cairnworks/object"
+	"github.com/cairnworks/cairnworks/request"
+	"github.com/cairnworks/cairnworks/verdict"
+)
+
+// Submit adds a request. It is refused at once when it cannot meet its target or
+// deadline behind what already waits. The decisions may concern other requests too.
+func (g *Group) Submit(now time.Time, req Request) []Decision {
+	g.unqueue(req.ID)
+	g.expire(now)
+	w := g.newWaiter(now, req)
+	if refusal := g.refusal(now, w); refusal != nil {
+		g.refuse(w, refusal)
+		return g.dispatch(now)
+	}
+	g.queue.Push(&queue.Item[*waiter]{
+		ID: w.ID, Organisation: w.Organisation, Key: w.KeyID, Class: w.Class,
+		Cost: w.cost, LatestStart: w.latest, Value: w,
+	})
+	return g.dispatch(now)
+}
+
+// Withdraw removes a waiting request whose caller is gone. It gets no decision.
+func (g *Group) Withdraw(now time.Time, requestID string) []Decision {
+	g.unqueue(requestID)
+	return g.dispatch(now)
+}
+
+func (g *Group) unqueue(requestID string) {
+	if g.queue.Remove(requestID) {
+		return
+	}
+	for i, w := range g.parked {
+		if w.ID == requestID {
+			g.unpark(i)
+			return
+		}
+	}
+}
+
+func (g *Group) newWaiter(now time.Time, req Request) *waiter {
+	if req.Class != request.Deferrable {
+		req.Class = request.Interactive
+	}
+	w := &waiter{Request: req, submitted: now}
+	w.cost = g.estimate.cost(w, g.engineShare(w))
+	w.latest = g.latestStart(w)
+	return w
+}
+
+// bound is when the first token is due. The target binds interactive first
+// attempts; a later attempt has lost time to a fault and may use all of its
+// deadline, and so may deferrable requests.
+func (g *Group) bound(w *waiter) time.Time {
+	target := w.Arrived.Add(g.cfg.FirstToken)
+	if w.Class == request.Interactive && w.Attempt <= 1 && target.Before(w.Deadline) {
+		return target
+	}
+	return w.Deadline
+}
+
+func (g *Group) latestStart(w *waiter) time.Time {
+	bound := g.bound(w)
+	need := g.estimate.needed(w)
+	most := time.Duration((1 - waitPart) * float64(bound.Sub(w.submitted)))
+	return bound.Add(-max(0, min(need, most)))
+}
+
+// refusal returns the verdict of a request that is not let into the queue, or nil.
+func (g *Group) refusal(now time.Time, w *waiter) *verdict.Verdict {
+	if !g.anyUsable() {
+		return verdict.Refuse(verdict.ReasonNoUpstream, noUpstreamRetry, "no upstream of the service takes work")
+	}
+	if !g.everFits(w) {
+		return verdict.Refuse(verdict.ReasonPromptTooLong, 0, "prompt and answer pass the memory of every upstream")
+	}
+	wait := g.wait(now, w)
+	if !now.Before(g.bound(w)) {
+		return verdict.Refuse(verdict.ReasonDeadlineUnmeetable, advice(wait), "the deadline has passed")
+	}
+	if now.Add(wait).After(w.latest) {
+		return verdict.Refuse(verdict.ReasonDeadlineUnmeetable, advice(wait),
+			"expected wait of %s is too long for the deadline", wait.Round(time.Millisecond))
+	}
+	return nil
+}
+
+// advice is when to come back: when what waits now will have been served.
+func advice(wait time.Duration) time.Duration { return max(minRetry, wait) }
+
+func (g *Group) anyUsable() bool {
+	return anyUsable(g.sinks) && (g.cfg.Kind == object.KindPlain || anyUsable(g.entries))
+}
+
+func anyUsable(ups []*upstream) bool {
+	for _, u := range ups {
+		if u.usable() {
+			return true
+		}
+	}
+	return false
+}
+
+func (g *Group) everFits(w *waiter) bool {
+	if g.cfg.Kind == object.KindPlain {
+		return true
+	}
+	for _, u := range g.sinks {
+		if !u.usable() {
+			continue
+		}
+		if u.account.PiecesFor(w.PromptTokens, w.MaxTokens) <= u.account.Pieces {
+			return true
+		}
+	}
+	return false
+}
+
+// wait estimates how long a new request waits for its grant.
+func (g *Group) wait(now time.Time, w *waiter) time.Duration {
+	if g.waitingCount() == 0 && g.hasPlace(now) {
+		return 0
+	}
+	ahead := g.queue.Ahead(w.Class, w.Organisation, w.KeyID, w.cost)
+	for _, p := range g.parked {
+		ahead += p.cost
+	}
+	share := g.cfg.DeferrableShare
+	if w.Class == request.Deferrable {
+		ahead += g.queue.Cost(request.Interactive)
+		ahead /= max(share, 1-g.estimate.interactiveLoad(now, g.interval(now)))
+	} else {
+		ahead += min(g.queue.Cost(request.Deferrable), ahead*share/(1-share))
+	}
+	return g.estimate.drainTime(ahead, g.interval(now))
+}
+
+func (g *Group) waitingCount() int {
+	return len(g.parked) + g.queue.Len(request.Interactive) + g.queue.Len(request.Deferrable)
+}
+
+func (g *Group) refuse(w *waiter, v *verdict.Verdict) {
+	g.out = append(g.out, Decision{RequestID: w.ID, Refusal: v})
+}
--- /dev/null
+++ b/decision/placement/placement.go
@@ -0,0 +1,120 @@
+// Package placement counts what is held on upstreams (slots and memory pieces)
+// and adapts how many requests a decode upstream is given.
+//
+// Load pattern: decode upstreams that are nearly full, report late, and slow down
+// with each request in their batch. Without exact counts a prefill is paid for
+// and then finds no slot; without memory for the whole answer a decode stops in
+// the middle; without a limit that follows the token rate, a slow upstream is
+// filled to its nominal slots and every answer on it misses the target.
+//
+// A place holds pieces for prompt and longest answer from before the prefill
+// until its release: growth while decoding can then never fail. With pieces of
+// 2048 tokens an answer of a few hundred tokens costs at most one piece more than
+// it uses, which is why a smaller estimate with preemption was not taken.
+package placement
+
+import "time"
+
+// DefaultPieceTokens is the piece size of the platform's engines.
+const DefaultPieceTokens = 2048
+
+// Foreign load is what an upstream reports beyond this scheduler's own grants.
+const (
+	// reportLag is how old a report may be: grants released within it may still
+	// be counted by the report and are not taken for foreign ones.
+	reportLag = 2 * time.Second
+	// reportLifetime is how long foreign load is believed without a new report:
+	// a few missed reports, after which it is more often gone than not.
+	reportLifetime = 10 * time.Second
+)
+
+// Upstream is the account of one upstream.
+type Upstream struct {
+	Slots       int
+	Pieces      int
+	PieceTokens int
+
+	running int
+	pieces  int
+	limit   Limit
+
+	foreign       Usage
+	foreignUntil  time.Time
+	recentRelease []release
+}
+
+// Usage is a number of requests and the memory pieces they hold.
+type Usage struct {
+	Requests int
+	Pieces   int
+}
+
+type release struct {
+	at     time.Time
+	pieces int
+}
+
+// PiecesFor is the memory to reserve for a prompt and its longest answer.
+func (u *Upstream) PiecesFor(promptTokens, maxTokens int) int {
+	if u.Pieces == 0 {
+		return 0
+	}
+	size := u.PieceTokens
+	if size == 0 {
+		size = DefaultPieceTokens
+	}
+	return (promptTokens + maxTokens + size - 1) / size
+}
+
+// Hold counts a grant.
+func (u *Upstream) Hold(pieces int) {
+	u.running++
+	u.pieces += pieces
+}
+
+// Free gives a grant's place back. The release is remembered for as long as a
+// lagging report may still count it.
+func (u *Upstream) Free(now time.Time, pieces int) {
+	u.running--
+	u.pieces -= pieces
+	u.forget(now)
+	u.recentRelease = append(u.recentRelease, release{at: now, pieces: pieces})
+}
+
+// Claim holds pieces alone, ahead of a grant that does not fit yet, so that the
+// pieces that others free gather for it. Without it a large request waits for
+// ever behind small ones that take each piece as it comes free.
+func (u *Upstream) Claim(pieces int) { u.pieces += pieces }
+
+// Unclaim gives a claim back.
+func (u *Upstream) Unclaim(pieces int) { u.pieces -= pieces }
+
+// Report takes in an upstream's own count. More than was granted is believed to
+// be another scheduler's work: filling those places would make the upstream
+// refuse a decode after its prefill. Less than granted is only lag.
+func (u *Upstream) Report(now time.Time, reported Usage) {
+	u.forget(now)
+	known := Usage{Requests: u.running, Pieces: u.pieces}
+	for _, r := range u.recentRelease {
+		known.Requests++
+		known.Pieces += r.pieces
+	}
+	u.foreign = Usage{
+		Requests: max(0, reported.Requests-known.Requests),
+		Pieces:   max(0, reported.Pieces-known.Pieces),
+	}
+	u.foreignUntil = now.Add(reportLifetime)
+}
+
+func (u *Upstream) forget(now time.Time) {
+	old := 0
+	for old < len(u.recentRelease) && now.Sub(u.recentRelease[old].at) > reportLag {
+		old++
+	}
+	u.recentRelease = append(u.recentRelease[:0], u.recentRelease[old:]...)
+}
+
+// Observe feeds the limit with an answer's mean time between tokens.
+func (u *Upstream) Observe(granted time.Time, runningAtGrant int, now time.Time, betweenTokens, target time.Duration) {
+	u.limit.observe(u.Slots, u.running+1, granted, runningAtGrant, now, betweenTokens, target)
+}
