Group scheduler: memory is claimed within an equal share and in time only

Cause: large requests claimed memory as it came free, held it for a minute each, and the short requests of organisations within their share were refused. Change: a request claims memory only while its organisation stays within an equal share of the engines and the memory is expected before its latest start; others go back to the queue and are tried again when something is released.

--- a/decision/group/config.go
+++ b/decision/group/config.go
@@ -89,9 +89,15 @@
 	// maxMisses bounds the requests that one decision tries in vain; the rest is
 	// tried after parkedRetry.
 	maxMisses = 16
+	// maxResumed is how many keys that were passed over get another turn when a
+	// grant is released: what one release frees seldom serves more.
+	maxResumed = 4
 	// parkedRetry is how often parked requests are tried when nothing else
 	// happens: a small part of the time that a link booking lasts.
 	parkedRetry = 10 * time.Millisecond
+	// claimRetry is how often a parked request seeks memory to claim, because it
+	// looks at the grants of every decode upstream.
+	claimRetry = 100 * time.Millisecond
 	// noUpstreamRetry is the advice when no upstream is usable: health probes and
 	// changes of configuration take effect within seconds.
 	noUpstreamRetry = 2 * time.Second
--- a/decision/group/estimate.go
+++ b/decision/group/estimate.go
@@ -82,8 +82,15 @@
 	if e.plain {
 		return e.call * engineShare
 	}
-	tokens := e.outputRatio * float64(w.MaxTokens)
-	return e.speed.Estimate(w.PromptTokens).Seconds() + tokens*e.betweenTokens*engineShare
+	return e.speed.Estimate(w.PromptTokens).Seconds() + e.decodeTime(w.MaxTokens).Seconds()*engineShare
+}
+
+// decodeTime is how long the decode of an answer is expected to last.
+func (e *estimates) decodeTime(maxTokens int) time.Duration {
+	if e.plain {
+		return seconds(e.call)
+	}
+	return seconds(e.outputRatio * float64(maxTokens) * e.betweenTokens)
 }
 
 // step is the time of the first decode step.
--- a/decision/group/group.go
+++ b/decision/group/group.go
@@ -25,6 +25,8 @@
 	queue  *queue.Queue[*waiter]
 	parked []*waiter
 	grants map[uint64]*held
+	// shares is what each organisation with grants holds, in engines.
+	shares map[string]*share
 	nextID uint64
 	uses   uint64
 
@@ -47,9 +49,12 @@
 	latest time.Time
 	// cost is the estimated engine time in seconds.
 	cost float64
+	item *queue.Item[*waiter]
 	// claim is the upstream whose memory gathers for a parked request.
 	claim       *upstream
 	claimPieces int
+	// claimAfter is when a claim may be sought again.
+	claimAfter time.Time
 }
 
 // held is a granted request.
@@ -68,6 +73,7 @@
 	prefillEstimate time.Duration
 	firstToken      time.Duration
 	prefilling      bool
+	expectedEnd     time.Time
 	// runningAtGrant is the size of the decode batch that it joined.
 	runningAtGrant int
 	prefix         []uint64
@@ -84,6 +90,7 @@
 		byIndex:  make(map[int]*upstream),
 		queue:    queue.New[*waiter](cfg.DeferrableShare),
 		grants:   make(map[uint64]*held),
+		shares:   make(map[string]*share),
 		nextID:   cfg.FirstGrantID,
 		cache:    prefill.NewIndex(),
 		estimate: newEstimates(cfg),
@@ -149,8 +156,12 @@
 		to.gone = true
 	}
 	// The prefill is taken as done: a prefill lasts far less than a takeover.
-	g.grants[h.ID] = &held{Held: h, adopted: true, granted: now, to: to}
-	to.account.Hold(h.Pieces)
+	adopted := &held{Held: h, adopted: true, granted: now, to: to}
+	adopted.expectedEnd = now.Add(seconds(g.estimate.hold))
+	adopted.engineShare = g.shareOf(to, h.Pieces)
+	g.grants[h.ID] = adopted
+	g.addShare(adopted)
+	to.hold(adopted)
 	// Grant ids never meet, also when a driver started this group too low.
 	g.nextID = max(g.nextID, h.ID+1)
 }
--- a/decision/group/load_test.go
+++ b/decision/group/load_test.go
@@ -38,6 +38,7 @@
 	enginePieces  = 40
 	meanPrompt    = 1400
 	meanOutput    = 190
+	longScale     = 5
 )
 
 func (s site) upstreams(linkRate int64) []Upstream {
@@ -74,7 +75,7 @@
 	rate func(org int, at time.Duration) float64
 	// slow is the slowness of upstream 0 of each role.
 	slow float64
-	// long is the part of requests with prompts and answers ten times the usual.
+	// long is the part of requests with prompts and answers longScale times the usual.
 	long float64
 	// link is the links' rate in bytes a second; 0 means linkRate.
 	link int64
@@ -110,8 +111,8 @@
 	{name: "hot caller", rate: hot(5, 0.7)},
 	{name: "hot key", rate: hot(3, 0.7), hotKey: true},
 	{name: "slow upstream", rate: flat(0.7), slow: 3},
-	{name: "long among short", rate: flat(0.7), long: 0.03},
-	{name: "flood of long", rate: hot(0.3, 0.7), floodLong: true},
+	{name: "long among short", rate: flat(0.7), long: 0.05},
+	{name: "flood of long", rate: hot(0.6, 0.7), floodLong: true},
 	{name: "narrow links", rate: flat(0.9), link: 3 << 29},
 	{name: "overload 1.5", rate: flat(1.5)},
 	{name: "overload 3", rate: flat(3)},
@@ -124,7 +125,11 @@
 	for at := time.Duration(0); at < measured; at += time.Second {
 		sum += pat.rate(org, at)
 	}
-	return sum / measured.Seconds()
+	mean := sum / measured.Seconds()
+	if pat.floodLong && org == 0 {
+		mean *= longScale
+	}
+	return mean
 }
 
 const (
@@ -142,15 +147,17 @@
 	share := s.capacity() / organisations
 	var jobs []*job
 	for org := range organisations {
-		tokens, last := rateBurst.Seconds()*share, time.Duration(0)
+		// The rate is in tokens, as operators set it: an equal share of mean requests.
+		perSecond := share * (meanPrompt + meanOutput)
+		tokens, last := rateBurst.Seconds()*perSecond, time.Duration(0)
 		for at := time.Duration(0); at < loaded; {
 			rate := pat.rate(org, at) * share
 			at += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
 			j := s.job(pat, rng, org, len(jobs), epoch.Add(at))
-			tokens = min(rateBurst.Seconds()*share, tokens+(at-last).Seconds()*share)
+			tokens = min(rateBurst.Seconds()*perSecond, tokens+(at-last).Seconds()*perSecond)
 			last = at
-			if tokens >= 1 {
-				tokens--
+			if cost := float64(j.req.PromptTokens + j.output); tokens >= cost {
+				tokens -= cost
 				j.inRate = pat.meanRate(org) <= 1
 			}
 			jobs = append(jobs, j)
@@ -165,7 +172,7 @@
 	spread := func() float64 { return math.Exp(0.6*rng.NormFloat64() - 0.18) }
 	scale := 1.0
 	if rng.Float64() < pat.long || (pat.floodLong && org == 0) {
-		scale = 10
+		scale = longScale
 	}
 	j := &job{
 		output: max(2, int(meanOutput*scale*spread())),
@@ -260,7 +267,7 @@
 		cost := j.expectedWork()
 		asked[org] += cost
 		keyAsked[j.req.KeyID]++
-		isLong := j.req.PromptTokens > 5*meanPrompt || j.output > 5*meanOutput
+		isLong := j.req.PromptTokens > 3*meanPrompt || j.output > 3*meanOutput
 		if isLong {
 			long++
 		} else {
--- a/decision/group/place.go
+++ b/decision/group/place.go
@@ -158,7 +158,9 @@
 	g.nextID++
 	g.uses++
 	g.grants[h.ID] = h
-	r.to.account.Hold(r.pieces)
+	h.expectedEnd = now.Add(r.prefill + g.estimate.decodeTime(w.MaxTokens))
+	r.to.hold(h)
+	g.addShare(h)
 	r.to.lastUse = g.uses
 	h.runningAtGrant = r.to.account.Running()
 	grant := &Grant{
--- a/decision/group/release.go
+++ b/decision/group/release.go
@@ -27,7 +27,8 @@
 	}
 	delete(g.grants, grantID)
 	g.freePrefill(now, h)
-	h.to.account.Free(now, h.Pieces)
+	h.to.unhold(now, h)
+	g.dropShare(h)
 	h.to.link.Cancel(h.ID)
 	if h.from != nil {
 		h.from.link.Cancel(h.ID)
@@ -41,6 +42,7 @@
 	if h.to.gone {
 		g.forgetGone()
 	}
+	g.resume()
 	return g.dispatch(now)
 }
 
--- a/decision/group/submit.go
+++ b/decision/group/submit.go
@@ -22,10 +22,11 @@
 		g.refuse(w, refusal)
 		return g.dispatch(now)
 	}
-	g.queue.Push(&queue.Item[*waiter]{
+	w.item = &queue.Item[*waiter]{
 		ID: w.ID, Organisation: w.Organisation, Key: w.KeyID, Class: w.Class,
 		Cost: w.cost, LatestStart: w.latest, Value: w,
-	})
+	}
+	g.queue.Push(w.item)
 	return g.dispatch(now)
 }
 
@@ -127,7 +128,8 @@
 	}
 	ahead := g.queue.Ahead(w.Class, w.Organisation, w.KeyID, w.cost)
 	for _, p := range g.parked {
-		ahead += p.cost
+		// Large parked requests gather memory on upstreams of their own.
+		ahead += min(p.cost, w.cost)
 	}
 	share := g.cfg.DeferrableShare
 	if w.Class == request.Deferrable {
--- a/decision/group/upstream.go
+++ b/decision/group/upstream.go
@@ -23,6 +23,8 @@
 	gone bool
 	// claimed is set while a parked request gathers memory.
 	claimed bool
+	// holds are the grants that the upstream serves as decode or plain upstream.
+	holds []*held
 	// lastUse orders upstreams that are otherwise equal.
 	lastUse uint64
 	// matched is scratch space of one decision: leading hashes held.
@@ -47,6 +49,33 @@
 	return u.usable() && u.account.FreeSlots(now) > 0
 }
 
+func (u *upstream) hold(h *held) {
+	u.account.Hold(h.Pieces)
+	u.holds = append(u.holds, h)
+}
+
+func (u *upstream) unhold(now time.Time, h *held) {
+	u.account.Free(now, h.Pieces)
+	u.holds = slices.DeleteFunc(u.holds, func(other *held) bool { return other == h })
+}
+
+// memoryAt is when so many pieces are expected to be free, judged by the expected
+// ends of the grants; false if that is never.
+func (u *upstream) memoryAt(now time.Time, pieces int) (time.Time, bool) {
+	missing := pieces - u.account.FreePieces(now)
+	if missing <= 0 {
+		return now, true
+	}
+	byEnd := slices.Clone(u.holds)
+	slices.SortFunc(byEnd, func(a, b *held) int { return a.expectedEnd.Compare(b.expectedEnd) })
+	for _, h := range byEnd {
+		if missing -= h.Pieces; missing <= 0 {
+			return h.expectedEnd, true
+		}
+	}
+	return time.Time{}, false
+}
+
 // Report takes in an upstream's lagging report of itself. More load than was
 // granted is believed, less is not; a smaller size than the object set gives is
 // believed too.
