Fleet-wide token rate on shares held under terms in the log

Cause: rate/n on each instance refuses within the rate when the balancer is uneven, and one counter an organisation forgets what was spent when it is lost.

One read of the log serves all shards of an instance. A move is a claim by the successor, answered by the live holder with its levels; a death is waited out behind fences.

--- /dev/null
+++ b/rate/fleet_test.go
@@ -0,0 +1,416 @@
+package rate
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+	"gotest.tools/v3/assert"
+
+	peerv1 "github.com/cairnworks/cairnworks/gen/cairnworks/peer/v1"
+	"github.com/cairnworks/cairnworks/gen/cairnworks/peer/v1/peerv1connect"
+	"github.com/cairnworks/cairnworks/object"
+	"github.com/cairnworks/cairnworks/port"
+	"github.com/cairnworks/cairnworks/rate/lease"
+	"github.com/cairnworks/cairnworks/request"
+)
+
+var errCut = errors.New("unreachable")
+
+// fakeLog is a log in memory whose calls take a millisecond.
+type fakeLog struct {
+	mu      sync.Mutex
+	records []port.Record
+	bytes   int
+	appends int
+	// down holds every call back until it is closed.
+	down    chan struct{}
+	changed chan struct{}
+}
+
+func newFakeLog() *fakeLog { return &fakeLog{changed: make(chan struct{})} }
+
+func (l *fakeLog) setDown(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case down && l.down == nil:
+		l.down = make(chan struct{})
+	case !down && l.down != nil:
+		close(l.down)
+		l.down = nil
+	}
+}
+
+func (l *fakeLog) enter(ctx context.Context) error {
+	time.Sleep(time.Millisecond)
+	l.mu.Lock()
+	down := l.down
+	l.mu.Unlock()
+	if down == nil {
+		return ctx.Err()
+	}
+	// A call that meets an outage is lost, even if the log is back before its timeout.
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (l *fakeLog) Append(ctx context.Context, _ string, entries ...port.Entry) (uint64, error) {
+	if err := l.enter(ctx); err != nil {
+		return 0, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	first := uint64(len(l.records) + 1)
+	l.appends++
+	for _, e := range entries {
+		l.records = append(l.records, port.Record{Offset: uint64(len(l.records) + 1), ID: e.ID, Data: e.Data})
+		l.bytes += len(e.Data)
+	}
+	close(l.changed)
+	l.changed = make(chan struct{})
+	return first, nil
+}
+
+func (l *fakeLog) Read(ctx context.Context, _ string, from uint64, limit int, wait time.Duration) (port.Page, error) {
+	if err := l.enter(ctx); err != nil {
+		return port.Page{}, err
+	}
+	l.mu.Lock()
+	changed := l.changed
+	empty := uint64(len(l.records)) < from
+	l.mu.Unlock()
+	if empty {
+		select {
+		case <-changed:
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return port.Page{}, ctx.Err()
+		}
+	}
+	if err := l.enter(ctx); err != nil {
+		return port.Page{}, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := port.Page{First: 1, Next: uint64(len(l.records) + 1)}
+	for i := int(from) - 1; i < len(l.records) && len(p.Records) < limit; i++ {
+		p.Records = append(p.Records, l.records[i])
+	}
+	return p, nil
+}
+
+// gate stops an instance as a pause of its process would.
+type gate struct {
+	mu     sync.Mutex
+	closed chan struct{}
+}
+
+func (g *gate) pause() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = make(chan struct{})
+}
+
+func (g *gate) resume() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	close(g.closed)
+	g.closed = nil
+}
+
+func (g *gate) wait() {
+	g.mu.Lock()
+	closed := g.closed
+	g.mu.Unlock()
+	if closed != nil {
+		<-closed
+	}
+}
+
+// gatedLog is the log as one instance reaches it.
+type gatedLog struct {
+	port.Log
+	m *member
+}
+
+func (l gatedLog) Append(ctx context.Context, stream string, entries ...port.Entry) (uint64, error) {
+	l.m.gate.wait()
+	if l.m.isCut("log") {
+		<-ctx.Done()
+		return 0, ctx.Err()
+	}
+	return l.Log.Append(ctx, stream, entries...)
+}
+
+func (l gatedLog) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (port.Page, error) {
+	l.m.gate.wait()
+	if l.m.isCut("log") {
+		<-ctx.Done()
+		return port.Page{}, ctx.Err()
+	}
+	p, err := l.Log.Read(ctx, stream, from, limit, wait)
+	l.m.gate.wait()
+	return p, err
+}
+
+// member is one instance of a fleet.
+type member struct {
+	f       *fleet
+	holder  request.Holder
+	service *Service
+	gate    gate
+	stop    context.CancelFunc
+	done    chan struct{}
+	dead    bool
+	cut     map[string]bool
+}
+
+func (m *member) isCut(from string) bool {
+	m.f.mu.Lock()
+	defer m.f.mu.Unlock()
+	return m.cut[from] || m.dead
+}
+
+// fleet is a set of instances with one log in one process.
+type fleet struct {
+	t       *testing.T
+	log     *fakeLog
+	mu      sync.Mutex
+	limits  map[string]object.Limit
+	members map[string]*member
+	// listed are the members as every instance sees them.
+	listed []request.Holder
+	calls  int
+}
+
+// inFleet runs a test with n instances in a synctest bubble, after all shards have
+// found a home.
+func inFleet(t *testing.T, n int, body func(f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{t: t, log: newFakeLog(), limits: map[string]object.Limit{}, members: map[string]*member{}}
+		for i := range n {
+			f.startListed(fmt.Sprintf("entry-%d", i+1), 1)
+		}
+		f.settle()
+		body(f)
+		f.log.setDown(false)
+		for _, m := range f.members {
+			if !m.dead {
+				m.stop()
+				<-m.done
+			}
+		}
+	})
+}
+
+func (f *fleet) startListed(name string, incarnation uint64) *member {
+	m := f.start(name, incarnation)
+	f.list(m)
+	return m
+}
+
+func (f *fleet) start(name string, incarnation uint64) *member {
+	m := &member{f: f, holder: request.Holder{Instance: name, Incarnation: incarnation, Address: "addr-" + name}, cut: map[string]bool{}}
+	var err error
+	m.service, err = New(Config{
+		Self:    m.holder,
+		Log:     gatedLog{f.log, m},
+		Members: f.alive,
+		Limit:   f.limit,
+		Dial:    func(address string) peerv1connect.RateServiceClient { return fakeClient{from: m, address: address} },
+		Clock: func() time.Time {
+			m.gate.wait()
+			return time.Now()
+		},
+	})
+	assert.NilError(f.t, err)
+	f.mu.Lock()
+	f.members[m.holder.Address] = m
+	f.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	m.stop, m.done = cancel, make(chan struct{})
+	go func() {
+		defer close(m.done)
+		_ = m.service.Run(ctx)
+	}()
+	return m
+}
+
+func (f *fleet) list(m *member) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.listed = append(f.listed, m.holder)
+}
+
+func (f *fleet) unlist(m *member) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.listed = slices.DeleteFunc(slices.Clone(f.listed), func(h request.Holder) bool { return h == m.holder })
+}
+
+// kill ends an instance without a word; membership notices two seconds later.
+func (f *fleet) kill(m *member) {
+	f.mu.Lock()
+	m.dead = true
+	f.mu.Unlock()
+	m.stop()
+	<-m.done
+	time.Sleep(2 * time.Second)
+	f.unlist(m)
+}
+
+func (f *fleet) alive() []request.Holder {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.listed
+}
+
+func (f *fleet) limit(organisation string) (object.Limit, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	l, ok := f.limits[organisation]
+	return l, ok
+}
+
+// setLimit gives an organisation a limit and waits until its buckets are full.
+func (f *fleet) setLimit(organisation string, perSecond, burst int64) {
+	f.mu.Lock()
+	f.limits[organisation] = object.Limit{TokensPerSecond: perSecond, Burst: burst}
+	f.mu.Unlock()
+	time.Sleep(time.Duration(float64(burst)/float64(perSecond)*1.2*float64(time.Second)) + time.Second)
+}
+
+// settle waits until every shard is spent from by the instance it belongs to.
+func (f *fleet) settle() {
+	f.t.Helper()
+	for range 3000 {
+		time.Sleep(100 * time.Millisecond)
+		if f.spending() == Shards && f.inPlace() {
+			return
+		}
+	}
+	f.t.Fatalf("%d of %d shards have a home", f.spending(), Shards)
+}
+
+func (f *fleet) living() []*member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var live []*member
+	for _, m := range f.members {
+		if !m.dead {
+			live = append(live, m)
+		}
+	}
+	slices.SortFunc(live, func(a, b *member) int { return strings.Compare(a.holder.Address, b.holder.Address) })
+	return live
+}
+
+// spending counts the shards that somebody can spend from.
+func (f *fleet) spending() int {
+	n := 0
+	for _, m := range f.living() {
+		for _, h := range m.service.Status().Held {
+			if h.Phase == lease.PhaseSpending || h.Phase == lease.PhaseExtended {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func (f *fleet) inPlace() bool {
+	want := homesOf(f.alive())
+	for _, m := range f.living() {
+		for _, h := range m.service.Status().Held {
+			if want[h.Shard] != m.holder {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// homeOf returns the instance that spends from one share of an organisation.
+func (f *fleet) homeOf(organisation string, share uint32) *member {
+	shard := shardOf(organisation, share)
+	for _, m := range f.living() {
+		for _, h := range m.service.Status().Held {
+			if h.Shard == shard && h.Phase != lease.PhaseWaiting {
+				return m
+			}
+		}
+	}
+	return nil
+}
+
+// other returns an instance that is home of no share of the organisation.
+func (f *fleet) other(organisation string) *member {
+	for _, m := range f.living() {
+		if m != f.homeOf(organisation, 0) && m != f.homeOf(organisation, 1) && m != f.homeOf(organisation, 2) {
+			return m
+		}
+	}
+	return nil
+}
+
+// fakeClient reaches a peer in the same process, half a millisecond away.
+type fakeClient struct {
+	from    *member
+	address string
+}
+
+// reach returns the peer's handler, or waits for the timeout if there is no way.
+func (c fakeClient) reach(ctx context.Context) (peerv1connect.RateServiceHandler, error) {
+	c.from.gate.wait()
+	time.Sleep(500 * time.Microsecond)
+	f := c.from.f
+	f.mu.Lock()
+	to := f.members[c.address]
+	f.calls++
+	f.mu.Unlock()
+	if to == nil || to.isCut(c.from.holder.Address) || c.from.isCut(c.address) {
+		<-ctx.Done()
+		return nil, errCut
+	}
+	to.gate.wait()
+	return to.service.Handler(), ctx.Err()
+}
+
+func call[Req, Res any](ctx context.Context, c fakeClient, req *connect.Request[Req],
+	method func(peerv1connect.RateServiceHandler, context.Context, *connect.Request[Req]) (*connect.Response[Res], error),
+) (*connect.Response[Res], error) {
+	h, err := c.reach(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return method(h, ctx, req)
+}
+
+func (c fakeClient) Acquire(ctx context.Context, req *connect.Request[peerv1.AcquireRequest]) (*connect.Response[peerv1.AcquireResponse], error) {
+	return call(ctx, c, req, peerv1connect.RateServiceHandler.Acquire)
+}
+
+func (c fakeClient) Refund(ctx context.Context, req *connect.Request[peerv1.RefundRequest]) (*connect.Response[peerv1.RefundResponse], error) {
+	return call(ctx, c, req, peerv1connect.RateServiceHandler.Refund)
+}
+
+func (c fakeClient) Extend(ctx context.Context, req *connect.Request[peerv1.ExtendRequest]) (*connect.Response[peerv1.ExtendResponse], error) {
+	return call(ctx, c, req, peerv1connect.RateServiceHandler.Extend)
+}
+
+func (c fakeClient) Fence(ctx context.Context, req *connect.Request[peerv1.FenceRequest]) (*connect.Response[peerv1.FenceResponse], error) {
+	return call(ctx, c, req, peerv1connect.RateServiceHandler.Fence)
+}
+
+func (c fakeClient) HandOver(ctx context.Context, req *connect.Request[peerv1.HandOverRequest]) (*connect.Response[peerv1.HandOverResponse], error) {
+	return call(ctx, c, req, peerv1connect.RateServiceHandler.HandOver)
+}
--- /dev/null
+++ b/rate/message.go
@@ -0,0 +1,88 @@
+package rate
+
+import (
+	"time"
+
+	"github.com/cairnworks/cairnworks/decision/bucket"
+	"github.com/cairnworks/cairnworks/rate/lease"
+	"github.com/cairnworks/cairnworks/rate/share"
+	"github.com/cairnworks/cairnworks/request"
+)
+
+// Messages to the home actor. Every reply channel has room for one answer, so that
+// the actor never waits for an asker that has gone.
+
+type acquire struct {
+	shard   uint32
+	key     share.Key
+	tokens  uint64
+	partial bool
+	reply   chan acquired
+}
+
+type acquired struct {
+	grant   share.Grant
+	term    lease.Term
+	notHome bool
+}
+
+type refund struct {
+	shard     uint32
+	key       share.Key
+	term      lease.Term
+	charge    bucket.ChargeID
+	tokens    uint64
+	overdraft uint64
+}
+
+type page struct {
+	t0   time.Duration
+	page lease.Page
+	next chan progress
+}
+
+type progress struct {
+	next  uint64
+	holds bool
+}
+
+type tick struct {
+	members []request.Holder
+}
+
+type extend struct {
+	member request.Holder
+	shard  uint32
+	term   lease.Term
+	reply  chan bool
+}
+
+type fence struct {
+	member request.Holder
+	shard  uint32
+	term   lease.Term
+	reply  chan bool
+}
+
+type extended struct{ ask lease.Ask }
+
+type fenced struct{ ask lease.Ask }
+
+type handOver struct {
+	shard    uint32
+	term     lease.Term
+	from     request.Holder
+	levels   []share.Level
+	spending bool
+	filling  time.Duration
+	reply    chan bool
+}
+
+type statusQuery struct{ reply chan Status }
+
+// outgoing is a hand over to be sent.
+type outgoing struct {
+	stop    lease.Stop
+	levels  []share.Level
+	filling time.Duration
+}
--- /dev/null
+++ b/rate/peer.go
@@ -0,0 +1,76 @@
+package rate
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+	"go.uber.org/zap"
+
+	peerv1 "github.com/cairnworks/cairnworks/gen/cairnworks/peer/v1"
+	"github.com/cairnworks/cairnworks/rate/lease"
+	"github.com/cairnworks/cairnworks/request"
+)
+
+func (s *Service) askExtend(a lease.Ask) {
+	s.count.extends.Inc(1)
+	s.inBackground(peerTimeout, func(ctx context.Context) {
+		res, err := s.client(a.Member).Extend(ctx, connect.NewRequest(&peerv1.ExtendRequest{
+			Shard: a.Shard, Term: uint64(a.Term), Holder: toWire(s.cfg.Self), Member: toWire(a.Member),
+		}))
+		if err == nil && res.Msg.GetExtended() {
+			s.tell(extended{ask: a})
+		}
+	})
+}
+
+func (s *Service) askFence(a lease.Ask) {
+	s.count.fences.Inc(1)
+	s.inBackground(peerTimeout, func(ctx context.Context) {
+		res, err := s.client(a.Member).Fence(ctx, connect.NewRequest(&peerv1.FenceRequest{
+			Shard: a.Shard, Term: uint64(a.Term), Successor: toWire(s.cfg.Self), Member: toWire(a.Member),
+		}))
+		if err == nil && res.Msg.GetFenced() {
+			s.tell(fenced{ask: a})
+		}
+	})
+}
+
+// sendHandOver tells a successor that this run has stopped under a term. If it is
+// lost, the successor waits instead and begins empty.
+func (s *Service) sendHandOver(o outgoing) {
+	msg := &peerv1.HandOverRequest{
+		Shard: o.stop.Shard, Term: uint64(o.stop.Term), From: toWire(s.cfg.Self),
+		Spending: o.stop.Spending, FillingMs: uint64(max(o.filling, 0) / time.Millisecond),
+	}
+	for _, l := range o.levels {
+		msg.Levels = append(msg.Levels, &peerv1.BucketLevel{
+			Organisation: l.Key.Organisation, Share: l.Key.Share, LevelMilli: l.Milli,
+		})
+	}
+	s.inBackground(handOverTries*peerTimeout, func(ctx context.Context) {
+		for range handOverTries {
+			if s.tryHandOver(ctx, o.stop.Successor, msg) {
+				return
+			}
+			pause(ctx, homeRetry)
+		}
+		s.logger.Warn("rate hand over lost", zap.Uint32("shard", o.stop.Shard),
+			zap.String("successor", o.stop.Successor.Instance))
+	})
+}
+
+func (s *Service) tryHandOver(ctx context.Context, to request.Holder, msg *peerv1.HandOverRequest) bool {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	res, err := s.client(to).HandOver(ctx, connect.NewRequest(msg))
+	return err == nil && res.Msg.GetAccepted()
+}
+
+func toWire(h request.Holder) *peerv1.Holder {
+	return &peerv1.Holder{Instance: h.Instance, Incarnation: h.Incarnation, Address: h.Address}
+}
+
+func fromWire(h *peerv1.Holder) request.Holder {
+	return request.Holder{Instance: h.GetInstance(), Incarnation: h.GetIncarnation(), Address: h.GetAddress()}
+}
--- /dev/null
+++ b/rate/service.go
@@ -0,0 +1,168 @@
+package rate
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cairnworks/cairnworks/gen/cairnworks/peer/v1/peerv1connect"
+	"github.com/cairnworks/cairnworks/observe"
+	"github.com/cairnworks/cairnworks/rate/lease"
+	"github.com/cairnworks/cairnworks/request"
+)
+
+// Service is one instance's part in metering: home of some shards, fence member for
+// others, and the way in for this instance's requests.
+type Service struct {
+	cfg      Config
+	logger   *zap.Logger
+	count    counters
+	start    time.Time
+	system   *actor.ActorSystem
+	homePID  *actor.PID
+	routes   atomic.Pointer[routes]
+	draining atomic.Bool
+	doubts   doubts
+	clients  sync.Map
+	// appends numbers the entries that this run appends.
+	appends atomic.Uint64
+	// background counts calls to peers and the log; ended is closed when Run ends, and
+	// calls begun under ctx end with it.
+	background sync.WaitGroup
+	ctx        context.Context
+	end        context.CancelFunc
+}
+
+// counters are the metrics of the package.
+type counters struct {
+	admitted, passedOver, waited        tally.Counter
+	started, stopped                    tally.Counter
+	refunds, refundsDropped             tally.Counter
+	extends, fences, appends, readFails tally.Counter
+}
+
+func newCounters(m *observe.Metrics) counters {
+	scope := tally.NoopScope
+	if m != nil {
+		scope = m.Scope.SubScope("rate")
+	}
+	return counters{
+		admitted:       scope.Counter("admitted"),
+		passedOver:     scope.Counter("shares_passed_over"),
+		waited:         scope.Counter("waits_for_home"),
+		started:        scope.Counter("terms_started"),
+		stopped:        scope.Counter("terms_stopped"),
+		refunds:        scope.Counter("refunds"),
+		refundsDropped: scope.Counter("refunds_dropped"),
+		extends:        scope.Counter("extends_asked"),
+		fences:         scope.Counter("fences_asked"),
+		appends:        scope.Counter("log_appends"),
+		readFails:      scope.Counter("log_read_failures"),
+	}
+}
+
+// New returns a service that does nothing until Run.
+func New(cfg Config) (*Service, error) {
+	if err := cfg.check(); err != nil {
+		return nil, err
+	}
+	s := &Service{
+		cfg: cfg, logger: cfg.Logger, count: newCounters(cfg.Metrics),
+		start: cfg.Clock(), system: observe.NewActorSystem(),
+	}
+	s.doubts.now = s.now
+	s.ctx, s.end = context.WithCancel(context.Background())
+	s.routes.Store(&routes{})
+	h := &home{
+		s:       s,
+		node:    lease.NewNode(cfg.Self, Shards, cfg.Timing),
+		viewer:  viewer{self: cfg.Self},
+		held:    make(map[uint32]*heldShard),
+		offered: make(map[uint32]offeredLevels),
+	}
+	s.homePID = s.system.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return h }))
+	return s, nil
+}
+
+// Run follows the log and holds shards until ctx ends. The instance must not close its
+// listener before Run has ended: a peer that finds another run at its address takes
+// this one to have ended.
+func (s *Service) Run(ctx context.Context) error {
+	defer s.shutdown()
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return s.follow(ctx) })
+	g.Go(func() error { return s.tick(ctx) })
+	return g.Wait()
+}
+
+func (s *Service) shutdown() {
+	s.end()
+	s.background.Wait()
+	_ = s.system.Root.StopFuture(s.homePID).Wait()
+	s.system.Shutdown()
+}
+
+func (s *Service) tick(ctx context.Context) error {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			s.tell(tick{members: s.cfg.Members()})
+		}
+	}
+}
+
+// now returns the time since the service was made; it is never zero.
+func (s *Service) now() time.Duration {
+	return s.cfg.Clock().Sub(s.start) + 1
+}
+
+func (s *Service) tell(message any) {
+	s.system.Root.Send(s.homePID, message)
+}
+
+// ask sends a message built around a reply channel and waits for the answer.
+func ask[T any](ctx context.Context, s *Service, build func(reply chan T) any) (T, bool) {
+	reply := make(chan T, 1)
+	s.tell(build(reply))
+	select {
+	case answer := <-reply:
+		return answer, true
+	case <-ctx.Done():
+	case <-s.ctx.Done():
+	}
+	var zero T
+	return zero, false
+}
+
+// client returns the client for a peer.
+func (s *Service) client(holder request.Holder) peerv1connect.RateServiceClient {
+	if c, ok := s.clients.Load(holder.Address); ok {
+		return c.(peerv1connect.RateServiceClient)
+	}
+	c, _ := s.clients.LoadOrStore(holder.Address, s.cfg.Dial(holder.Address))
+	return c.(peerv1connect.RateServiceClient)
+}
+
+// inBackground runs a call that ends with the service.
+func (s *Service) inBackground(timeout time.Duration, call func(ctx context.Context)) {
+	if s.ctx.Err() != nil {
+		return
+	}
+	s.background.Add(1)
+	go func() {
+		defer s.background.Done()
+		ctx, cancel := context.WithTimeout(s.ctx, timeout)
+		defer cancel()
+		call(ctx)
+	}()
+}
