At-most-once guard: protocol and local form

Cause: a booking or swap that its caller repeats must not run twice, on whichever instance and after whichever crash. Change: package once/protocol holds the state of a key as a function of a prefix of its stream; package once runs it against the log with one actor a partition, group commit, read back of lost answers, and voids for intents that were given up. verdict gains ReasonAnswerNotKept.

--- /dev/null
+++ b/once/claims.go
@@ -0,0 +1,160 @@
+package once
+
+import (
+	"time"
+
+	"github.com/cairnworks/cairnworks/once/protocol"
+)
+
+// claim answers from the index what the log has decided already and queues the
+// intent of a free key.
+func (p *partition) claim(msg claimMsg) {
+	if !p.ready {
+		p.claimUnready(msg)
+		return
+	}
+	rec := msg.req.rec
+	if fate, offset := p.index.Fate(rec.Key, rec.ID); fate == protocol.FateWon {
+		// Asked again about an intent that won: the first reply was lost.
+		msg.reply <- claimReply{state: stateWon, offset: offset}
+		return
+	}
+	if reply, taken := p.holderReply(rec); taken {
+		msg.reply <- reply
+		return
+	}
+	if wait := p.vouchFrom.Sub(p.now()); wait > 0 {
+		msg.reply <- claimReply{state: stateCannotVouch, notAppended: true, retryAfter: wait}
+		return
+	}
+	if msg.req.lookupOnly {
+		msg.reply <- claimReply{state: stateFree, notAppended: true}
+		return
+	}
+	p.enqueueClaim(msg)
+}
+
+// claimUnready keeps a claim until the stream was read to its end. An index that
+// lacks records would take a key that was used before for a free one.
+func (p *partition) claimUnready(msg claimMsg) {
+	if p.readErr != nil {
+		msg.reply <- claimReply{state: stateUnavailable, notAppended: true, retryAfter: logRetryAfter}
+		return
+	}
+	p.unready = append(p.unready, msg)
+}
+
+func (p *partition) enqueueClaim(msg claimMsg) {
+	rec := msg.req.rec
+	if pc := p.pending[rec.ID]; pc != nil {
+		pc.replies = append(pc.replies, msg.reply)
+		return
+	}
+	wait := p.commit.downUntil.Sub(p.now())
+	if wait > 0 || p.commit.bytes > maxQueuedClaimBytes {
+		msg.reply <- claimReply{state: stateUnavailable, notAppended: true, retryAfter: max(wait, logRetryAfter)}
+		return
+	}
+	entry, err := entryOf(msg.req.intent, rec)
+	if err != nil {
+		msg.reply <- claimReply{state: stateUnavailable, notAppended: true}
+		return
+	}
+	p.pending[rec.ID] = &pendingClaim{rec: rec, replies: []chan claimReply{msg.reply}}
+	p.commit.push(queued{entry: entry, rec: rec})
+	p.pump()
+}
+
+// holderReply tells what holds the record's key, if anything does.
+func (p *partition) holderReply(rec protocol.Record) (claimReply, bool) {
+	state, holder := p.index.Lookup(rec.Key)
+	if state == protocol.StateFree {
+		return claimReply{}, false
+	}
+	reply := claimReply{state: stateClaimed, holder: holder}
+	if state == protocol.StateDone {
+		reply.state = stateDone
+	}
+	if holder.Body != rec.Body {
+		reply.state = stateKeyReused
+	}
+	return reply, true
+}
+
+// decide answers the pending claim of an intent that was just read.
+func (p *partition) decide(rec protocol.Record) {
+	pc := p.pending[rec.ID]
+	if pc == nil {
+		return
+	}
+	fate, offset := p.index.Fate(rec.Key, rec.ID)
+	if fate == protocol.FateOpen {
+		return
+	}
+	reply := claimReply{state: stateWon, offset: offset}
+	if fate == protocol.FateLost {
+		lost, taken := p.holderReply(rec)
+		if !taken {
+			// The winner was void before this reader answered; the key is free for
+			// a new intent, this one has lost for good.
+			lost = claimReply{state: stateUnavailable, retryAfter: inProgressRetryAfter}
+		}
+		reply = lost
+	}
+	p.answer(rec.ID, reply)
+}
+
+// answer replies to everyone who waits for the intent and forgets the claim.
+func (p *partition) answer(id protocol.IntentID, reply claimReply) {
+	pc := p.pending[id]
+	if pc == nil {
+		return
+	}
+	delete(p.pending, id)
+	for _, ch := range pc.replies {
+		ch <- reply
+	}
+}
+
+// answerUnready hands on or refuses the claims that waited for the index.
+func (p *partition) answerUnready() {
+	waiting := p.unready
+	p.unready = nil
+	for _, msg := range waiting {
+		p.claim(msg)
+	}
+}
+
+// record queues an outcome or a void. A void also takes back an intent that has
+// not been sent.
+func (p *partition) record(msg recordMsg) {
+	entry, err := entryOf(msg.record, msg.rec)
+	if err != nil {
+		msg.done <- err
+		return
+	}
+	if p.ready && p.index.Settled(msg.rec) {
+		msg.done <- nil
+		return
+	}
+	if p.commit.bytes+len(entry.Data) > maxQueuedBytes {
+		p.meters.dropped.Inc(1)
+		msg.done <- errQueueFull
+		return
+	}
+	if msg.rec.Kind == protocol.KindVoid {
+		p.commit.removeIntent(msg.rec.ID)
+		p.answer(msg.rec.ID, claimReply{state: stateUnavailable, retryAfter: logRetryAfter})
+	}
+	p.commit.push(queued{entry: entry, rec: msg.rec, done: msg.done})
+	p.pump()
+}
+
+// Retry advice.
+const (
+	// logRetryAfter is advised when the log fails: long enough that a fleet of
+	// callers does not add to its trouble, short enough for a waiting keeper.
+	logRetryAfter = 2 * time.Second
+	// inProgressRetryAfter is advised while a call may still be running.
+	inProgressRetryAfter = time.Second
+)
--- /dev/null
+++ b/once/meters.go
@@ -0,0 +1,29 @@
+package once
+
+import "github.com/uber-go/tally/v4"
+
+// meters are the counters of the guard.
+type meters struct {
+	appends, entries            tally.Counter
+	appendsRefused, appendsLost tally.Counter
+	readErrors, undecodable     tally.Counter
+	gaps, retentionShort        tally.Counter
+	// dropped counts outcomes and voids that found the queue full.
+	dropped tally.Counter
+	keys    tally.Gauge
+}
+
+func newMeters(scope tally.Scope) meters {
+	return meters{
+		appends:        scope.Counter("appends"),
+		entries:        scope.Counter("entries"),
+		appendsRefused: scope.Counter("appends_refused"),
+		appendsLost:    scope.Counter("append_answers_lost"),
+		readErrors:     scope.Counter("read_errors"),
+		undecodable:    scope.Counter("undecodable_records"),
+		gaps:           scope.Counter("gaps"),
+		retentionShort: scope.Counter("records_dropped_within_window"),
+		dropped:        scope.Counter("records_dropped_queue_full"),
+		keys:           scope.Gauge("keys"),
+	}
+}
--- a/verdict/reason.go
+++ b/verdict/reason.go
@@ -51,6 +51,8 @@
 	ReasonKeyReused      Reason = "idempotency_key_reused"
 	ReasonLogUnavailable Reason = "log_unavailable"
 	ReasonRetentionOver  Reason = "retention_over"
+	// ReasonAnswerNotKept means that the call ran and its answer was not kept.
+	ReasonAnswerNotKept Reason = "answer_not_kept"
 )
 
 // ReasonInternal is a fault of this program.
@@ -63,7 +65,7 @@
 	case ReasonBadRequest, ReasonBodyTooLarge, ReasonPromptTooLong, ReasonUnknownModel,
 		ReasonUnknownService, ReasonUnauthenticated, ReasonKeyWithdrawn, ReasonForbidden,
 		ReasonMethodNotAllowed, ReasonIdempotencyNeeded, ReasonKeyReused, ReasonRetentionOver,
-		ReasonCancelled, ReasonOutcomeUnknown:
+		ReasonCancelled, ReasonOutcomeUnknown, ReasonAnswerNotKept:
 		return false
 	default:
 		return true
