--- a/once/claims.go
+++ b/once/claims.go
@@ -14,9 +14,9 @@
 		return
 	}
 	rec := msg.req.rec
-	if fate, offset := p.index.Fate(rec.Key, rec.ID); fate == protocol.FateWon {
+	if reply, decided := p.decided(rec); decided {
 		// Asked again about an intent that won: the first reply was lost.
-		msg.reply <- claimReply{state: stateWon, offset: offset}
+		msg.reply <- reply
 		return
 	}
 	if reply, taken := p.holderReply(rec); taken {
@@ -81,25 +81,31 @@
 	return reply, true
 }
 
+// decided returns the reply for an intent that the stream holds as the winner.
+func (p *partition) decided(rec protocol.Record) (claimReply, bool) {
+	fate, offset := p.index.Fate(rec.Key, rec.ID)
+	if fate != protocol.FateWon {
+		return claimReply{}, false
+	}
+	if wait := p.vouchFrom.Sub(p.now()); wait > 0 {
+		// It won on an index that lacks records; an earlier intent may be among them.
+		return claimReply{state: stateCannotVouch, retryAfter: wait}, true
+	}
+	return claimReply{state: stateWon, offset: offset}, true
+}
+
 // decide answers the pending claim of an intent that was just read.
 func (p *partition) decide(rec protocol.Record) {
-	pc := p.pending[rec.ID]
-	if pc == nil {
-		return
-	}
-	fate, offset := p.index.Fate(rec.Key, rec.ID)
-	if fate == protocol.FateOpen {
+	if p.pending[rec.ID] == nil {
 		return
 	}
-	reply := claimReply{state: stateWon, offset: offset}
-	if fate == protocol.FateLost {
-		lost, taken := p.holderReply(rec)
-		if !taken {
-			// The winner was void before this reader answered; the key is free for
-			// a new intent, this one has lost for good.
-			lost = claimReply{state: stateUnavailable, retryAfter: inProgressRetryAfter}
+	reply, won := p.decided(rec)
+	if !won {
+		var taken bool
+		if reply, taken = p.holderReply(rec); !taken {
+			// Void before it was read; whoever asked has given up.
+			reply = claimReply{state: stateUnavailable, retryAfter: inProgressRetryAfter}
 		}
-		reply = lost
 	}
 	p.answer(rec.ID, reply)
 }
--- a/once/fakelog_test.go
+++ b/once/fakelog_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cairnworks/cairnworks/port"
@@ -34,8 +35,10 @@
 	// next faults of appends, used up in order.
 	faults []fault
 	down   bool
-	calls  int
-	bytes  int
+	// slow delays each append's effect.
+	slow  time.Duration
+	calls int
+	bytes int
 }
 
 func newFakeLog() *fakeLog {
@@ -65,6 +68,10 @@
 func (l *fakeLog) Append(_ context.Context, stream string, entries ...port.Entry) (uint64, error) {
 	var first uint64
 	var err error
+	l.mu.Lock()
+	slow := l.slow
+	l.mu.Unlock()
+	time.Sleep(slow)
 	l.set(func() {
 		l.calls++
 		f := l.nextFault()
@@ -110,6 +117,26 @@
 	}
 }
 
+// cutLog is the log as one instance reaches it, until the instance dies.
+type cutLog struct {
+	*fakeLog
+	dead *atomic.Bool
+}
+
+func (l cutLog) Append(ctx context.Context, stream string, entries ...port.Entry) (uint64, error) {
+	if l.dead.Load() {
+		return 0, errBroken
+	}
+	return l.fakeLog.Append(ctx, stream, entries...)
+}
+
+func (l cutLog) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (port.Page, error) {
+	if l.dead.Load() {
+		return port.Page{}, errBroken
+	}
+	return l.fakeLog.Read(ctx, stream, from, limit, wait)
+}
+
 func (l *fakeLog) page(stream string, from uint64, limit int) port.Page {
 	records := l.streams[stream]
 	first := max(l.first[stream], 1)
