config: publish, follow and pass on the object set

Cause: a change must be in force on every instance within seconds, must never revert, and of two operators who change one version only one may win, whatever is down and whoever reads from where.

Change: a record carries a whole checked set, its base, and up to which offset its writer had read. Replay is the acceptance rule as a pure function; a reader may start at any record that states what was in force at its start or later. Publisher appends once and learns the outcome by reading. Follower applies rising versions only, long-polls the log, takes the highest version from peers when the log is down, is not ready before it has one, and republishes before retention ends. A republished set keeps its version, so that it cannot beat or revert an operator's publish and two of them are harmless.

--- /dev/null
+++ b/config/fakes_test.go
@@ -0,0 +1,280 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+
+	peerv1 "github.com/cairnworks/cairnworks/gen/cairnworks/peer/v1"
+	"github.com/cairnworks/cairnworks/gen/cairnworks/peer/v1/peerv1connect"
+	"github.com/cairnworks/cairnworks/object"
+	"github.com/cairnworks/cairnworks/port"
+	"github.com/cairnworks/cairnworks/verdict"
+)
+
+// memLog is a log in memory. Its faults are set between calls.
+type memLog struct {
+	mu      sync.Mutex
+	first   uint64
+	records []port.Record
+	changed chan struct{}
+	// beforeAppend runs without the lock before each append takes effect.
+	beforeAppend func()
+	// loseBefore and loseAfter lose the answer of the next append, before or after
+	// its effect.
+	loseBefore, loseAfter bool
+}
+
+func newMemLog() *memLog { return &memLog{first: 1, changed: make(chan struct{})} }
+
+var errLost = verdict.Fail(verdict.MayHaveRun, verdict.ReasonTimeout, nil, "no answer")
+var errDown = verdict.Refuse(verdict.ReasonLogUnavailable, 0, "down")
+
+func (l *memLog) next() uint64 { return l.first + uint64(len(l.records)) }
+
+func (l *memLog) Append(_ context.Context, _ string, entries ...port.Entry) (uint64, error) {
+	if hook := l.beforeAppend; hook != nil {
+		l.beforeAppend = nil
+		hook()
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.loseBefore {
+		l.loseBefore = false
+		return 0, errLost
+	}
+	first := l.next()
+	for _, e := range entries {
+		l.records = append(l.records, port.Record{Offset: l.next(), ID: e.ID, Data: e.Data, Appended: time.Now()})
+	}
+	close(l.changed)
+	l.changed = make(chan struct{})
+	if l.loseAfter {
+		l.loseAfter = false
+		return 0, errLost
+	}
+	return first, nil
+}
+
+func (l *memLog) Read(ctx context.Context, _ string, from uint64, limit int, wait time.Duration) (port.Page, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		l.mu.Lock()
+		page, changed := l.page(from, limit), l.changed
+		l.mu.Unlock()
+		if len(page.Records) > 0 || wait <= 0 {
+			return page, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return page, nil
+		case <-ctx.Done():
+			return port.Page{}, ctx.Err()
+		}
+	}
+}
+
+func (l *memLog) page(from uint64, limit int) port.Page {
+	page := port.Page{First: l.first, Next: l.next()}
+	for _, r := range l.records {
+		if r.Offset >= from && len(page.Records) < limit {
+			page.Records = append(page.Records, r)
+		}
+	}
+	return page
+}
+
+// expire drops records that are older than age.
+func (l *memLog) expire(age time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for len(l.records) > 0 && time.Since(l.records[0].Appended) > age {
+		l.records = l.records[1:]
+		l.first++
+	}
+}
+
+// logView is one instance's way to the log.
+type logView struct {
+	*memLog
+	mu   sync.Mutex
+	down chan struct{}
+}
+
+func (v *logView) set(down bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	switch {
+	case down && v.down == nil:
+		v.down = make(chan struct{})
+	case !down:
+		v.down = nil
+	}
+}
+
+func (v *logView) isDown() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.down != nil
+}
+
+func (v *logView) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (port.Page, error) {
+	if v.isDown() {
+		return port.Page{}, errDown
+	}
+	page, err := v.memLog.Read(ctx, stream, from, limit, wait)
+	if v.isDown() {
+		return port.Page{}, errDown
+	}
+	return page, err
+}
+
+func (v *logView) Append(ctx context.Context, stream string, entries ...port.Entry) (uint64, error) {
+	if v.isDown() {
+		return 0, errDown
+	}
+	return v.memLog.Append(ctx, stream, entries...)
+}
+
+// node is one instance of a fleet.
+type node struct {
+	*Follower
+	view   *logView
+	cancel context.CancelFunc
+	done   chan struct{}
+	// cut nodes are reached by no peer.
+	cut atomic.Bool
+	// deaf nodes know no peer.
+	deaf atomic.Bool
+	seen []uint64
+}
+
+// fleet is a few followers that reach one another by direct calls.
+type fleet struct {
+	log       *memLog
+	retention time.Duration
+	mu        sync.Mutex
+	nodes     map[string]*node
+}
+
+func newFleet(retention time.Duration) *fleet {
+	return &fleet{log: newMemLog(), retention: retention, nodes: make(map[string]*node)}
+}
+
+func (f *fleet) start(address string, logDown bool) *node {
+	n := &node{view: &logView{memLog: f.log}, done: make(chan struct{})}
+	n.view.set(logDown)
+	n.Follower = NewFollower(FollowerConfig{
+		Log: n.view, Self: address, Retention: f.retention, Seed: uint64(len(address)),
+		Peers: func() []Peer { return f.peers(address) },
+		Dial:  func(to string) peerv1connect.ConfigServiceClient { return client{f, to} },
+	})
+	n.Subscribe(func(x *object.Index) { n.seen = append(n.seen, x.Version()) })
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	f.mu.Lock()
+	f.nodes[address] = n
+	f.mu.Unlock()
+	go func() {
+		defer close(n.done)
+		_ = n.Run(ctx)
+	}()
+	return n
+}
+
+func (f *fleet) stop(address string) *node {
+	f.mu.Lock()
+	n := f.nodes[address]
+	delete(f.nodes, address)
+	f.mu.Unlock()
+	n.cancel()
+	<-n.done
+	return n
+}
+
+func (f *fleet) stopAll() {
+	for _, address := range f.addresses() {
+		f.stop(address)
+	}
+}
+
+func (f *fleet) addresses() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []string
+	for address := range f.nodes {
+		out = append(out, address)
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (f *fleet) peers(self string) []Peer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if n := f.nodes[self]; n == nil || n.deaf.Load() {
+		return nil
+	}
+	var out []Peer
+	for address, n := range f.nodes {
+		if address != self && !n.cut.Load() {
+			out = append(out, Peer{Address: address, Version: n.version()})
+		}
+	}
+	return out
+}
+
+func (n *node) version() uint64 {
+	if x := n.Current(); x != nil {
+		return x.Version()
+	}
+	return 0
+}
+
+// client calls a follower of the fleet in place of the network.
+type client struct {
+	fleet *fleet
+	to    string
+}
+
+func (c client) Fetch(ctx context.Context, req *connect.Request[peerv1.FetchRequest]) (*connect.Response[peerv1.FetchResponse], error) {
+	c.fleet.mu.Lock()
+	n := c.fleet.nodes[c.to]
+	c.fleet.mu.Unlock()
+	if n == nil || n.cut.Load() {
+		return nil, connect.NewError(connect.CodeUnavailable, errors.New("unreachable"))
+	}
+	return n.Follower.Fetch(ctx, req)
+}
+
+// testSet is a small valid set that a number tells from others.
+func testSet(n int) object.Set {
+	return object.Set{
+		Organisations: []object.Organisation{{Name: "savez", Limit: "member"}},
+		Keys:          []object.Key{{Name: "savez-1", Organisation: "savez", Hash: object.HashKey("k"), Withdrawn: n < 0}},
+		Services:      []object.Service{{Name: "dezurstva", Kind: object.KindPlain}},
+		Upstreams:     []object.Upstream{{Name: "u", Service: "dezurstva", Role: object.RolePlain, Address: "10.0.0.1:80", DataCentre: "split-a", Slots: 1}},
+		Limits:        []object.Limit{{Name: "member", TokensPerSecond: 1, Burst: int64(max(n, 1))}},
+	}
+}
+
+// numbered makes record ids that are the same in every run.
+func numbered(prefix string) func() string {
+	n := 0
+	return func() string {
+		n++
+		return fmt.Sprintf("%s-%d", prefix, n)
+	}
+}
+
+func testPublisher(log port.Log, name string) *Publisher {
+	return &Publisher{log: log, newID: numbered(name)}
+}
--- /dev/null
+++ b/config/follow_peers.go
@@ -0,0 +1,202 @@
+package config
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/samber/oops"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	peerv1 "github.com/cairnworks/cairnworks/gen/cairnworks/peer/v1"
+	"github.com/cairnworks/cairnworks/object"
+)
+
+// Notice tells the follower that a peer holds a version.
+func (f *Follower) Notice(peerAddress string, version uint64) {
+	f.mu.Lock()
+	if version <= f.held.version() || version <= f.notices[peerAddress].version {
+		f.mu.Unlock()
+		return
+	}
+	f.notices[peerAddress] = notice{version: version, heard: time.Now()}
+	f.mu.Unlock()
+	f.poke()
+}
+
+func (f *Follower) poke() {
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
+// followPeers fetches from peers what the log does not deliver.
+func (f *Follower) followPeers(ctx context.Context) error {
+	tick := time.NewTicker(peerInterval)
+	defer tick.Stop()
+	var round startRound
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-f.wake:
+		case <-tick.C:
+		}
+		f.noticePeers()
+		if f.Ready() {
+			f.fetchHigher(ctx)
+			continue
+		}
+		if f.askPeersToStart() {
+			f.startFromPeers(ctx, &round)
+		}
+	}
+}
+
+// noticePeers takes the versions that membership knows.
+func (f *Follower) noticePeers() {
+	for _, p := range f.peers() {
+		f.Notice(p.Address, p.Version)
+	}
+}
+
+func (f *Follower) peers() []Peer {
+	if f.cfg.Peers == nil || f.cfg.Dial == nil {
+		return nil
+	}
+	return f.cfg.Peers()
+}
+
+// fetchHigher fetches the highest noticed version from one of the peers that hold
+// it. While the log answers, the version is left some time to arrive that way.
+func (f *Follower) fetchHigher(ctx context.Context) {
+	address, ok := f.chooseNotice(time.Now())
+	if !ok {
+		return
+	}
+	if err := f.fetch(ctx, address); err != nil {
+		// The peer may be gone. Membership names others, or this one again.
+		f.mu.Lock()
+		delete(f.notices, address)
+		f.mu.Unlock()
+	}
+}
+
+// chooseNotice drops notices of versions that arrived meanwhile and picks one of
+// the peers that hold the highest.
+func (f *Follower) chooseNotice(now time.Time) (string, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var best uint64
+	var first time.Time
+	var addresses []string
+	for address, n := range f.notices {
+		switch {
+		case n.version <= f.held.version():
+			delete(f.notices, address)
+		case n.version > best:
+			best, first, addresses = n.version, n.heard, []string{address}
+		case n.version == best:
+			addresses = append(addresses, address)
+			if n.heard.Before(first) {
+				first = n.heard
+			}
+		}
+	}
+	if len(addresses) == 0 || !f.logDown && now.Sub(first) < noticeGrace {
+		return "", false
+	}
+	slices.Sort(addresses)
+	return addresses[f.rand.IntN(len(addresses))], true
+}
+
+// fetch asks one peer for what is newer than the held version.
+func (f *Follower) fetch(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	have := f.heldVersion()
+	resp, err := f.cfg.Dial(address).Fetch(ctx, connect.NewRequest(&peerv1.FetchRequest{HaveVersion: have}))
+	if err != nil {
+		f.scope.Counter("fetch_errors").Inc(1)
+		return oops.With("peer", address).Wrapf(err, "fetch configuration")
+	}
+	if resp.Msg.GetVersion() <= have {
+		return nil
+	}
+	return f.takeRecord(address, resp.Msg)
+}
+
+// takeRecord checks a peer's record as strictly as one from the log.
+func (f *Follower) takeRecord(address string, msg *peerv1.FetchResponse) error {
+	decoded, err := decodeRecord(msg.GetRecord())
+	if h := decoded.header; err == nil && h.Kind == KindRepublish && h.Base != msg.GetVersion() {
+		err = oops.Errorf("the record repeats version %d", h.Base)
+	}
+	if err == nil && len(object.Check(decoded.set)) > 0 {
+		err = oops.Errorf("the set has faults")
+	}
+	if err != nil {
+		f.scope.Counter("fetch_void").Inc(1)
+		f.log.Warn("configuration from peer refused", zap.String("peer", address), zap.Uint64("version", msg.GetVersion()), zap.Error(err))
+		return err
+	}
+	f.offer(msg.GetVersion(), decoded.set, msg.GetRecord(), "peer")
+	return nil
+}
+
+// startRound remembers which peers a fresh instance knows, and since when.
+type startRound struct {
+	addresses []string
+	since     time.Time
+}
+
+// stable tells whether the same peers, at least one, have been known for
+// peersSettle.
+func (r *startRound) stable(addresses []string, now time.Time) bool {
+	if !slices.Equal(addresses, r.addresses) {
+		r.addresses, r.since = addresses, now
+	}
+	return len(addresses) > 0 && now.Sub(r.since) >= peersSettle
+}
+
+// startFromPeers asks every known peer. The instance becomes ready once it has
+// asked the same peers for a while: membership fills its list while the instance
+// starts, and the first peer that it names may be the one that is behind.
+func (f *Follower) startFromPeers(ctx context.Context, round *startRound) {
+	stable := round.stable(f.askAll(ctx), time.Now())
+	if stable && ctx.Err() == nil && f.heldVersion() > 0 {
+		f.deliver()
+		f.log.Info("configuration ready", zap.String("source", "peers"))
+	}
+}
+
+// askAll fetches from every known peer and returns their addresses in order. The
+// peer with the highest version is asked first, so that the others have nothing
+// to send.
+func (f *Follower) askAll(ctx context.Context) []string {
+	peers := f.peers()
+	slices.SortFunc(peers, func(a, b Peer) int {
+		return cmp.Or(cmp.Compare(b.Version, a.Version), cmp.Compare(a.Address, b.Address))
+	})
+	addresses := make([]string, 0, len(peers))
+	var group errgroup.Group
+	group.SetLimit(fetchParallel)
+	for i, p := range peers {
+		addresses = append(addresses, p.Address)
+		if i == 0 {
+			_ = f.fetch(ctx, p.Address)
+			continue
+		}
+		group.Go(func() error {
+			_ = f.fetch(ctx, p.Address)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	slices.Sort(addresses)
+	return addresses
+}
--- /dev/null
+++ b/config/publisher_test.go
@@ -0,0 +1,145 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cairnworks/cairnworks/object"
+	"github.com/cairnworks/cairnworks/port"
+)
+
+// Two operators change the same version at the same moment. If both were told of
+// success, the first one's change, perhaps a withdrawn key, would be gone unnoticed.
+func TestOfTwoOperatorsTheFirstWinsAndTheOtherIsTold(t *testing.T) {
+	ctx := context.Background()
+	log := newMemLog()
+	one, two := testPublisher(log, "one"), testPublisher(log, "two")
+	base, err := one.Publish(ctx, testSet(1), 0, "")
+	assert.NilError(t, err)
+
+	log.beforeAppend = func() {
+		v, err := two.Publish(ctx, testSet(2), base, "")
+		assert.NilError(t, err)
+		assert.Equal(t, v, uint64(2))
+	}
+	_, err = one.Publish(ctx, testSet(3), base, "")
+	assert.ErrorIs(t, err, ErrLostRace)
+	var typed *PublishError
+	assert.Assert(t, errors.As(err, &typed) && typed.Current == 2)
+
+	latest, err := Latest(ctx, log)
+	assert.NilError(t, err)
+	assert.Equal(t, latest.Version, uint64(2))
+	assert.Equal(t, latest.Set.Limits[0].Burst, int64(2))
+	_, err = one.Publish(ctx, testSet(3), base, "")
+	assert.ErrorIs(t, err, ErrStaleBase)
+	judged, err := History(ctx, log)
+	assert.NilError(t, err)
+	assert.Equal(t, len(judged), 3)
+	assert.Equal(t, judged[2].Judgement, VoidStaleBase)
+}
+
+// The log takes the record but its answer is lost, or the record itself is lost.
+// A publisher that guesses tells the operator of a failure that is none, or of a
+// success that is none.
+func TestLostAnswerIsSettledByReadingBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := context.Background()
+		log := newMemLog()
+		p := testPublisher(log, "p")
+		log.loseAfter = true
+		v, err := p.Publish(ctx, testSet(1), 0, "")
+		assert.NilError(t, err)
+		assert.Equal(t, v, uint64(1))
+		assert.Equal(t, len(log.records), 1)
+
+		log.loseBefore = true
+		_, err = p.Publish(ctx, testSet(2), 1, "")
+		assert.ErrorIs(t, err, ErrOutcomeUnknown)
+		assert.Equal(t, len(log.records), 1, "nothing may be appended anew")
+	})
+}
+
+// The lost record appears after all, when the operator has already published
+// again on the same base. It must stay without effect.
+func TestLateRecordOnAnOldBaseIsVoid(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := context.Background()
+		log := newMemLog()
+		p := testPublisher(log, "p")
+		_, err := p.Publish(ctx, testSet(1), 0, "")
+		assert.NilError(t, err)
+		late, err := encodeSet(Header{Format: format, Kind: KindPublish, Base: 1, Through: 1}, testSet(2))
+		assert.NilError(t, err)
+		_, err = p.Publish(ctx, testSet(3), 1, "")
+		assert.NilError(t, err)
+		_, err = log.Append(ctx, Stream, port.Entry{ID: "late", Data: late})
+		assert.NilError(t, err)
+		latest, err := Latest(ctx, log)
+		assert.NilError(t, err)
+		assert.Equal(t, latest.Set.Limits[0].Burst, int64(3))
+	})
+}
+
+// An append that is not answered while another operator's record takes the base:
+// the own record can only be void, so that the operator is told at once.
+func TestUnansweredAppendLosesToAForeignRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newMemLog()
+		log.beforeAppend = func() {
+			_, err := testPublisher(log, "other").Publish(context.Background(), testSet(2), 0, "")
+			assert.NilError(t, err)
+			log.loseBefore = true
+		}
+		_, err := testPublisher(log, "p").Publish(context.Background(), testSet(1), 0, "")
+		assert.ErrorIs(t, err, ErrLostRace)
+	})
+}
+
+// The log is down before anything was written, or the set has faults: the
+// operator may simply try again.
+func TestRefusedPublishWritesNothing(t *testing.T) {
+	log := newMemLog()
+	view := &logView{memLog: log}
+	view.set(true)
+	_, err := testPublisher(view, "p").Publish(context.Background(), testSet(1), 0, "")
+	assert.ErrorIs(t, err, ErrNotPublished)
+	bad := testSet(1)
+	bad.Keys[0].Organisation = "nobody"
+	_, err = testPublisher(log, "p").Publish(context.Background(), bad, 0, "")
+	var typed *PublishError
+	assert.Assert(t, errors.As(err, &typed) && errors.Is(err, ErrInvalidSet))
+	assert.Equal(t, typed.Faults[0].Kind, object.FaultDangling)
+	assert.Equal(t, len(log.records), 0)
+}
+
+// Every record expired while nothing was alive. A publish cannot know what it
+// replaces and is refused; a restart is accepted by every reader, and of two
+// restarts only the first.
+func TestRestartAfterEverythingExpired(t *testing.T) {
+	ctx := context.Background()
+	log := newMemLog()
+	p := testPublisher(log, "p")
+	_, err := p.Publish(ctx, testSet(1), 0, "")
+	assert.NilError(t, err)
+	_, err = p.Restart(ctx, testSet(2), "")
+	assert.ErrorIs(t, err, ErrStaleBase)
+	log.expire(-time.Second)
+	_, err = p.Publish(ctx, testSet(2), 1, "")
+	assert.ErrorIs(t, err, ErrUnanchored)
+	log.beforeAppend = func() {
+		_, err := testPublisher(log, "other").Restart(ctx, testSet(3), "")
+		assert.NilError(t, err)
+	}
+	_, err = p.Restart(ctx, testSet(2), "")
+	assert.ErrorIs(t, err, ErrLostRace)
+	latest, err := Latest(ctx, log)
+	assert.NilError(t, err)
+	assert.Equal(t, latest.Version, uint64(2))
+	assert.Equal(t, latest.Set.Limits[0].Burst, int64(3))
+}
--- /dev/null
+++ b/config/replay_test.go
@@ -0,0 +1,84 @@
+package config
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cairnworks/cairnworks/port"
+)
+
+// writeStream writes records as honest writers do that lag behind one another:
+// each states what it had read, which may be some records ago. Some records are
+// damaged on the way.
+func writeStream(t *testing.T, r *rand.Rand, length int) []port.Record {
+	t.Helper()
+	full := NewReplay(1)
+	versions := []uint64{0}
+	payloads := [][]byte{nil}
+	var out []port.Record
+	for offset := uint64(1); offset <= uint64(length); offset++ {
+		through := offset - 1 - min(offset-1, r.Uint64N(4))
+		h := Header{Format: format, Kind: KindPublish, Base: versions[through], Through: through}
+		payload, err := compressSet(testSet(int(offset)))
+		assert.NilError(t, err)
+		if h.Base > 0 && r.IntN(3) == 0 {
+			h.Kind = KindRepublish
+			payload = payloads[through]
+		}
+		data, err := encodeRecord(h, payload)
+		assert.NilError(t, err)
+		if r.IntN(6) == 0 {
+			data[r.IntN(len(data))] ^= 1 << r.IntN(8)
+		}
+		rec := port.Record{Offset: offset, Data: data}
+		full.Apply(rec)
+		versions = append(versions, full.version)
+		payloads = append(payloads, full.payload)
+		out = append(out, rec)
+	}
+	return out
+}
+
+// Instances start at different times and read different parts of the stream. If
+// two of them judged one record differently, part of the fleet would run another
+// configuration for good.
+func TestEveryStartOfAStreamLeadsToOneVersion(t *testing.T) {
+	for seed := range uint64(12) {
+		records := writeStream(t, rand.New(rand.NewPCG(seed, 1)), 16)
+		full := make(map[uint64]*Replay)
+		whole := NewReplay(1)
+		for _, rec := range records {
+			whole.Apply(rec)
+			state := *whole
+			full[rec.Offset] = &state
+		}
+		for start := range records {
+			part := NewReplay(uint64(start) + 1)
+			for _, rec := range records[start:] {
+				part.Apply(rec)
+				if !part.Anchored() {
+					continue
+				}
+				assert.Equal(t, part.Version(), full[rec.Offset].Version(), "seed %d, start %d, offset %d", seed, start+1, rec.Offset)
+				if part.Set() != nil {
+					assert.DeepEqual(t, part.Set(), full[rec.Offset].Set())
+				}
+			}
+		}
+	}
+}
+
+func FuzzDecodeRecord(f *testing.F) {
+	data, err := encodeSet(Header{Format: format, Kind: KindPublish}, testSet(1))
+	assert.NilError(f, err)
+	f.Add(data)
+	f.Add([]byte("{}\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		replay := NewReplay(1)
+		judged := replay.Apply(port.Record{Offset: 1, Data: data})
+		assert.Equal(t, len(judged), 1)
+		assert.Equal(t, judged[0].Judgement == Accepted, replay.Version() == 1)
+	})
+}
