--- a/config/config.go
+++ b/config/config.go
@@ -42,6 +42,9 @@
 	// noticeGrace is how long a version known from a peer is left to arrive through
 	// the log. Without it each publish would be fetched twice by every instance.
 	noticeGrace = time.Second
+	// peersSettle is how long a fresh instance without the log keeps asking the same
+	// peers before it serves what they had: several heartbeats of membership.
+	peersSettle = 2 * time.Second
 	// fetchTimeout bounds one fetch from a peer.
 	fetchTimeout = 3 * time.Second
 	// fetchParallel bounds concurrent fetches of one instance.
--- a/config/follow_peers.go
+++ b/config/follow_peers.go
@@ -148,20 +148,42 @@
 	return nil
 }
 
-// startRound remembers the previous round of a fresh instance's questions.
-type startRound struct{ addresses []string }
+// startRound remembers which peers a fresh instance knows, and since when.
+type startRound struct {
+	addresses []string
+	since     time.Time
+}
+
+// stable tells whether the same peers, at least one, have been known for
+// peersSettle.
+func (r *startRound) stable(addresses []string, now time.Time) bool {
+	if !slices.Equal(addresses, r.addresses) {
+		r.addresses, r.since = addresses, now
+	}
+	return len(addresses) > 0 && now.Sub(r.since) >= peersSettle
+}
 
-// startFromPeers asks every known peer. The instance becomes ready after two
-// rounds over the same peers in a row: membership fills its list while it starts,
-// and the first peer that it names may be the one that is behind.
+// startFromPeers asks every known peer. The instance becomes ready once it has
+// asked the same peers for a while: membership fills its list while the instance
+// starts, and the first peer that it names may be the one that is behind.
 func (f *Follower) startFromPeers(ctx context.Context, round *startRound) {
+	stable := round.stable(f.askAll(ctx), time.Now())
+	if stable && ctx.Err() == nil && f.heldVersion() > 0 {
+		f.deliver()
+		f.log.Info("configuration ready", zap.String("source", "peers"))
+	}
+}
+
+// askAll fetches from every known peer and returns their addresses in order. The
+// peer with the highest version is asked first, so that the others have nothing
+// to send.
+func (f *Follower) askAll(ctx context.Context) []string {
 	peers := f.peers()
-	// The highest first, so that the others have nothing to send.
 	slices.SortFunc(peers, func(a, b Peer) int {
 		return cmp.Or(cmp.Compare(b.Version, a.Version), cmp.Compare(a.Address, b.Address))
 	})
 	addresses := make([]string, 0, len(peers))
-	group := errgroup.Group{}
+	var group errgroup.Group
 	group.SetLimit(fetchParallel)
 	for i, p := range peers {
 		addresses = append(addresses, p.Address)
@@ -176,10 +198,5 @@
 	}
 	_ = group.Wait()
 	slices.Sort(addresses)
-	same := len(addresses) > 0 && slices.Equal(addresses, round.addresses)
-	round.addresses = addresses
-	if same && ctx.Err() == nil && f.heldVersion() > 0 {
-		f.deliver()
-		f.log.Info("configuration ready", zap.String("source", "peers"))
-	}
+	return addresses
 }
