Rate and at-most-once on the path, readiness that waits for the rate homes

Cause: the rate and the guard were thin stand-ins inside the instance. With the real ones an instance was ready with its configuration alone, and the first requests were refused with rate_home_unavailable for about four seconds, while new homes wait out leases. Change: the instance runs both packages; it is ready when every shard has a holder and its own terms may spend, or after 15 s, when the log is down.

--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -41,6 +41,10 @@
 	instances []*daemon
 }
 
+// rosterCost is the charge of a lookup, so that a few of them reach a limit that
+// also covers the largest prompt.
+const rosterCost = 200
+
 // fleetConfig sizes a fleet.
 type fleetConfig struct {
 	instances, prefill, decode, plain int
@@ -83,7 +87,7 @@
 		Services: []object.Service{
 			{Name: "pisar", Kind: object.KindModel, Models: []string{"pisar-small"}, MaxPromptTokens: 8000, MaxOutputTokens: 1000, MaxWaitMS: 20_000},
 			{Name: "dezurstva", Kind: object.KindPlain, MaxWaitMS: 20_000, Calls: []object.Call{
-				{Method: http.MethodGet, Path: "/roster/", Idempotent: true},
+				{Method: http.MethodGet, Path: "/roster/", Idempotent: true, Cost: rosterCost},
 				{Method: http.MethodPost, Path: "/swaps"},
 			}},
 		},
--- /dev/null
+++ b/e2e/once_test.go
@@ -0,0 +1,113 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cairnworks/cairnworks/stand"
+)
+
+// runs returns how often each idempotency key ran, over all plain upstreams.
+func (f *fleet) runs() map[string]int {
+	total := map[string]int{}
+	for name := range f.upstreams {
+		if len(name) < 5 || name[:5] != "plain" {
+			continue
+		}
+		var stats stand.PlainStats
+		f.stats(name, &stats)
+		for key, n := range stats.ByIdempotencyKey {
+			total[key] += n
+		}
+	}
+	return total
+}
+
+// A keeper's client does not hear back in time and sends its swap again, to
+// whichever instance the balancer picks, while the first is still on its way. A
+// swap that ran twice leaves one enclosure double-staffed and another unwatched.
+func TestResentSwapsRunOnce(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, fleetConfig{instances: 3, prefill: 1, decode: 1, plain: 2, tokenTime: time.Millisecond})
+	const swaps = 20
+	var all sync.WaitGroup
+	bodies := make([][3]string, swaps)
+	for k := range swaps {
+		for n, d := range f.instances {
+			all.Go(func() {
+				key := fmt.Sprintf("swap-%d", k)
+				body := fmt.Sprintf(`{"swap":%d}`, k)
+				for range 50 {
+					a, text := call(context.Background(), d.callers, f.keys["alpha"], http.MethodPost, "/swaps", key, body)
+					if a.status == http.StatusOK {
+						bodies[k][n] = text
+						return
+					}
+					time.Sleep(50 * time.Millisecond)
+				}
+			})
+		}
+	}
+	all.Wait()
+	runs := f.runs()
+	for k := range swaps {
+		assert.Equal(t, runs[fmt.Sprintf("swap-%d", k)], 1, "swap %d", k)
+		for n := range f.instances {
+			assert.Assert(t, bodies[k][n] != "", "swap %d at instance %d got no answer", k, n)
+			assert.Equal(t, bodies[k][n], bodies[k][0], "swap %d got two different answers", k)
+		}
+	}
+	a, _ := call(context.Background(), f.instances[0].callers, f.keys["alpha"], http.MethodPost, "/swaps", "swap-0", `{"swap":"another"}`)
+	assert.Equal(t, a.code, "idempotency_key_reused")
+	assert.Equal(t, a.ran, "not_run")
+	// Another organisation's key of the same text is another key.
+	b, _ := call(context.Background(), f.instances[0].callers, f.keys["beta"], http.MethodPost, "/swaps", "swap-0", `{"swap":0}`)
+	assert.Equal(t, b.status, http.StatusOK)
+}
+
+// The service books and then its answer is lost, as when its process dies at the
+// wrong moment. Nobody can know the outcome; the caller must be told that the
+// booking may have run, and sending it again must never run it a second time.
+func TestLostAnswerOfASwapIsNeverRunAgain(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, fleetConfig{instances: 2, prefill: 1, decode: 1, plain: 1, tokenTime: time.Millisecond})
+	f.fault("plain-0", stand.Faults{LoseAnswers: 1})
+	first, _ := call(context.Background(), f.instances[0].callers, f.keys["alpha"], http.MethodPost, "/swaps", "lost", "{}")
+	assert.Equal(t, first.ran, "may_have_run")
+	for _, d := range f.instances {
+		again, _ := call(context.Background(), d.callers, f.keys["alpha"], http.MethodPost, "/swaps", "lost", "{}")
+		assert.Equal(t, again.ran, "may_have_run")
+	}
+	assert.Equal(t, f.runs()["lost"], 1)
+}
+
+// The log is down. A booking cannot be claimed, so it must be refused as not run
+// with a time to come back, while lookups and summaries go on; and once the log
+// is back the same booking goes through.
+func TestSwapsWhileTheLogIsDown(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, fleetConfig{instances: 2, prefill: 1, decode: 1, plain: 1, tokenTime: time.Millisecond})
+	d := f.instances[0]
+	f.fault("log", stand.Faults{Down: true})
+	a, _ := call(context.Background(), d.callers, f.keys["alpha"], http.MethodPost, "/swaps", "later", "{}")
+	assert.Equal(t, a.code, "log_unavailable")
+	assert.Equal(t, a.ran, "not_run")
+	assert.Assert(t, a.header.Get("Retry-After") != "")
+	b, _ := call(context.Background(), d.callers, f.keys["alpha"], http.MethodGet, "/roster/today", "", "")
+	assert.Equal(t, b.status, http.StatusOK)
+	c := chat(context.Background(), d.callers, f.keys["beta"], "log down", 5, nil)
+	assert.Equal(t, c.wrong("log down", 5), "")
+	assert.Equal(t, f.runs()["later"], 0)
+	f.fault("log", stand.Faults{})
+	eventually(t, "the booking goes through", func() bool {
+		a, _ := call(context.Background(), d.callers, f.keys["alpha"], http.MethodPost, "/swaps", "later", "{}")
+		return a.status == http.StatusOK
+	})
+	assert.Equal(t, f.runs()["later"], 1)
+}
--- a/instance/drain.go
+++ b/instance/drain.go
@@ -79,7 +79,7 @@
 func (i *Instance) handOver(ctx context.Context) {
 	ctx, stop := context.WithTimeout(ctx, leaveTimeout)
 	defer stop()
-	if err := i.stages.drain(ctx); err != nil {
+	if err := i.rate.Drain(ctx); err != nil {
 		i.log.Warn("homes not handed over", zap.Error(err))
 	}
 }
--- a/instance/embedded/embedded.go
+++ b/instance/embedded/embedded.go
@@ -153,7 +153,7 @@
 	s.Instance, s.DataCentre = name, dataCentre
 	s.Callers.Address, s.Peers.Address, s.Operators.Address = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
 	s.Peers.Seeds = seeds
-	s.Platform = settings.Platform{Log: p.Log, List: p.List}
+	s.Platform.Log, s.Platform.List = p.Log, p.List
 	return s
 }
 
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -16,9 +16,11 @@
 	"github.com/cairnworks/cairnworks/membership"
 	"github.com/cairnworks/cairnworks/object"
 	"github.com/cairnworks/cairnworks/observe"
+	"github.com/cairnworks/cairnworks/once"
 	"github.com/cairnworks/cairnworks/peer"
 	"github.com/cairnworks/cairnworks/port"
 	"github.com/cairnworks/cairnworks/port/httpport"
+	"github.com/cairnworks/cairnworks/rate"
 	"github.com/cairnworks/cairnworks/scheduler"
 	"github.com/cairnworks/cairnworks/settings"
 )
@@ -41,9 +43,11 @@
 	engines  port.EngineDialer
 	services port.ServiceDialer
 	platform platformClients
-	stages   stages
+	rate     *rate.Service
+	guard    *once.Service
 
 	listeners listeners
+	readiness readiness
 	drain     *drainState
 }
 
@@ -119,7 +123,9 @@
 	group.Go(func() error { return ignoreEnd(ctx, i.members.Run(ctx)) })
 	group.Go(func() error { return ignoreEnd(ctx, i.follower.Run(ctx)) })
 	group.Go(func() error { return ignoreEnd(ctx, i.placer.Run(ctx)) })
-	i.stages.run(ctx, group)
+	group.Go(func() error { return ignoreEnd(ctx, i.rate.Run(ctx)) })
+	group.Go(func() error { return ignoreEnd(ctx, i.guard.Run(ctx)) })
+	group.Go(func() error { return i.awaitRate(ctx) })
 	for _, l := range i.listeners.all() {
 		group.Go(func() error { return l.serve() })
 	}
--- a/instance/join.go
+++ b/instance/join.go
@@ -40,7 +40,8 @@
 		return err
 	}
 	i.follower = config.NewFollower(config.FollowerConfig{
-		Log: i.platform.log, Peers: i.configPeers, Dial: i.dialConfig, Logger: i.log, Metrics: i.metrics,
+		Log: i.platform.log, Self: i.Addresses().Peers, Peers: i.configPeers, Dial: i.dialConfig,
+		Retention: i.logRetention(), Seed: uint64(time.Now().UnixNano()), Logger: i.log, Metrics: i.metrics,
 	})
 	i.subscribe()
 	return nil
--- a/instance/operators.go
+++ b/instance/operators.go
@@ -14,6 +14,3 @@
 	mux.Handle("GET /metrics", i.metrics.Handler)
 	return mux, nil
 }
-
-// ready reports whether the balancer should send callers here.
-func (i *Instance) ready() bool { return i.follower.Ready() && !i.drain.draining() }
--- /dev/null
+++ b/instance/ready.go
@@ -0,0 +1,65 @@
+package instance
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cairnworks/cairnworks/rate"
+	"github.com/cairnworks/cairnworks/rate/lease"
+)
+
+const (
+	// readyPoll is how often a starting instance looks whether its rate homes spend.
+	readyPoll = 50 * time.Millisecond
+	// readyPatience bounds the wait. It is above the time in which a new home waits
+	// for its predecessor's lease to end; past it the log is down or a peer hangs,
+	// and an instance that serves with fewer shares is better than none.
+	readyPatience = 15 * time.Second
+)
+
+// readiness tells the balancer when an instance may get callers. Ready only with
+// a configuration would send callers to a fleet whose rate homes are still waiting
+// for their leases, and refuse requests that are within their rate.
+type readiness struct {
+	rate atomic.Bool
+}
+
+// ready reports whether the balancer should send callers here.
+func (i *Instance) ready() bool {
+	return i.follower.Ready() && i.readiness.rate.Load() && !i.drain.draining()
+}
+
+// awaitRate waits once until the rate homes of every shard are known and those
+// of this instance may spend.
+func (i *Instance) awaitRate(ctx context.Context) error {
+	deadline := time.Now().Add(readyPatience)
+	for !settled(i.rate.Status(), i.settings.Instance) && time.Now().Before(deadline) {
+		if !sleep(ctx, readyPoll) {
+			return nil
+		}
+	}
+	i.readiness.rate.Store(true)
+	i.log.Info("rate homes settled", zap.Bool("all", settled(i.rate.Status(), i.settings.Instance)))
+	return nil
+}
+
+// settled reports whether every shard has a holder and this instance may spend
+// under each term that is its own.
+func settled(status rate.Status, self string) bool {
+	spending := make(map[uint32]bool, len(status.Held))
+	for _, held := range status.Held {
+		if held.Phase != lease.PhaseSpending {
+			return false
+		}
+		spending[held.Shard] = true
+	}
+	for shard, holder := range status.Holders {
+		if holder.Instance == "" || holder.Instance == self && !spending[uint32(shard)] {
+			return false
+		}
+	}
+	return len(status.Holders) > 0
+}
--- /dev/null
+++ b/instance/stages.go
@@ -0,0 +1,78 @@
+package instance
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/cairnworks/cairnworks/gen/cairnworks/peer/v1/peerv1connect"
+	"github.com/cairnworks/cairnworks/object"
+	"github.com/cairnworks/cairnworks/once"
+	"github.com/cairnworks/cairnworks/rate"
+	"github.com/cairnworks/cairnworks/request"
+)
+
+// buildStages prepares the parts of the path whose state the fleet shares: the
+// token rate and the at-most-once guard.
+func (i *Instance) buildStages() error {
+	var err error
+	i.rate, err = rate.New(rate.Config{
+		Self: i.self(), Log: i.platform.log, Members: i.placedHolders, Limit: i.limit,
+		Dial: i.dialRate, Logger: i.log, Metrics: i.metrics,
+	})
+	if err != nil {
+		return err
+	}
+	i.guard, err = once.New(once.Config{
+		Self: i.self(), Log: i.platform.log, Members: i.liveHolders, Logger: i.log, Metrics: i.metrics,
+		LogRetention: i.logRetention(),
+		Window:       i.logRetention() / 2,
+	})
+	return err
+}
+
+// limit returns the rate and burst of an organisation in the set in force.
+func (i *Instance) limit(organisation string) (object.Limit, bool) {
+	index := i.index()
+	if index == nil {
+		return object.Limit{}, false
+	}
+	limit, ok := index.Limit(organisation)
+	if !ok {
+		return object.Limit{}, false
+	}
+	return *limit, true
+}
+
+func (i *Instance) dialRate(address string) peerv1connect.RateServiceClient {
+	return peerv1connect.NewRateServiceClient(i.peers, i.peers.URL(address))
+}
+
+func (i *Instance) logRetention() time.Duration {
+	return time.Duration(i.settings.Platform.LogRetentionSeconds) * time.Second
+}
+
+// mountStages adds the stages' services to the peers' address.
+func (i *Instance) mountStages(mux *http.ServeMux) {
+	mux.Handle(peerv1connect.NewRateServiceHandler(i.rate.Handler()))
+}
+
+// placedHolders are the instances that may be given homes: alive, not draining.
+func (i *Instance) placedHolders() []request.Holder {
+	return i.holders(func(draining bool) bool { return !draining })
+}
+
+// liveHolders are the instances that are alive.
+func (i *Instance) liveHolders() []request.Holder {
+	return i.holders(func(bool) bool { return true })
+}
+
+func (i *Instance) holders(take func(draining bool) bool) []request.Holder {
+	members := i.members.Members()
+	holders := make([]request.Holder, 0, len(members))
+	for _, m := range members {
+		if take(m.Draining) {
+			holders = append(holders, m.Holder)
+		}
+	}
+	return holders
+}
--- a/settings/load.go
+++ b/settings/load.go
@@ -11,6 +11,11 @@
 	"strings"
 )
 
+// minLogRetentionSeconds keeps half of the retention, the time for which
+// idempotency keys are remembered, an hour below the whole: what a reader needs
+// to fall behind without losing sight of a key.
+const minLogRetentionSeconds = 7200
+
 // Fault is one thing wrong with a settings file.
 type Fault struct {
 	File    string
@@ -100,6 +105,9 @@
 	c.guarded("peers", s.Peers.Address, "secret_file", s.Peers.SecretFile)
 	c.guarded("operators", s.Operators.Address, "token_file", s.Operators.TokenFile)
 	c.level(s.LogLevel)
+	if s.Platform.LogRetentionSeconds < minLogRetentionSeconds {
+		c.fault("platform.log_retention_seconds", fmt.Sprint(s.Platform.LogRetentionSeconds), fmt.Sprintf("%d or more", minLogRetentionSeconds))
+	}
 	if s.DrainSeconds < 0 {
 		c.fault("drain_seconds", fmt.Sprint(s.DrainSeconds), "0 or more")
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -56,12 +56,17 @@
 
 // Platform holds the addresses of the platform's services.
 type Platform struct {
-	Log     string `json:"log" doc:"address of the append-only log" unit:"IP:port" default:"required"`
-	List    string `json:"list" doc:"address of the list of instances" unit:"IP:port" default:"none, seeds only"`
-	Weights string `json:"weights" doc:"address of the weight store" unit:"IP:port" default:"none"`
+	Log string `json:"log" doc:"address of the append-only log" unit:"IP:port" default:"required"`
+	// LogRetentionSeconds bounds how long the log is trusted to keep a record.
+	LogRetentionSeconds int    `json:"log_retention_seconds" doc:"how long the log keeps records; idempotency keys are remembered for half of it and the configuration is republished within it" unit:"seconds" default:"86400"`
+	List                string `json:"list" doc:"address of the list of instances" unit:"IP:port" default:"none, seeds only"`
+	Weights             string `json:"weights" doc:"address of the weight store" unit:"IP:port" default:"none"`
 }
 
 // Default returns the settings that hold where a file says nothing.
 func Default() Settings {
-	return Settings{LogLevel: "info", HeaderSeconds: 5, DrainGraceSeconds: 5}
+	return Settings{
+		LogLevel: "info", HeaderSeconds: 5, DrainGraceSeconds: 5,
+		Platform: Platform{LogRetentionSeconds: 86400},
+	}
 }
--- a/test.sh
+++ b/test.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 
-unformatted=$(gofmt -l $(git ls-files '*.go'))
+unformatted=$(gofmt -l $(git ls-files --cached --others --exclude-standard --deduplicate '*.go' | while read -r f; do [ -f "$f" ] && echo "$f"; done))
 if [ -n "$unformatted" ]; then
   printf 'not gofmt-clean:\n%s\n' "$unformatted"
   exit 1
