--- a/instance/instance.go
+++ b/instance/instance.go
@@ -48,6 +48,7 @@
 
 	listeners listeners
 	readiness readiness
+	leaving   leavingList
 	drain     *drainState
 }
 
@@ -126,6 +127,7 @@
 	group.Go(func() error { return ignoreEnd(ctx, i.rate.Run(ctx)) })
 	group.Go(func() error { return ignoreEnd(ctx, i.guard.Run(ctx)) })
 	group.Go(func() error { return i.awaitRate(ctx) })
+	group.Go(func() error { return i.followUpstreams(ctx) })
 	for _, l := range i.listeners.all() {
 		group.Go(func() error { return l.serve() })
 	}
--- a/instance/path.go
+++ b/instance/path.go
@@ -37,13 +37,6 @@
 	return nil
 }
 
-func (i *Instance) catalogue() scheduler.Catalogue {
-	if index := i.index(); index != nil {
-		return index
-	}
-	return nil
-}
-
 // dialScheduler returns the scheduler at a peer's address; this instance's own is
 // called without the network.
 func (i *Instance) dialScheduler(address string) peerv1connect.SchedulerServiceClient {
