Operators' endpoints on the instance

Cause: status, drain and levels had no way in. Change: the instance fills the sources of package operator. Measured: cairnctl status against an embedded instance by hand.

--- a/instance/operators.go
+++ b/instance/operators.go
@@ -1,16 +1,131 @@
 package instance
 
-import "net/http"
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/cairnworks/cairnworks/config"
+	peerv1 "github.com/cairnworks/cairnworks/gen/cairnworks/peer/v1"
+	"github.com/cairnworks/cairnworks/operator"
+	"github.com/cairnworks/cairnworks/request"
+)
+
+// statusTimeout bounds one question to a scheduler for an operator.
+const statusTimeout = time.Second
 
 // operatorHandler serves the operators' address.
 func (i *Instance) operatorHandler() (http.Handler, error) {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if !i.ready() {
-			w.WriteHeader(http.StatusServiceUnavailable)
+	token, err := readSecret(i.settings.Operators.TokenFile)
+	if err != nil {
+		return nil, err
+	}
+	sources := operatorSources{i}
+	return operator.NewHandler(operator.Config{
+		Token: token, Logger: i.log, Metrics: i.metrics.Handler,
+		Status: sources, Instances: sources, Upstreams: sources, Queues: sources, Objects: i.follower,
+		Drainer: i, Level: i.level, Publisher: config.NewPublisher(i.platform.log),
+	}), nil
+}
+
+// operatorSources answers operators' queries about an instance and the fleet.
+type operatorSources struct{ i *Instance }
+
+// Status implements operator.StatusSource.
+func (s operatorSources) Status(context.Context) operator.Status {
+	self := s.i.self()
+	status := operator.Status{
+		Instance: self.Instance, Incarnation: self.Incarnation, DataCentre: s.i.settings.DataCentre,
+		Started: s.i.started, Ready: s.i.ready(), Reason: s.i.notReadyReason(), Draining: s.i.drain.draining(),
+		OpenRequests: int(s.i.door.Open()), LogLevel: s.i.level.Level().String(),
+	}
+	if index := s.i.index(); index != nil {
+		status.ConfigVersion = index.Version()
+	}
+	return status
+}
+
+// Instances implements operator.InstanceSource.
+func (s operatorSources) Instances(context.Context) []operator.Instance {
+	var instances []operator.Instance
+	for _, m := range s.i.members.All() {
+		instances = append(instances, operator.Instance{
+			Name: m.Instance, Incarnation: m.Incarnation, DataCentre: m.DataCentre, PeerAddress: m.Address,
+			OperatorAddress: m.OperatorAddress, State: m.State.String(), Draining: m.Draining,
+			ConfigVersion: m.ConfigVersion,
+		})
+	}
+	return instances
+}
+
+// Queues implements operator.QueueSource.
+func (s operatorSources) Queues(ctx context.Context) ([]operator.Queue, error) {
+	var queues []operator.Queue
+	for _, name := range s.services("") {
+		status, home, err := s.ask(ctx, name)
+		queue := operator.Queue{Service: name, Scheduler: home.Instance}
+		if err != nil {
+			queue.Error = err.Error()
+		} else {
+			queue.Interactive, queue.Deferrable = int(status.QueuedInteractive), int(status.QueuedDeferrable)
+			queue.Advice = status.Advice
 		}
-	})
-	mux.Handle("GET /metrics", i.metrics.Handler)
-	return mux, nil
+		queues = append(queues, queue)
+	}
+	return queues, nil
+}
+
+// Upstreams implements operator.UpstreamSource.
+func (s operatorSources) Upstreams(ctx context.Context, service string) ([]operator.Upstream, error) {
+	var upstreams []operator.Upstream
+	for _, name := range s.services(service) {
+		status, _, err := s.ask(ctx, name)
+		if err != nil {
+			return nil, err
+		}
+		for _, u := range status.Upstreams {
+			upstreams = append(upstreams, s.describe(name, u))
+		}
+	}
+	return upstreams, nil
+}
+
+func (s operatorSources) describe(service string, u *peerv1.UpstreamStatus) operator.Upstream {
+	described := operator.Upstream{
+		Name: u.Name, Service: service, Health: u.Health, Running: int(u.Running), Slots: int(u.Slots),
+		PiecesUsed: int(u.PiecesUsed), Pieces: int(u.Pieces),
+	}
+	if published, ok := s.i.index().Upstream(u.Name); ok {
+		described.Role, described.Address, described.DataCentre = published.Role, published.Address, published.DataCentre
+	}
+	return described
+}
+
+// services lists the named service, or all of them.
+func (s operatorSources) services(name string) []string {
+	index := s.i.index()
+	if index == nil {
+		return nil
+	}
+	var names []string
+	for _, service := range index.Set().Services {
+		if name == "" || name == service.Name {
+			names = append(names, service.Name)
+		}
+	}
+	return names
+}
+
+// ask asks a service's scheduler for its status.
+func (s operatorSources) ask(ctx context.Context, service string) (*peerv1.StatusResponse, request.Holder, error) {
+	home, _ := s.i.schedulerHome(service)
+	ctx, stop := context.WithTimeout(ctx, statusTimeout)
+	defer stop()
+	resp, err := s.i.dialScheduler(home.Address).Status(ctx, connect.NewRequest(&peerv1.StatusRequest{Service: service}))
+	if err != nil {
+		return nil, home, err
+	}
+	return resp.Msg, home, nil
 }
--- a/instance/ready.go
+++ b/instance/ready.go
@@ -29,7 +29,21 @@
 
 // ready reports whether the balancer should send callers here.
 func (i *Instance) ready() bool {
-	return i.follower.Ready() && i.readiness.rate.Load() && !i.drain.draining()
+	return i.notReadyReason() == ""
+}
+
+// notReadyReason says to operators what an instance that is not ready waits for.
+func (i *Instance) notReadyReason() string {
+	switch {
+	case i.drain.draining():
+		return "draining"
+	case !i.follower.Ready():
+		return "no configuration yet"
+	case !i.readiness.rate.Load():
+		return "rate homes are not settled yet"
+	default:
+		return ""
+	}
 }
 
 // awaitRate waits once until the rate homes of every shard are known and those
