An answer goes on at another engine from its next token

Cause: an answer whose decode engine crashed or froze ended with an error. A second attempt asked the new engine to resume ahead of what it had generated, which it refused; and a stream given up for silence read as one whose caller had left, and was not retried. Ruled out: retry policy, which did allow three attempts; the engines, which refused rightly. Change: a prefill carries the tokens already delivered, and the decode goes on after them; silence is a timeout of its own.

--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -52,6 +52,8 @@
 	tokenTime time.Duration
 	// limit applies to both organisations; zero means one that no test reaches.
 	limit object.Limit
+	// slots is how many requests an upstream may be given at once; 0 means 20.
+	slots int
 	// engineArgs are further arguments of every engine.
 	engineArgs []string
 	// graceSeconds is how long a draining instance still takes requests.
@@ -82,6 +84,9 @@
 		limit = object.Limit{TokensPerSecond: 1_000_000, Burst: 10_000_000}
 	}
 	limit.Name = "member"
+	if cfg.slots == 0 {
+		cfg.slots = 20
+	}
 	set := object.Set{
 		Limits: []object.Limit{limit},
 		Services: []object.Service{
@@ -107,6 +112,9 @@
 	for n := range cfg.plain {
 		set.Upstreams = append(set.Upstreams, f.upstream(fmt.Sprintf("plain-%d", n), "dezurstva", object.RolePlain, []string{"plain", "--listen", "127.0.0.1:0", "--crash-in-place"}))
 	}
+	for n := range set.Upstreams {
+		set.Upstreams[n].Slots = cfg.slots
+	}
 	return set
 }
 
@@ -115,7 +123,7 @@
 	f.upstreams[name] = p
 	u := object.Upstream{
 		Name: name, Service: service, Role: role, Address: p.field(f.t, "address=", "address"),
-		DataCentre: dataCentres[len(f.upstreams)%len(dataCentres)], Slots: 20,
+		DataCentre: dataCentres[len(f.upstreams)%len(dataCentres)],
 	}
 	if role == object.RoleDecode {
 		u.Pieces, u.LinkBytesPerSecond = 400, 2_500_000_000
--- a/e2e/keys_test.go
+++ b/e2e/keys_test.go
@@ -25,12 +25,7 @@
 		answers, wait := f.openStreams(context.Background(), d, 2)
 		open, waits = append(open, answers), append(waits, wait)
 	}
-	for i := range f.set.Keys {
-		if f.set.Keys[i].Organisation == "alpha" {
-			f.set.Keys[i].Withdrawn = true
-		}
-	}
-	f.publish()
+	f.withdraw("alpha")
 	for n, wait := range waits {
 		wait()
 		for k := range open[n] {
@@ -68,3 +63,14 @@
 		assert.Assert(t, !strings.Contains(fmt.Sprint(stats.Seen), key), name)
 	}
 }
+
+// withdraw publishes a set in which an organisation's keys are withdrawn.
+func (f *fleet) withdraw(organisation string) {
+	f.t.Helper()
+	for i := range f.set.Keys {
+		if f.set.Keys[i].Organisation == organisation {
+			f.set.Keys[i].Withdrawn = true
+		}
+	}
+	f.publish()
+}
--- /dev/null
+++ b/e2e/rolling_test.go
@@ -0,0 +1,138 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// balancer sends callers to instances as the platform's does: to those that were
+// ready when it last looked.
+type balancer struct {
+	mu    sync.Mutex
+	rand  *rand.Rand
+	ready []*daemon
+}
+
+// balancerInterval is how often the balancer looks, which is how late it learns.
+const balancerInterval = 300 * time.Millisecond
+
+func (b *balancer) follow(ctx context.Context, instances func() []*daemon) {
+	for ctx.Err() == nil {
+		var ready []*daemon
+		for _, d := range instances() {
+			if status(d.operators, "/readyz") == http.StatusOK {
+				ready = append(ready, d)
+			}
+		}
+		b.mu.Lock()
+		b.ready = ready
+		b.mu.Unlock()
+		time.Sleep(balancerInterval)
+	}
+}
+
+func (b *balancer) pick() *daemon {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.ready) == 0 {
+		return nil
+	}
+	return b.ready[b.rand.IntN(len(b.ready))]
+}
+
+// All nine instances are replaced one after the other while callers stream,
+// look up and book. No caller may see an error: not a cut stream, not a refused
+// connection, not a refusal because a scheduler or a rate home is on the move.
+func TestRollingReplacementWithoutCallerErrors(t *testing.T) {
+	t.Parallel()
+	const size = 9
+	f := newFleet(t, fleetConfig{instances: size, prefill: 2, decode: 3, plain: 2, tokenTime: 5 * time.Millisecond, graceSeconds: 1})
+	var mu sync.Mutex
+	live := append([]*daemon(nil), f.instances...)
+	b := &balancer{rand: rand.New(rand.NewPCG(1, 1))}
+	ctx, stop := context.WithCancel(context.Background())
+	go b.follow(ctx, func() []*daemon {
+		mu.Lock()
+		defer mu.Unlock()
+		return append([]*daemon(nil), live...)
+	})
+	eventually(t, "the balancer sees instances", func() bool { return b.pick() != nil })
+
+	var errors sync.Map
+	var answered atomic.Int64
+	var callers sync.WaitGroup
+	for n := range 8 {
+		callers.Go(func() {
+			for k := 0; ctx.Err() == nil; k++ {
+				if wrong := f.mixedRequest(b.pick(), n, k); wrong != "" {
+					errors.Store(fmt.Sprintf("%d/%d", n, k), wrong)
+					continue
+				}
+				answered.Add(1)
+			}
+		})
+	}
+	for n := range size {
+		old := f.instances[n]
+		fresh := f.startInstance(size+n, 1)
+		eventually(t, fresh.name+" ready", func() bool { return status(fresh.operators, "/readyz") == http.StatusOK })
+		mu.Lock()
+		live = append(live, fresh)
+		mu.Unlock()
+		old.signal(syscall.SIGTERM)
+		assert.Equal(t, old.exitCode(t), 0)
+		mu.Lock()
+		live = live[1:]
+		mu.Unlock()
+	}
+	stop()
+	callers.Wait()
+	count := 0
+	errors.Range(func(key, wrong any) bool {
+		count++
+		t.Logf("request %v: %v", key, wrong)
+		return true
+	})
+	t.Logf("%d answered, %d errors", answered.Load(), count)
+	assert.Equal(t, count, 0)
+	for key, runs := range f.runs() {
+		assert.Equal(t, runs, 1, key)
+	}
+}
+
+// mixedRequest sends a stream, a lookup or a booking and says what was wrong.
+func (f *fleet) mixedRequest(d *daemon, n, k int) string {
+	ctx, stop := context.WithTimeout(context.Background(), patience)
+	defer stop()
+	key := f.keys["alpha"]
+	switch k % 3 {
+	case 0:
+		a := chat(ctx, d.callers, key, prompt(n, k), 40, nil)
+		return a.wrong(prompt(n, k), 40)
+	case 1:
+		a, _ := call(ctx, d.callers, key, http.MethodGet, "/roster/today", "", "")
+		return plainWrong(a)
+	default:
+		a, _ := call(ctx, d.callers, key, http.MethodPost, "/swaps", fmt.Sprintf("roll-%d-%d", n, k), "{}")
+		return plainWrong(a)
+	}
+}
+
+func plainWrong(a answer) string {
+	if a.err != nil {
+		return a.err.Error()
+	}
+	if a.status != http.StatusOK {
+		return fmt.Sprintf("status %d code %s ran %s", a.status, a.code, a.ran)
+	}
+	return ""
+}
--- a/port/engine.go
+++ b/port/engine.go
@@ -21,17 +21,20 @@
 
 // PrefillRequest asks an engine to compute the KV cache of a prompt.
 type PrefillRequest struct {
-	Stream   StreamID
-	Model    string
-	Prompt   string
-	Priority int
+	Stream StreamID
+	Model  string
+	Prompt string
+	// Generated are the tokens that an earlier attempt has already delivered. The
+	// KV cache covers them too, so that a decode on any engine goes on after them.
+	Generated []string
+	Priority  int
 }
 
 // PrefillResult is a KV cache that waits on the prefill engine to be imported.
 type PrefillResult struct {
 	// Handle names the cache at the prefill engine.
 	Handle string
-	// Tokens is the true length of the prompt.
+	// Tokens is the true length of the prompt and of the generated tokens given.
 	Tokens int
 	// CachedTokens is how many of them came out of the prefix cache.
 	CachedTokens int
--- a/port/httpport/engine.go
+++ b/port/httpport/engine.go
@@ -20,7 +20,8 @@
 
 func (e engine) Prefill(ctx context.Context, req port.PrefillRequest) (port.PrefillResult, error) {
 	in := wire.PrefillRequest{
-		Stream: wire.FromStream(req.Stream), Model: req.Model, Prompt: req.Prompt, Priority: req.Priority,
+		Stream: wire.FromStream(req.Stream), Model: req.Model, Prompt: req.Prompt,
+		Generated: req.Generated, Priority: req.Priority,
 	}
 	var out wire.PrefillResult
 	if err := e.call(ctx, http.MethodPost, "/v1/prefill", in, &out); err != nil {
--- a/port/httpport/wire/wire.go
+++ b/port/httpport/wire/wire.go
@@ -80,9 +80,11 @@
 // PrefillRequest is the body of POST /v1/prefill.
 type PrefillRequest struct {
 	Stream
-	Model    string `json:"model"`
-	Prompt   string `json:"prompt"`
-	Priority int    `json:"priority"`
+	Model  string `json:"model"`
+	Prompt string `json:"prompt"`
+	// Generated are tokens that follow the prompt in the cache.
+	Generated []string `json:"generated,omitempty"`
+	Priority  int      `json:"priority"`
 }
 
 // PrefillResult answers POST /v1/prefill.
@@ -99,7 +101,9 @@
 type KV struct {
 	Model  string `json:"model"`
 	Tokens int    `json:"tokens"`
-	Bytes  int64  `json:"bytes"`
+	// Generated of the tokens follow the prompt.
+	Generated int   `json:"generated,omitempty"`
+	Bytes     int64 `json:"bytes"`
 	// PromptHash stands for the content of the cache.
 	PromptHash string `json:"prompt_hash"`
 	// Sample is the first and last 512 bytes of the prompt.
--- a/route/attempt.go
+++ b/route/attempt.go
@@ -83,7 +83,8 @@
 	ctx, stop := context.WithTimeout(ctx, prefillTimeout)
 	defer stop()
 	result, err := engine.Prefill(ctx, port.PrefillRequest{
-		Stream: a.stream, Model: a.req.Model, Prompt: a.req.Prompt, Priority: int(a.req.Class),
+		Stream: a.stream, Model: a.req.Model, Prompt: a.req.Prompt,
+		Generated: a.generated, Priority: int(a.req.Class),
 	})
 	a.outcome.Prefill = time.Since(a.started)
 	if err != nil {
@@ -91,7 +92,9 @@
 		return result, err
 	}
 	a.Placer.PrefillDone(a.grant)
-	a.answer.PromptTokens, a.answer.CachedTokens = result.Tokens, result.CachedTokens
+	if len(a.generated) == 0 {
+		a.answer.PromptTokens, a.answer.CachedTokens = result.Tokens, result.CachedTokens
+	}
 	return result, nil
 }
 
@@ -131,15 +134,27 @@
 	return nil
 }
 
+// errStalled ends a stream that has been silent for too long.
+var errStalled = verdict.Fail(verdict.MayHaveRun, verdict.ReasonTimeout, nil, "no token for %v", stallTimeout)
+
 // forward reads one decode stream from the first token the caller lacks.
 func (a *modelAttempt) forward(ctx context.Context, engine port.Engine) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	// A frozen engine keeps its connection open and sends nothing; without the
 	// timer the caller would wait for ever and the slot would stay taken.
-	stalled := time.AfterFunc(stallTimeout, cancel)
+	stalled := time.AfterFunc(stallTimeout, func() { cancel(errStalled) })
 	defer stalled.Stop()
+	err := a.read(ctx, engine, stalled)
+	if err != nil && errors.Is(context.Cause(ctx), errStalled) {
+		// The adapter saw a cancelled context, which would read as a caller that left.
+		return errStalled
+	}
+	return err
+}
 
+// read forwards the frames of one connection; every frame winds the timer up.
+func (a *modelAttempt) read(ctx context.Context, engine port.Engine, stalled *time.Timer) error {
 	frames, err := engine.Decode(ctx, port.DecodeRequest{
 		Stream: a.stream, Model: a.req.Model, MaxTokens: a.req.MaxTokens,
 		ResumeFrom: a.answer.OutputTokens, Priority: int(a.req.Class),
@@ -180,6 +195,7 @@
 		return verdict.Fail(verdict.HasRun, verdict.ReasonCancelled, err, "the caller is gone")
 	}
 	a.answer.OutputTokens++
+	a.generated = append(a.generated, text)
 	return nil
 }
 
--- a/route/model.go
+++ b/route/model.go
@@ -61,6 +61,8 @@
 	req    *request.Request
 	sink   Sink
 	answer Answer
+	// generated are the tokens forwarded so far; a later attempt goes on after them.
+	generated []string
 	// ran is the strongest claim any attempt so far has made necessary. A later
 	// attempt's "not run" refusal must not hide that an earlier one ran.
 	ran   verdict.Ran
@@ -135,9 +137,21 @@
 	return &v
 }
 
+// remaining is the request as a further attempt asks for it: what has been
+// generated is prefilled with the prompt and need not be decoded again.
+func (r *modelRun) remaining() *request.Request {
+	req := *r.req
+	req.PromptTokens += len(r.generated)
+	req.MaxTokens = max(req.MaxTokens-len(r.generated), 1)
+	if len(r.generated) > 0 {
+		req.Deadline = r.retryDeadline()
+	}
+	return &req
+}
+
 // attempt runs the request once on a fresh grant.
 func (r *modelRun) attempt(ctx context.Context, attempt uint32) error {
-	grant, err := r.Placer.Reserve(ctx, r.req, attempt, r.avoid)
+	grant, err := r.Placer.Reserve(ctx, r.remaining(), attempt, r.avoid)
 	if err != nil {
 		return err
 	}
--- a/stand/decode.go
+++ b/stand/decode.go
@@ -112,7 +112,7 @@
 	}
 	sort.Slice(batch, func(i, j int) bool { return batch[i].priority < batch[j].priority })
 	for _, s := range batch {
-		need := e.pieces(s.kv.Tokens+s.generated+1) - s.pieces
+		need := e.pieces(s.kv.Tokens-s.kv.Generated+s.generated+1) - s.pieces
 		if need > 0 && !e.take(need) {
 			e.stats.Stalls++
 			continue
--- a/stand/importkv.go
+++ b/stand/importkv.go
@@ -80,6 +80,7 @@
 		return false
 	}
 	s.phase = phaseImported
+	s.generated = kv.Generated
 	e.runs(req.Stream).Imports++
 	e.stats.ImportedBytes += kv.Bytes
 	e.detach(s)
--- a/stand/prefill.go
+++ b/stand/prefill.go
@@ -117,9 +117,9 @@
 
 // runPrefill computes for as long as the uncached tokens take and keeps the result.
 func (e *Engine) runPrefill(ctx context.Context, w http.ResponseWriter, req wire.PrefillRequest) (*kvCache, int, bool) {
-	tokens := CountTokens(req.Prompt)
+	tokens := CountTokens(req.Prompt) + len(req.Generated)
 	kv := &kvCache{stream: req.Stream, pieces: e.pieces(tokens), kv: wire.KV{
-		Model: req.Model, Tokens: tokens, Bytes: int64(tokens) * e.cfg.KVBytesPerToken,
+		Model: req.Model, Tokens: tokens, Generated: len(req.Generated), Bytes: int64(tokens) * e.cfg.KVBytesPerToken,
 		PromptHash: PromptHash(req.Prompt), Sample: sample(req.Prompt),
 	}}
 	hashes := wire.PrefixHashes(req.Prompt)
