A silent engine is left after one silence

Cause: a frozen engine cost its callers two silences of 3 s, the second in a resume there. Change: only a broken stream is resumed at the same engine.

--- a/route/attempt.go
+++ b/route/attempt.go
@@ -116,11 +116,12 @@
 }
 
 // decode forwards the answer. A broken stream is resumed once on the same engine,
-// which still holds its memory, before the attempt is given up.
+// which still holds its memory, before the attempt is given up. An engine that
+// fell silent is not asked again: it would be silent for as long a second time.
 func (a *modelAttempt) decode(ctx context.Context, engine port.Engine) error {
 	before := a.answer.OutputTokens
 	err := a.forward(ctx, engine)
-	if err != nil && ctx.Err() == nil && a.answer.OutputTokens > before {
+	if err != nil && ctx.Err() == nil && !errors.Is(err, errStalled) && a.answer.OutputTokens > before {
 		a.log.Info("resume", zap.Uint32("attempt", a.stream.Attempt), zap.Int("from", a.answer.OutputTokens), zap.Error(err))
 		a.Metrics.Retried(a.req.Service, verdict.From(err).Reason)
 		err = a.forward(ctx, engine)
