--- a/cmd/cairnload/main.go
+++ b/cmd/cairnload/main.go
@@ -50,6 +50,7 @@
 				Flags: []cli.Flag{
 					&cli.StringFlag{Name: "out", Usage: "write OUT.json and OUT.html"},
 					&cli.StringFlag{Name: "run", Usage: "`NAME` of the run; prompts and idempotency keys contain it"},
+					&cli.StringFlag{Name: "pids", Usage: "`FILE` with a line NAME PID for each running process"},
 					&cli.Uint64Flag{Name: "seed", Usage: "in place of the scenario's"},
 				},
 			},
@@ -70,6 +71,11 @@
 	if err != nil {
 		return err
 	}
+	if pids := cmd.String("pids"); pids != "" {
+		if err := scenario.BindProcesses(pids); err != nil {
+			return err
+		}
+	}
 	if cmd.IsSet("seed") {
 		scenario.Seed = cmd.Uint64("seed")
 	}
--- a/load/check.go
+++ b/load/check.go
@@ -45,6 +45,14 @@
 	Detail  string  `json:"detail"`
 }
 
+// String names the promise, the request that shows it, if it is one, and why.
+func (v Violation) String() string {
+	if v.Task < 0 {
+		return fmt.Sprintf("%s: %s", v.Promise, v.Detail)
+	}
+	return fmt.Sprintf("%s: %s %d, request %s: %s", v.Promise, v.Kind, v.Task, v.Request, v.Detail)
+}
+
 // Check returns every broken promise that results and evidence show.
 func Check(s *Scenario, results []*Result, evidence Evidence) []Violation {
 	c := &checker{scenario: s, evidence: evidence}
@@ -115,7 +123,7 @@
 // mayBreak reports whether the scenario takes an instance away without warning.
 func (s *Scenario) mayBreak(instance string) bool {
 	for _, fault := range s.Faults {
-		if fault.Instance == instance && (fault.Signal == "KILL" || fault.Signal == "STOP") {
+		if fault.Process == instance && (fault.Signal == "KILL" || fault.Signal == "STOP") {
 			return true
 		}
 	}
--- a/load/check_test.go
+++ b/load/check_test.go
@@ -157,7 +157,7 @@
 func TestOnlyKilledInstancesMayBreakAnswers(t *testing.T) {
 	for signal, want := range map[string]int{"KILL": 0, "TERM": 1} {
 		s := testScenario()
-		s.Faults = []Fault{{PID: 1, Signal: signal, Instance: "entry-1"}}
+		s.Faults = []Fault{{PID: 1, Signal: signal, Process: "entry-1"}}
 		r := modelResult("a prompt")
 		r.Attempts[0].Outcome = OutcomeBroken
 		assert.Equal(t, len(Check(s, []*Result{r}, ranOnce())), want, signal)
--- a/load/faults.go
+++ b/load/faults.go
@@ -28,13 +28,17 @@
 		}
 		if err := bringAbout(ctx, fault); err != nil {
 			// A fault that did not come about makes the run another one than was asked for.
-			fmt.Fprintf(os.Stderr, "fault=%q at=%s error=%q\n", fault.Signal+fault.StandIn, fault.At, err)
+			fmt.Fprintf(os.Stderr, "fault=%q at=%s error=%q\n", fault.Signal+fault.Process+fault.StandIn, fault.At, err)
 		}
 	}
 }
 
 func bringAbout(ctx context.Context, fault Fault) error {
-	if fault.PID != 0 {
+	if fault.Process != "" {
+		// Process id 0 would signal this program's own process group.
+		if fault.PID <= 0 {
+			return fmt.Errorf("the process id of %s is not known", fault.Process)
+		}
 		return syscall.Kill(fault.PID, signals[fault.Signal])
 	}
 	body, err := json.Marshal(fault.Faults)
--- a/load/scenario.go
+++ b/load/scenario.go
@@ -38,6 +38,8 @@
 // Scenario is a scenario file.
 type Scenario struct {
 	Name string `json:"name"`
+	// Notes say what the scenario stands for and what fleet it needs.
+	Notes string `json:"notes"`
 	// Seed fixes arrivals, prompts, cancels and resends.
 	Seed     uint64   `json:"seed"`
 	Duration Duration `json:"duration"`
@@ -53,7 +55,8 @@
 	Organisations []Organisation `json:"organisations"`
 	Kinds         []Kind         `json:"kinds"`
 	Faults        []Fault        `json:"faults"`
-	// Processes are watched for processor time and memory (Linux only).
+	// Processes are watched for processor time and memory (Linux only); see
+	// BindProcesses.
 	Processes []Process `json:"processes"`
 }
 
@@ -146,12 +149,13 @@
 // at a stand-in.
 type Fault struct {
 	At Duration `json:"at"`
-	// PID and Signal (KILL, STOP, CONT or TERM) name a process that somebody else
-	// started. Instance names it; answers that go through it may break off, but
-	// not after TERM, which asks for a graceful shutdown.
-	PID      int    `json:"pid"`
-	Signal   string `json:"signal"`
-	Instance string `json:"instance"`
+	// Signal (KILL, STOP, CONT or TERM) is sent to a process that somebody else
+	// started, named as its instance; its id is PID or comes from BindProcesses.
+	// Answers that go through it may break off, but not after TERM, which asks for
+	// a graceful shutdown.
+	Signal  string `json:"signal"`
+	Process string `json:"process"`
+	PID     int    `json:"pid"`
 	// StandIn is the address of a stand-in that gets Faults.
 	StandIn string       `json:"stand_in"`
 	Faults  stand.Faults `json:"faults"`
@@ -225,10 +229,10 @@
 		}
 	}
 	for _, f := range s.Faults {
-		if (f.PID != 0) == (f.StandIn != "") {
-			return oops.In("load").Errorf("a fault names either pid or stand_in")
+		if (f.Process != "") == (f.StandIn != "") {
+			return oops.In("load").Errorf("a fault names either process or stand_in")
 		}
-		if _, known := signals[f.Signal]; f.PID != 0 && !known {
+		if _, known := signals[f.Signal]; f.Process != "" && !known {
 			return oops.In("load").Errorf("signal %q is not one of KILL, STOP, CONT, TERM", f.Signal)
 		}
 	}
--- a/load/table.go
+++ b/load/table.go
@@ -24,7 +24,7 @@
 	writeCounts(t, "attempts without an answer, by reason", r.Refused)
 	writeCounts(t, "requests within rate without an answer, by last reason", r.RefusedInRate)
 	for _, p := range r.Processes {
-		fmt.Fprintf(t, "process %s\t%.3f cores\t%.1f MB\tended %v\n", p.Name, p.Cores, p.PeakMB, p.Ended)
+		fmt.Fprintf(t, "process %s\t%.3f cores\t%.1f MB\tended %v\t\n", p.Name, p.Cores, p.PeakMB, p.Ended)
 	}
 	if len(r.Unchecked) > 0 {
 		fmt.Fprintf(t, "not checked against, no stats: %v\n", r.Unchecked)
@@ -62,6 +62,6 @@
 			fmt.Fprintf(w, "... and %d more\n", len(r.Violations)-i)
 			return
 		}
-		fmt.Fprintf(w, "%s: %s request %d %s: %s\n", v.Promise, v.Kind, v.Task, v.Request, v.Detail)
+		fmt.Fprintln(w, v.String())
 	}
 }
