config: a claim that no peer proves does not block a start

Cause: a fresh instance that had read the log to its end waited for any higher version that a peer was said to hold, also when that peer was gone; with no other peer it would never have become ready. And a version that cannot be read, as during an upgrade, was fetched anew twice a second from each peer.

Change: a notice is used up by one fetch, whatever came of it; membership repeats it while the peer is alive. A refused version is not asked for again for 30 s.

--- a/config/config.go
+++ b/config/config.go
@@ -47,6 +47,9 @@
 	peersSettle = 2 * time.Second
 	// fetchTimeout bounds one fetch from a peer.
 	fetchTimeout = 3 * time.Second
+	// refusedAgain is how long peers are not asked again for a version that could
+	// not be used.
+	refusedAgain = 30 * time.Second
 	// fetchParallel bounds concurrent fetches of one instance.
 	fetchParallel = 8
 	// appendTimeout bounds one append.
--- a/config/follow_peers.go
+++ b/config/follow_peers.go
@@ -47,11 +47,13 @@
 		case <-tick.C:
 		}
 		f.noticePeers()
-		if f.Ready() {
+		switch {
+		case f.Ready():
 			f.fetchHigher(ctx)
-			continue
-		}
-		if f.askPeersToStart() {
+		case f.readToEnd():
+			f.fetchHigher(ctx)
+			f.becomeReady()
+		case f.askPeersToStart():
 			f.startFromPeers(ctx, &round)
 		}
 	}
@@ -78,12 +80,13 @@
 	if !ok {
 		return
 	}
-	if err := f.fetch(ctx, address); err != nil {
-		// The peer may be gone. Membership names others, or this one again.
-		f.mu.Lock()
-		delete(f.notices, address)
-		f.mu.Unlock()
-	}
+	_ = f.fetch(ctx, address)
+	// Whatever came of it, the notice is used up: a peer that is gone or cannot
+	// prove its claim must not keep a fresh instance from becoming ready.
+	// Membership names the peer again while it is alive.
+	f.mu.Lock()
+	delete(f.notices, address)
+	f.mu.Unlock()
 }
 
 // chooseNotice drops notices of versions that arrived meanwhile and picks one of
@@ -118,7 +121,7 @@
 func (f *Follower) fetch(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	have := f.heldVersion()
+	have := f.wantedAbove(time.Now())
 	resp, err := f.cfg.Dial(address).Fetch(ctx, connect.NewRequest(&peerv1.FetchRequest{HaveVersion: have}))
 	if err != nil {
 		f.scope.Counter("fetch_errors").Inc(1)
@@ -141,6 +144,7 @@
 	}
 	if err != nil {
 		f.scope.Counter("fetch_void").Inc(1)
+		f.refuseVersion(msg.GetVersion())
 		f.log.Warn("configuration from peer refused", zap.String("peer", address), zap.Uint64("version", msg.GetVersion()), zap.Error(err))
 		return err
 	}
@@ -148,6 +152,25 @@
 	return nil
 }
 
+// refuseVersion remembers a version that could not be used. Peers that run a newer
+// program may hold one that this instance cannot read; asked for twice a second
+// it would fill the link with whole sets.
+func (f *Follower) refuseVersion(version uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refused = notice{version: version, heard: time.Now()}
+}
+
+// wantedAbove is the version above which peers are asked for theirs.
+func (f *Follower) wantedAbove(now time.Time) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if now.Sub(f.refused.heard) < refusedAgain {
+		return max(f.held.version(), f.refused.version)
+	}
+	return f.held.version()
+}
+
 // startRound remembers which peers a fresh instance knows, and since when.
 type startRound struct {
 	addresses []string
--- a/config/follower.go
+++ b/config/follower.go
@@ -66,6 +66,8 @@
 	started time.Time
 	// notices holds versions that peers were said to hold and when that was heard.
 	notices map[string]notice
+	// refused is the last version from a peer that could not be used.
+	refused notice
 	carrier carrier
 
 	// deliverMu orders deliveries, so that no subscriber sees versions go back.
--- a/config/ready.go
+++ b/config/ready.go
@@ -22,6 +22,13 @@
 	}
 }
 
+// readToEnd tells whether the log was read to its end with a set in force.
+func (f *Follower) readToEnd() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.caughtUp
+}
+
 // askPeersToStart tells whether a fresh instance turns to its peers: the log is
 // down, has not answered for a while, or does not tell what is in force.
 func (f *Follower) askPeersToStart() bool {
