cairnctl: wait and drain pass over members that are gone

Cause: an instance lists dead and left members too. wait asked them and never ended; drain could pick a dead member of the same name.

Change: both look at live members only.

Measured: with the check off, TestWaitAsksEachInstance fails after its 30 s, naming the dead member; with it the package passes in 1.4 s.

--- a/operator/ctl/ctl_test.go
+++ b/operator/ctl/ctl_test.go
@@ -186,11 +186,13 @@
 }
 
 // An operator who withdrew a key waits until it is dead everywhere. What one
-// instance has heard of another is not proof.
+// instance has heard of another is not proof, and a member that died and was
+// replaced under its name never answers.
 func TestWaitAsksEachInstance(t *testing.T) {
 	b := newBench(t)
 	var fleet []operator.Instance
 	_, first := startMember(t, "one", &fleet)
+	fleet = append(fleet, operator.Instance{Name: "two", State: operator.StateDead, OperatorAddress: "127.0.0.1:1"})
 	two, _ := startMember(t, "two", &fleet)
 	t.Setenv("CAIRNCTL_INSTANCE", first)
 	code, _ := b.run("status")
--- a/operator/ctl/drain.go
+++ b/operator/ctl/drain.go
@@ -70,9 +70,9 @@
 		return nil, err
 	}
 	for _, i := range list {
-		if i.Name == instance {
+		if i.Name == instance && i.Live() {
 			return s.instanceAt(i.OperatorAddress)
 		}
 	}
-	return nil, usageError("instance %q is not among the %d live ones", instance, len(list))
+	return nil, usageError("no live instance is named %q", instance)
 }
--- a/operator/ctl/wait.go
+++ b/operator/ctl/wait.go
@@ -90,6 +90,9 @@
 	}
 	var out []string
 	for _, i := range instances {
+		if !i.Live() {
+			continue
+		}
 		c, err := s.instanceAt(i.OperatorAddress)
 		if err != nil {
 			return nil, err
--- a/operator/sources.go
+++ b/operator/sources.go
@@ -32,12 +32,21 @@
 	DataCentre      string `json:"data_centre"`
 	PeerAddress     string `json:"peer_address"`
 	OperatorAddress string `json:"operator_address"`
-	// State is the membership's word for the member.
+	// State is the membership's word for the member, such as StateDead.
 	State         string `json:"state"`
 	Draining      bool   `json:"draining"`
 	ConfigVersion uint64 `json:"config_version"`
 }
 
+// States of members that are gone. Membership remembers them for a while.
+const (
+	StateDead = "dead"
+	StateLeft = "left"
+)
+
+// Live tells whether the member is not known to be gone.
+func (i Instance) Live() bool { return i.State != StateDead && i.State != StateLeft }
+
 // Upstream is one upstream as its scheduler sees it.
 type Upstream struct {
 	Name       string      `json:"name"`
@@ -76,7 +85,8 @@
 	Status(ctx context.Context) Status
 }
 
-// InstanceSource lists the fleet, the asked instance included.
+// InstanceSource lists the fleet, the asked instance and members that are gone
+// included.
 type InstanceSource interface {
 	Instances(ctx context.Context) []Instance
 }
