At-most-once guard: one owner a partition gathers the appends

Cause: 400 instances that each append their claims pass the log's appends a second. Change: claims, outcomes and voids go to the partition's owner by rendezvous hashing, then to the next, then to the instance's own partition. The same intent may be asked about anywhere; copies count once. An owner that waits for a slow log says so and is not taken for dead. Partitions not owned are dropped after ten idle minutes. After a failed append the claims that still wait are refused at once.

--- a/gen/cairnworks/once/v1/oncev1connect/once.connect.go
+++ b/gen/cairnworks/once/v1/oncev1connect/once.connect.go
@@ -47,7 +47,7 @@
 	// until the log's order has decided it. Asked again with the same intent it
 	// gives the same result.
 	Claim(context.Context, *connect.Request[v1.ClaimRequest]) (*connect.Response[v1.ClaimResponse], error)
-	// Append appends an outcome or a void and answers once it stands in the log.
+	// Append appends an outcome or a void.
 	Append(context.Context, *connect.Request[v1.AppendRequest]) (*connect.Response[v1.AppendResponse], error)
 }
 
@@ -99,7 +99,7 @@
 	// until the log's order has decided it. Asked again with the same intent it
 	// gives the same result.
 	Claim(context.Context, *connect.Request[v1.ClaimRequest]) (*connect.Response[v1.ClaimResponse], error)
-	// Append appends an outcome or a void and answers once it stands in the log.
+	// Append appends an outcome or a void.
 	Append(context.Context, *connect.Request[v1.AppendRequest]) (*connect.Response[v1.AppendResponse], error)
 }
 
--- a/once/claims.go
+++ b/once/claims.go
@@ -1,6 +1,7 @@
 package once
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cairnworks/cairnworks/once/protocol"
@@ -23,6 +24,11 @@
 		msg.reply <- reply
 		return
 	}
+	if p.index.Settled(rec) {
+		// Void already: whoever asked has given up.
+		msg.reply <- claimReply{state: stateUnavailable, retryAfter: logRetryAfter}
+		return
+	}
 	if wait := p.vouchFrom.Sub(p.now()); wait > 0 {
 		msg.reply <- claimReply{state: stateCannotVouch, notAppended: true, retryAfter: wait}
 		return
@@ -149,13 +155,19 @@
 		return
 	}
 	if msg.rec.Kind == protocol.KindVoid {
-		p.commit.removeIntent(msg.rec.ID)
-		p.answer(msg.rec.ID, claimReply{state: stateUnavailable, retryAfter: logRetryAfter})
+		p.dropIntent(msg.rec.ID)
 	}
-	p.commit.push(queued{entry: entry, rec: msg.rec, done: msg.done})
+	p.commit.pushRecord(queued{entry: entry, rec: msg.rec}, msg.done)
 	p.pump()
 }
 
+// dropIntent forgets a claim that was given up.
+func (p *partition) dropIntent(id protocol.IntentID) {
+	p.unready = slices.DeleteFunc(p.unready, func(msg claimMsg) bool { return msg.req.rec.ID == id })
+	p.commit.removeIntent(id)
+	p.answer(id, claimReply{state: stateUnavailable, retryAfter: logRetryAfter})
+}
+
 // Retry advice.
 const (
 	// logRetryAfter is advised when the log fails: long enough that a fleet of
--- a/once/committer.go
+++ b/once/committer.go
@@ -41,9 +41,6 @@
 type queued struct {
 	entry port.Entry
 	rec   protocol.Record
-	// done is told when an outcome or a void stands in the log; nil for intents,
-	// which are answered by what is read.
-	done chan error
 	// inLog tells that an earlier append of the record may have taken effect.
 	inLog bool
 }
@@ -55,6 +52,9 @@
 	queue []queued
 	// bytes of the queue.
 	bytes int
+	// waiting are told when the outcome or void with an entry id stands in the log.
+	// Intents are answered by what is read.
+	waiting map[string][]chan error
 	// batch is the append under way.
 	batch []queued
 	busy  bool
@@ -73,6 +73,26 @@
 	c.bytes += len(q.entry.Data)
 }
 
+// pushRecord queues an outcome or a void, once however often it is asked for.
+func (c *committer) pushRecord(q queued, done chan error) {
+	if c.waiting == nil {
+		c.waiting = make(map[string][]chan error)
+	}
+	_, known := c.waiting[q.entry.ID]
+	c.waiting[q.entry.ID] = append(c.waiting[q.entry.ID], done)
+	if !known {
+		c.push(q)
+	}
+}
+
+// stands tells those who wait for a record that it stands in the log.
+func (c *committer) stands(q queued) {
+	for _, done := range c.waiting[q.entry.ID] {
+		done <- nil
+	}
+	delete(c.waiting, q.entry.ID)
+}
+
 // removeIntent takes back an intent that was not sent.
 func (c *committer) removeIntent(id protocol.IntentID) {
 	for i, q := range c.queue {
@@ -260,9 +280,7 @@
 			again = append(again, q)
 			continue
 		}
-		if q.done != nil {
-			q.done <- nil
-		}
+		c.stands(q)
 	}
 	c.batch = nil
 	c.busy = false
@@ -272,19 +290,24 @@
 
 // dropClaims ends the append under way after the log failed: claims are refused,
 // outcomes and voids are tried again after the pause. Repeating those is harmless.
+// Claims that still wait are refused as well: sending each of them to a failing
+// log would leave as many intents that nobody knows to be there or not.
 func (p *partition) dropClaims() {
 	c := &p.commit
+	batch := c.batch
+	c.batch = nil
+	c.busy = false
+	c.putBack(batch)
 	var again []queued
-	for _, q := range c.batch {
-		if q.done != nil {
+	for _, q := range c.queue {
+		if q.rec.Kind != protocol.KindIntent {
 			again = append(again, q)
 			continue
 		}
+		c.bytes -= len(q.entry.Data)
 		p.answer(q.rec.ID, claimReply{state: stateUnavailable, notAppended: !q.inLog, retryAfter: max(c.backoff, logRetryAfter)})
 	}
-	c.batch = nil
-	c.busy = false
-	c.putBack(again)
+	c.queue = again
 	p.pump()
 }
 
--- a/once/fakelog_test.go
+++ b/once/fakelog_test.go
@@ -39,10 +39,12 @@
 	slow  time.Duration
 	calls int
 	bytes int
+	// callers counts appends by instance and stream.
+	callers map[string]int
 }
 
 func newFakeLog() *fakeLog {
-	return &fakeLog{changed: make(chan struct{}), streams: map[string][]port.Record{}, first: map[string]uint64{}}
+	return &fakeLog{changed: make(chan struct{}), streams: map[string][]port.Record{}, first: map[string]uint64{}, callers: map[string]int{}}
 }
 
 func (l *fakeLog) set(change func()) {
@@ -120,13 +122,15 @@
 // cutLog is the log as one instance reaches it, until the instance dies.
 type cutLog struct {
 	*fakeLog
+	name string
 	dead *atomic.Bool
 }
 
 func (l cutLog) Append(ctx context.Context, stream string, entries ...port.Entry) (uint64, error) {
 	if l.dead.Load() {
-		return 0, errBroken
+		return 0, verdict.Refuse(verdict.ReasonLogUnavailable, time.Second, "unreachable")
 	}
+	l.set(func() { l.callers[l.name+" "+stream]++ })
 	return l.fakeLog.Append(ctx, stream, entries...)
 }
 
@@ -134,7 +138,11 @@
 	if l.dead.Load() {
 		return port.Page{}, errBroken
 	}
-	return l.fakeLog.Read(ctx, stream, from, limit, wait)
+	page, err := l.fakeLog.Read(ctx, stream, from, limit, wait)
+	if l.dead.Load() {
+		return port.Page{}, errBroken
+	}
+	return page, err
 }
 
 func (l *fakeLog) page(stream string, from uint64, limit int) port.Page {
--- a/once/guard.go
+++ b/once/guard.go
@@ -144,6 +144,14 @@
 // being active once the record stands in the log. The channel tells how it went.
 func (s *Service) appendLater(number int, intent protocol.Record, record *oncev1.Record) <-chan error {
 	done := make(chan error, 1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.running == nil {
+		// stop waits for background records; none may be added behind its back.
+		delete(s.active, intent.ID)
+		done <- errNotRunning
+		return done
+	}
 	s.background.Go(func() {
 		err := s.appendAt(number, record)
 		if err != nil {
--- a/once/messages.go
+++ b/once/messages.go
@@ -27,6 +27,8 @@
 	stateDone
 	stateKeyReused
 	stateCannotVouch
+	// statePending means that the log has not decided yet.
+	statePending
 )
 
 // claimReply answers a claim.
--- a/once/partition.go
+++ b/once/partition.go
@@ -17,7 +17,7 @@
 const forgetInterval = time.Minute
 
 // partition is the actor that follows one stream and batches the appends of all
-// calls in it. Every field below pid belongs to the actor's goroutine; reads and
+// calls in it. Every field from index on belongs to the actor's goroutine; reads and
 // appends of the log run in goroutines that report back by messages.
 type partition struct {
 	cfg    *Config
@@ -29,6 +29,12 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	io     sync.WaitGroup
+	// gate keeps messages from an actor that has stopped: the library would count
+	// them with a goroutine that never ends.
+	gate   sync.RWMutex
+	closed bool
+	// used is when the partition was last asked for; the service guards it.
+	used time.Time
 
 	index *protocol.Index
 	// ready is set once the stream was read to its end.
@@ -75,12 +81,21 @@
 // stop ends the partition's actor and then its goroutines, which only the actor starts.
 func (p *partition) stop() {
 	p.cancel()
+	p.gate.Lock()
+	p.closed = true
+	p.gate.Unlock()
 	_ = p.system.Root.StopFuture(p.pid).Wait()
 	p.io.Wait()
 }
 
-// tell sends a message to the actor from any goroutine.
-func (p *partition) tell(msg any) { p.system.Root.Send(p.pid, msg) }
+// tell sends a message to the actor from any goroutine, unless it was stopped.
+func (p *partition) tell(msg any) {
+	p.gate.RLock()
+	defer p.gate.RUnlock()
+	if !p.closed {
+		p.system.Root.Send(p.pid, msg)
+	}
+}
 
 func (p *partition) receive(c actor.Context) {
 	switch msg := c.Message().(type) {
--- /dev/null
+++ b/once/peers.go
@@ -0,0 +1,122 @@
+package once
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cairnworks/cairnworks/gen/cairnworks/once/v1/oncev1connect"
+	"github.com/cairnworks/cairnworks/request"
+)
+
+// Dialer returns the HTTP client and base URL for the service of another instance.
+type Dialer func(request.Holder) (client connect.HTTPClient, baseURL string)
+
+const (
+	// ownersAsked is how many instances are asked before an instance serves a
+	// partition itself: the owner, and the one that takes over from it. While the
+	// list of members still names a dead owner, its successor gathers the appends,
+	// and not every instance of the fleet on its own.
+	ownersAsked = 2
+	// suspectTime is how long an instance that did not answer is passed over.
+	suspectTime = 2 * time.Second
+)
+
+// peers picks the owners of partitions and keeps their clients. Nothing depends
+// on all instances picking the same: the log's order decides between claims.
+type peers struct {
+	self    request.Holder
+	members func() []request.Holder
+	dial    Dialer
+	clock   func() time.Time
+
+	mu       sync.Mutex
+	clients  map[request.Holder]oncev1connect.OnceServiceClient
+	suspects map[request.Holder]time.Time
+}
+
+func newPeers(cfg Config) *peers {
+	return &peers{
+		self:     cfg.Self,
+		members:  cfg.Members,
+		dial:     cfg.Dial,
+		clock:    cfg.Clock,
+		clients:  make(map[request.Holder]oncev1connect.OnceServiceClient),
+		suspects: make(map[request.Holder]time.Time),
+	}
+}
+
+// route returns whom to ask about a partition, in order, this instance last at the
+// latest.
+func (p *peers) route(partition int) []request.Holder {
+	if p.dial == nil {
+		return []request.Holder{p.self}
+	}
+	var route []request.Holder
+	for _, m := range rank(p.members(), partition) {
+		if m == p.self || len(route) == ownersAsked {
+			break
+		}
+		if !p.suspected(m) {
+			route = append(route, m)
+		}
+	}
+	return append(route, p.self)
+}
+
+// owner reports whether this instance ranks first for a partition.
+func (p *peers) owner(partition int) bool {
+	if p.dial == nil {
+		return true
+	}
+	ranked := rank(p.members(), partition)
+	return len(ranked) > 0 && ranked[0] == p.self
+}
+
+// rank orders members by rendezvous hashing: when one leaves, only its partitions
+// move.
+func rank(members []request.Holder, partition int) []request.Holder {
+	ranked := slices.Clone(members)
+	weight := func(m request.Holder) uint64 {
+		return xxhash.Sum64String(streamName(partition) + "/" + m.Instance)
+	}
+	slices.SortFunc(ranked, func(a, b request.Holder) int {
+		return cmp.Or(cmp.Compare(weight(b), weight(a)), cmp.Compare(a.Instance, b.Instance), cmp.Compare(b.Incarnation, a.Incarnation))
+	})
+	return ranked
+}
+
+func (p *peers) suspected(m request.Holder) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	until, ok := p.suspects[m]
+	if ok && p.clock().After(until) {
+		delete(p.suspects, m)
+		return false
+	}
+	return ok
+}
+
+// suspect passes over an instance that did not answer for a while.
+func (p *peers) suspect(m request.Holder) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.suspects[m] = p.clock().Add(suspectTime)
+	delete(p.clients, m)
+}
+
+func (p *peers) client(m request.Holder) oncev1connect.OnceServiceClient {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	client, ok := p.clients[m]
+	if !ok {
+		httpClient, baseURL := p.dial(m)
+		client = oncev1connect.NewOnceServiceClient(httpClient, baseURL)
+		p.clients[m] = client
+	}
+	return client
+}
--- a/once/service.go
+++ b/once/service.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -15,7 +14,6 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
-	oncev1 "github.com/cairnworks/cairnworks/gen/cairnworks/once/v1"
 	"github.com/cairnworks/cairnworks/observe"
 	"github.com/cairnworks/cairnworks/once/protocol"
 	"github.com/cairnworks/cairnworks/route"
@@ -25,6 +23,21 @@
 // outcomes of calls that just finished reach the log.
 const flushTimeout = 5 * time.Second
 
+// flushPause is how often flush looks whether calls have ended.
+const flushPause = 20 * time.Millisecond
+
+const (
+	// ownerInterval is how often an instance looks at which partitions it owns.
+	ownerInterval = time.Second
+	// idleTimeout is how long a partition that is not owned is followed after its
+	// last use. It spares a second reading of the stream when ownership wavers.
+	idleTimeout = 10 * time.Minute
+	// ownerGrace is how long an instance must rank first before it reads a stream
+	// that nobody asked it about. One that just started knows no other instance and
+	// would read every stream.
+	ownerGrace = 3 * time.Second
+)
+
 // Service is the at-most-once guard of one instance; it implements route.Guard.
 type Service struct {
 	cfg    Config
@@ -39,6 +52,7 @@
 	// active are this run's intents from their choice until their outcome or void
 	// stands in the log; only these are said to be in progress.
 	active map[protocol.IntentID]struct{}
+	peers  *peers
 	// background are records on their way to the log.
 	background sync.WaitGroup
 }
@@ -68,6 +82,7 @@
 		scope:  scope.SubScope("once"),
 		open:   make(map[ticketID]protocol.Record),
 		active: make(map[protocol.IntentID]struct{}),
+		peers:  newPeers(cfg),
 	}, nil
 }
 
@@ -79,16 +94,47 @@
 	s.mu.Lock()
 	s.running = running
 	s.mu.Unlock()
-	for number := range Partitions {
-		s.partition(number)
-	}
-	<-ctx.Done()
+	s.servePartitions(ctx)
 	s.flush()
 	s.stop()
 	return ctx.Err()
 }
 
-// partition returns the actor of a partition, or nil while the service does not run.
+// servePartitions keeps the partitions that this instance owns running and stops
+// those that it no longer owns and nobody asks for, until ctx ends.
+func (s *Service) servePartitions(ctx context.Context) {
+	var ownedSince [Partitions]time.Time
+	ticker := time.NewTicker(ownerInterval)
+	defer ticker.Stop()
+	for {
+		for number := range Partitions {
+			s.servePartition(number, &ownedSince[number])
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *Service) servePartition(number int, ownedSince *time.Time) {
+	now := s.cfg.Clock()
+	if !s.peers.owner(number) {
+		*ownedSince = time.Time{}
+		s.stopIdle(number)
+		return
+	}
+	if ownedSince.IsZero() {
+		*ownedSince = now
+	}
+	if s.cfg.Dial == nil || now.Sub(*ownedSince) >= ownerGrace {
+		s.partition(number)
+	}
+}
+
+// partition returns the actor of a partition, which it starts if need be, or nil
+// while the service does not run.
 func (s *Service) partition(number int) *partition {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -98,13 +144,34 @@
 	if s.partitions[number] == nil {
 		s.partitions[number] = startPartition(s.running, s.system, &s.cfg, s.scope, number)
 	}
-	return s.partitions[number]
+	p := s.partitions[number]
+	p.used = s.cfg.Clock()
+	return p
+}
+
+// stopIdle stops a partition that was not used for idleTimeout and has nothing to
+// append.
+func (s *Service) stopIdle(number int) {
+	s.mu.Lock()
+	p := s.partitions[number]
+	idle := p != nil && s.cfg.Clock().Sub(p.used) > idleTimeout
+	if idle {
+		s.partitions[number] = nil
+	}
+	s.mu.Unlock()
+	if idle {
+		p.stop()
+	}
 }
 
-// flush waits until every partition has appended what it holds.
+// flush waits until the records of this instance's calls stand in the log and
+// every partition has appended what it holds for others.
 func (s *Service) flush() {
 	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
 	defer cancel()
+	for s.activeCalls() > 0 && ctx.Err() == nil {
+		sleep(ctx, flushPause)
+	}
 	for _, p := range s.started() {
 		done := make(chan struct{})
 		p.tell(flushMsg{done: done})
@@ -117,6 +184,12 @@
 	}
 }
 
+func (s *Service) activeCalls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.active)
+}
+
 func (s *Service) started() []*partition {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -141,47 +214,3 @@
 	s.background.Wait()
 	s.system.Shutdown()
 }
-
-var (
-	errNotRunning = errors.New("once: service does not run")
-	errNoTicket   = errors.New("once: ticket is not open")
-)
-
-// claimAt asks the partition that serves the key and waits for its answer.
-func (s *Service) claimAt(ctx context.Context, number int, req claimRequest) (claimReply, error) {
-	p := s.partition(number)
-	if p == nil {
-		return claimReply{notAppended: true, retryAfter: logRetryAfter}, errNotRunning
-	}
-	msg := claimMsg{req: req, reply: make(chan claimReply, 1)}
-	p.tell(msg)
-	select {
-	case reply := <-msg.reply:
-		return reply, nil
-	case <-ctx.Done():
-		return claimReply{retryAfter: logRetryAfter}, ctx.Err()
-	case <-p.ctx.Done():
-		return claimReply{retryAfter: logRetryAfter}, errNotRunning
-	}
-}
-
-// appendAt appends an outcome or a void and waits until it stands in the log or
-// the service stops.
-func (s *Service) appendAt(number int, record *oncev1.Record) error {
-	rec, err := protocolRecord(record)
-	if err != nil {
-		return err
-	}
-	p := s.partition(number)
-	if p == nil {
-		return errNotRunning
-	}
-	msg := recordMsg{record: record, rec: rec, done: make(chan error, 1)}
-	p.tell(msg)
-	select {
-	case err := <-msg.done:
-		return err
-	case <-p.ctx.Done():
-		return errNotRunning
-	}
-}
--- a/once/service_test.go
+++ b/once/service_test.go
@@ -26,9 +26,12 @@
 type fleet struct {
 	t    *testing.T
 	log  *fakeLog
+	mu   sync.Mutex
 	live []request.Holder
 	// dead instances reach the log no more.
 	dead map[string]*atomic.Bool
+	// net connects the instances; without it each serves every partition itself.
+	net *peerNet
 }
 
 // inFleet runs a test with a fresh fleet.
@@ -38,11 +41,19 @@
 
 // start runs an instance until the test ends or stop is called.
 func (f *fleet) start(name string) (s *Service, stop func()) {
-	self := request.Holder{Instance: name, Incarnation: uint64(len(f.live)) + 1}
-	f.live = append(f.live, self)
+	self := request.Holder{Instance: name, Incarnation: uint64(len(f.members())) + 1}
+	f.setLive(append(f.members(), self))
 	f.dead[name] = new(atomic.Bool)
-	s, err := New(Config{Self: self, Log: cutLog{f.log, f.dead[name]}, Members: func() []request.Holder { return f.live }})
+	cfg := Config{Self: self, Log: cutLog{f.log, name, f.dead[name]}, Members: f.members}
+	if f.net != nil {
+		cfg.Dial = f.net.dial
+	}
+	s, err := New(cfg)
 	assert.NilError(f.t, err)
+	if f.net != nil {
+		_, handler := s.Handler()
+		f.net.set(func() { f.net.handlers[name] = handler })
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
@@ -58,10 +69,22 @@
 	return s, stop
 }
 
+func (f *fleet) members() []request.Holder {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.live)
+}
+
+func (f *fleet) setLive(live []request.Holder) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.live = live
+}
+
 // kill cuts an instance off, as its death does.
 func (f *fleet) kill(name string) {
 	f.dead[name].Store(true)
-	f.live = slices.DeleteFunc(slices.Clone(f.live), func(h request.Holder) bool { return h.Instance == name })
+	f.setLive(slices.DeleteFunc(f.members(), func(h request.Holder) bool { return h.Instance == name }))
 }
 
 // settle lets group commits and followers catch up.
