--- a/instance/stages.go
+++ b/instance/stages.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"time"
 
+	"connectrpc.com/connect"
+
 	"github.com/cairnworks/cairnworks/gen/cairnworks/peer/v1/peerv1connect"
 	"github.com/cairnworks/cairnworks/object"
 	"github.com/cairnworks/cairnworks/once"
@@ -23,7 +25,7 @@
 		return err
 	}
 	i.guard, err = once.New(once.Config{
-		Self: i.self(), Log: i.platform.log, Members: i.liveHolders, Logger: i.log, Metrics: i.metrics,
+		Self: i.self(), Log: i.platform.log, Members: i.liveHolders, Dial: i.dialOnce, Logger: i.log, Metrics: i.metrics,
 		LogRetention: i.logRetention(),
 		Window:       i.logRetention() / 2,
 	})
@@ -47,6 +49,10 @@
 	return peerv1connect.NewRateServiceClient(i.peers, i.peers.URL(address))
 }
 
+func (i *Instance) dialOnce(holder request.Holder) (connect.HTTPClient, string) {
+	return i.peers, i.peers.URL(holder.Address)
+}
+
 func (i *Instance) logRetention() time.Duration {
 	return time.Duration(i.settings.Platform.LogRetentionSeconds) * time.Second
 }
@@ -54,6 +60,7 @@
 // mountStages adds the stages' services to the peers' address.
 func (i *Instance) mountStages(mux *http.ServeMux) {
 	mux.Handle(peerv1connect.NewRateServiceHandler(i.rate.Handler()))
+	mux.Handle(i.guard.Handler())
 }
 
 // placedHolders are the instances that may be given homes: alive, not draining.
