A benchmark of what the daemon adds

Cause: nothing measured the path against calling the engines directly. Change: BenchmarkOverhead and BenchmarkRequestsPerCore run both in one process, in turn, against engines that answer at once. Ruled out as a first try: engines paced by timers, whose idle wake-ups of about a millisecond made the direct path look slower than the daemon.

--- /dev/null
+++ b/e2e/overhead_bench_test.go
@@ -0,0 +1,239 @@
+package e2e
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/cairnworks/cairnworks/config"
+	"github.com/cairnworks/cairnworks/instance"
+	"github.com/cairnworks/cairnworks/instance/embedded"
+	"github.com/cairnworks/cairnworks/object"
+	"github.com/cairnworks/cairnworks/port"
+	"github.com/cairnworks/cairnworks/port/httpport"
+	"github.com/cairnworks/cairnworks/port/httpport/wire"
+)
+
+// overheadTokens is the length of a measured answer.
+const overheadTokens = 200
+
+// sample is what one request cost.
+type sample struct {
+	first, total time.Duration
+	tokens       int
+}
+
+// benchPath is one in-process instance with fast engines behind it.
+type benchPath struct {
+	callers, key    string
+	prefill, decode string
+}
+
+func newBenchPath(b *testing.B) benchPath {
+	b.Helper()
+	platform, err := embedded.StartPlatform(context.Background())
+	assert.NilError(b, err)
+	b.Cleanup(platform.Close)
+	p := benchPath{key: platform.Key}
+	p.prefill, p.decode = serveInstantEngine(b), serveInstantEngine(b)
+	set := platform.Set
+	set.Limits = []object.Limit{{Name: "member", TokensPerSecond: 1_000_000_000, Burst: 10_000_000_000}}
+	set.Upstreams = []object.Upstream{
+		{Name: "p", Service: "pisar", Role: object.RolePrefill, Address: p.prefill, DataCentre: "split-a", Slots: 64},
+		{Name: "d", Service: "pisar", Role: object.RoleDecode, Address: p.decode, DataCentre: "split-a", Slots: 64, Pieces: 400, LinkBytesPerSecond: 2_500_000_000},
+		set.Upstreams[len(set.Upstreams)-1],
+	}
+	_, err = config.NewPublisher(httpport.NewLog(platform.Log, nil)).Publish(context.Background(), set, 1, "bench")
+	assert.NilError(b, err)
+	i, err := instance.New(platform.Settings("bench"), zap.NewNop(), zap.NewAtomicLevel())
+	assert.NilError(b, err)
+	ctx, stop := context.WithCancel(context.Background())
+	b.Cleanup(stop)
+	go func() { _ = i.Run(ctx) }() // ends with the benchmark
+	p.callers = i.Addresses().Callers
+	for end := time.Now().Add(patience); status(i.Addresses().Operators, "/readyz") != http.StatusOK; {
+		if time.Now().After(end) {
+			b.Fatal("the instance is not ready")
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return p
+}
+
+// serveInstantEngine serves an engine that answers everything at once, so that
+// what is measured is the path and not the pace of a model.
+func serveInstantEngine(b *testing.B) string {
+	b.Helper()
+	mux := http.NewServeMux()
+	answer := func(v any) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(v) }
+	}
+	mux.HandleFunc("POST /v1/prefill", answer(wire.PrefillResult{Handle: "h", Tokens: 8, ExpiresMS: 800, Bytes: 1}))
+	mux.HandleFunc("POST /v1/import", answer(struct{}{}))
+	mux.HandleFunc("GET /v1/load", answer(wire.Load{Slots: 64}))
+	mux.HandleFunc("GET /v1/streams", answer([]wire.StreamState{}))
+	mux.HandleFunc("GET /v1/cache-events", answer([]wire.CacheEvent{}))
+	mux.HandleFunc("POST /v1/decode", func(w http.ResponseWriter, r *http.Request) {
+		var req wire.DecodeRequest
+		if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+			return
+		}
+		control, lines := http.NewResponseController(w), json.NewEncoder(w)
+		for n := range overheadTokens {
+			_ = lines.Encode(wire.Frame{RequestID: req.RequestID, Attempt: req.Attempt, Seq: n, Token: "token "})
+			_ = control.Flush()
+		}
+		_ = lines.Encode(wire.Frame{RequestID: req.RequestID, Attempt: req.Attempt, Seq: overheadTokens, Done: true, FinishReason: "length"})
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(b, err)
+	server := &http.Server{Handler: mux}
+	go func() { _ = server.Serve(listener) }() // ends with Close
+	b.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
+}
+
+// direct runs one request as the path does, but without the daemon.
+func (p benchPath) direct(n int) (sample, error) {
+	ctx, began := context.Background(), time.Now()
+	id := port.StreamID{RequestID: "direct-" + strconv.Itoa(n), Attempt: 1}
+	prefill, decode := httpport.NewEngine(p.prefill, nil), httpport.NewEngine(p.decode, nil)
+	result, err := prefill.Prefill(ctx, port.PrefillRequest{Stream: id, Prompt: benchPrompt(n)})
+	if err != nil {
+		return sample{}, err
+	}
+	if err := decode.Import(ctx, port.ImportRequest{Stream: id, Source: p.prefill, Handle: result.Handle, MaxTokens: overheadTokens}); err != nil {
+		return sample{}, err
+	}
+	frames, err := decode.Decode(ctx, port.DecodeRequest{Stream: id, MaxTokens: overheadTokens})
+	if err != nil {
+		return sample{}, err
+	}
+	defer frames.Close()
+	var s sample
+	for {
+		frame, err := frames.Next()
+		if err != nil {
+			return s, err
+		}
+		if frame.Done {
+			s.total = time.Since(began)
+			return s, nil
+		}
+		s.token(began)
+	}
+}
+
+func (s *sample) token(began time.Time) {
+	if s.tokens == 0 {
+		s.first = time.Since(began)
+	}
+	s.tokens++
+}
+
+// through sends the same request through the daemon.
+func (p benchPath) through(n int) (sample, error) {
+	began := time.Now()
+	body := `{"model":"pisar-small","stream":true,"max_tokens":` + strconv.Itoa(overheadTokens) + `,"prompt":"` + benchPrompt(n) + `"}`
+	req, err := http.NewRequest(http.MethodPost, "http://"+p.callers+"/v1/completions", strings.NewReader(body))
+	if err != nil {
+		return sample{}, err
+	}
+	req.Header.Set("Authorization", "Bearer "+p.key)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return sample{}, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(resp.Body)
+		return sample{}, errors.New(string(text))
+	}
+	var s sample
+	scanner := bufio.NewScanner(resp.Body)
+	for scanner.Scan() {
+		line := scanner.Bytes()
+		if bytes.Equal(line, []byte("data: [DONE]")) {
+			s.total = time.Since(began)
+			return s, nil
+		}
+		if len(line) > 0 {
+			s.token(began)
+		}
+	}
+	return s, io.ErrUnexpectedEOF
+}
+
+func benchPrompt(n int) string { return "a ledger of gilded frames, number " + strconv.Itoa(n) }
+
+// BenchmarkOverhead runs requests in turn directly and through the daemon, all in
+// this process, and reports what the daemon adds. Allocations are those of the
+// whole process, stand-ins and client included, so their difference is the daemon's.
+func BenchmarkOverhead(b *testing.B) {
+	p := newBenchPath(b)
+	kinds := []func(int) (sample, error){p.direct, p.through}
+	var first, each [2]time.Duration
+	var tokens [2]int
+	var allocated [2]uint64
+	n := 0
+	for b.Loop() {
+		n++
+		for k, run := range kinds {
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			s, err := run(n)
+			if err != nil {
+				b.Fatal(err)
+			}
+			runtime.ReadMemStats(&after)
+			first[k] += s.first
+			each[k] += s.total - s.first
+			tokens[k] += s.tokens
+			allocated[k] += after.Mallocs - before.Mallocs
+		}
+	}
+	perToken := func(k int) float64 { return float64(each[k].Nanoseconds()) / float64(tokens[k]) }
+	b.ReportMetric(float64(first[1])/float64(first[0]), "first-token-ratio")
+	b.ReportMetric(float64(first[1]-first[0])/float64(n)/1e3, "first-token-added-µs")
+	b.ReportMetric(perToken(1)/perToken(0), "per-token-ratio")
+	b.ReportMetric(float64(allocated[1])/float64(tokens[1])-float64(allocated[0])/float64(tokens[0]), "allocs-added/token")
+}
+
+// BenchmarkRequestsPerCore measures short answers in parallel; run it with -cpu 1
+// for the rate on one core, stand-ins and clients included.
+func BenchmarkRequestsPerCore(b *testing.B) {
+	for _, kind := range []string{"direct", "through"} {
+		b.Run(kind, func(b *testing.B) {
+			p := newBenchPath(b)
+			run := p.direct
+			if kind == "through" {
+				run = p.through
+			}
+			var next atomic.Int64
+			b.ResetTimer()
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					if _, err := run(int(next.Add(1))); err != nil {
+						b.Error(err)
+						return
+					}
+				}
+			})
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "requests/s")
+		})
+	}
+}
