--- a/caller/completion.go
+++ b/caller/completion.go
@@ -46,6 +46,8 @@
 	// events is nil for a response sent whole.
 	events *eventWriter
 	whole  strings.Builder
+	// token renders the events of a stream that carry one token each.
+	token *tokenEvent
 }
 
 func newCompletionWriter(x *exchange, req *Request, chat bool, body *completionBody) *completionWriter {
@@ -54,6 +56,7 @@
 	if req.Stream {
 		w.events = newEventWriter(x.w)
 		x.w = w.events
+		w.token = newTokenEvent(x.id, func(text string) completion { return w.chunk(text, nil) })
 	}
 	return w
 }
@@ -64,7 +67,11 @@
 		w.whole.WriteString(text)
 		return nil
 	}
-	return w.events.json(w.chunk(text, nil))
+	data, err := w.token.render(text)
+	if err != nil {
+		return err
+	}
+	return w.events.event(data)
 }
 
 func (w *completionWriter) chunk(text string, finish *string) completion {
--- a/caller/events.go
+++ b/caller/events.go
@@ -13,6 +13,8 @@
 	http.ResponseWriter
 	control *http.ResponseController
 	begun   bool
+	// line is the buffer of one event, used again for the next.
+	line []byte
 }
 
 func newEventWriter(w http.ResponseWriter) *eventWriter {
@@ -38,11 +40,10 @@
 	if err := w.control.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return err
 	}
-	line := make([]byte, 0, len(data)+len("data: \n\n"))
-	line = append(line, "data: "...)
-	line = append(line, data...)
-	line = append(line, "\n\n"...)
-	if _, err := w.Write(line); err != nil {
+	w.line = append(w.line[:0], "data: "...)
+	w.line = append(w.line, data...)
+	w.line = append(w.line, "\n\n"...)
+	if _, err := w.Write(w.line); err != nil {
 		return err
 	}
 	return w.control.Flush()
--- a/caller/server_test.go
+++ b/caller/server_test.go
@@ -203,3 +203,22 @@
 		}
 	})
 }
+
+// A token's text can hold anything that JSON must escape, and the model's name
+// stands beside it. The rendered event must be the one that a full encoding gives.
+func TestTokenEventsAreTheFullEncoding(t *testing.T) {
+	chunk := func(text string) completion {
+		return completion{ID: "cmpl-id7", Model: `m "id7`, Choices: []choice{{Delta: &message{Role: "assistant", Content: text}}}}
+	}
+	e := newTokenEvent("id7", chunk)
+	for _, text := range []string{"plain ", "\"quoted\"\n", "<b>&\u2028", "\x00\x1f", "ž", "id7"} {
+		data, err := e.render(text)
+		assert.NilError(t, err)
+		var got, want completion
+		assert.NilError(t, json.Unmarshal(data, &got))
+		full, err := json.Marshal(chunk(text))
+		assert.NilError(t, err)
+		assert.NilError(t, json.Unmarshal(full, &want))
+		assert.DeepEqual(t, got, want)
+	}
+}
--- a/e2e/overhead_bench_test.go
+++ b/e2e/overhead_bench_test.go
@@ -31,6 +31,9 @@
 // overheadTokens is the length of a measured answer.
 const overheadTokens = 200
 
+// requestsAtOnce is how many requests a core has open in BenchmarkRequestsPerCore.
+const requestsAtOnce = 16
+
 // sample is what one request cost.
 type sample struct {
 	first, total time.Duration
@@ -224,6 +227,8 @@
 				run = p.through
 			}
 			var next atomic.Int64
+			// Enough requests at once that waiting for one leaves work for the core.
+			b.SetParallelism(requestsAtOnce)
 			b.ResetTimer()
 			b.RunParallel(func(pb *testing.PB) {
 				for pb.Next() {
