--- a/once/meters.go
+++ b/once/meters.go
@@ -13,7 +13,7 @@
 	keys    tally.Gauge
 }
 
-func newMeters(scope tally.Scope) meters {
+func newMeters(scope tally.Scope, stream string) meters {
 	return meters{
 		appends:        scope.Counter("appends"),
 		entries:        scope.Counter("entries"),
@@ -24,6 +24,6 @@
 		gaps:           scope.Counter("gaps"),
 		retentionShort: scope.Counter("records_dropped_within_window"),
 		dropped:        scope.Counter("records_dropped_queue_full"),
-		keys:           scope.Gauge("keys"),
+		keys:           scope.Tagged(map[string]string{"stream": stream}).Gauge("keys"),
 	}
 }
--- a/once/partition.go
+++ b/once/partition.go
@@ -66,7 +66,7 @@
 		cfg:     cfg,
 		stream:  streamName(number),
 		system:  system,
-		meters:  newMeters(scope),
+		meters:  newMeters(scope, streamName(number)),
 		index:   protocol.NewIndex(1),
 		pending: make(map[protocol.IntentID]*pendingClaim),
 	}
--- a/port/engine.go
+++ b/port/engine.go
@@ -105,6 +105,9 @@
 	PiecesUsed int
 	Pieces     int
 	Queued     int
+	// Loaded names the models, adapters and versions that the engine holds; nil
+	// when the engine does not tell.
+	Loaded []string
 	// Leaving is set when the engine has been told to go.
 	Leaving bool
 	// Start identifies the engine's process; it changes on restart.
--- a/verdict/reason.go
+++ b/verdict/reason.go
@@ -55,6 +55,18 @@
 	ReasonAnswerNotKept Reason = "answer_not_kept"
 )
 
+// Reasons of orders to upstreams.
+const (
+	// ReasonOrderConflict means that another order was claimed since the state that
+	// the operator acted from.
+	ReasonOrderConflict Reason = "order_conflict"
+	// ReasonOrderUnconfirmed means that the upstream's own state does not show the
+	// order's effect.
+	ReasonOrderUnconfirmed Reason = "order_unconfirmed"
+	// ReasonLeaseOver means that the time in which an order may be sent has passed.
+	ReasonLeaseOver Reason = "lease_over"
+)
+
 // ReasonInternal is a fault of this program.
 const ReasonInternal Reason = "internal"
 
@@ -65,7 +77,8 @@
 	case ReasonBadRequest, ReasonBodyTooLarge, ReasonPromptTooLong, ReasonUnknownModel,
 		ReasonUnknownService, ReasonUnauthenticated, ReasonKeyWithdrawn, ReasonForbidden,
 		ReasonMethodNotAllowed, ReasonIdempotencyNeeded, ReasonKeyReused, ReasonRetentionOver,
-		ReasonCancelled, ReasonOutcomeUnknown, ReasonAnswerNotKept:
+		ReasonCancelled, ReasonOutcomeUnknown, ReasonAnswerNotKept,
+		ReasonOrderConflict, ReasonOrderUnconfirmed:
 		return false
 	default:
 		return true
