The engines' adapter reads what an engine has loaded; unused pieces dropped

Change: the field in the protocol, the adapter and the stand-in; the unused parts are gone until the tests that need them arrive.

--- a/decision/group/share.go
+++ b/decision/group/share.go
@@ -1,7 +1,5 @@
 package group
 
-import "time"
-
 // share is what one organisation holds.
 type share struct {
 	grants  int
@@ -42,14 +40,3 @@
 	}
 	return held+g.engineShare(w) <= float64(usableCount(g.sinks))/float64(organisations)
 }
-
-// meanPieces is the mean memory of a grant, at least 1.
-func (g *Group) meanPieces(now time.Time) float64 {
-	pieces, running := 0, 0
-	for _, u := range g.sinks {
-		used := u.account.Used(now)
-		pieces += used.Pieces
-		running += used.Requests
-	}
-	return max(1, float64(pieces)/float64(max(1, running)))
-}
--- a/port/httpport/wire/wire.go
+++ b/port/httpport/wire/wire.go
@@ -153,8 +153,10 @@
 	PiecesUsed int    `json:"pieces_used"`
 	Pieces     int    `json:"pieces"`
 	Queued     int    `json:"queued"`
-	Leaving    bool   `json:"leaving"`
-	Start      string `json:"start"`
+	// Loaded is left out by engines that do not tell what they hold.
+	Loaded  []string `json:"loaded,omitempty"`
+	Leaving bool     `json:"leaving"`
+	Start   string   `json:"start"`
 }
 
 // CacheEvent is one entry of GET /v1/cache-events; the fields are those of
--- a/rate/fleet_test.go
+++ b/rate/fleet_test.go
@@ -113,19 +113,6 @@
 	closed chan struct{}
 }
 
-func (g *gate) pause() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.closed = make(chan struct{})
-}
-
-func (g *gate) resume() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	close(g.closed)
-	g.closed = nil
-}
-
 func (g *gate) wait() {
 	g.mu.Lock()
 	closed := g.closed
@@ -251,23 +238,6 @@
 	f.listed = append(f.listed, m.holder)
 }
 
-func (f *fleet) unlist(m *member) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.listed = slices.DeleteFunc(slices.Clone(f.listed), func(h request.Holder) bool { return h == m.holder })
-}
-
-// kill ends an instance without a word; membership notices two seconds later.
-func (f *fleet) kill(m *member) {
-	f.mu.Lock()
-	m.dead = true
-	f.mu.Unlock()
-	m.stop()
-	<-m.done
-	time.Sleep(2 * time.Second)
-	f.unlist(m)
-}
-
 func (f *fleet) alive() []request.Holder {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -339,29 +309,6 @@
 	return true
 }
 
-// homeOf returns the instance that spends from one share of an organisation.
-func (f *fleet) homeOf(organisation string, share uint32) *member {
-	shard := shardOf(organisation, share)
-	for _, m := range f.living() {
-		for _, h := range m.service.Status().Held {
-			if h.Shard == shard && h.Phase != lease.PhaseWaiting {
-				return m
-			}
-		}
-	}
-	return nil
-}
-
-// other returns an instance that is home of no share of the organisation.
-func (f *fleet) other(organisation string) *member {
-	for _, m := range f.living() {
-		if m != f.homeOf(organisation, 0) && m != f.homeOf(organisation, 1) && m != f.homeOf(organisation, 2) {
-			return m
-		}
-	}
-	return nil
-}
-
 // fakeClient reaches a peer in the same process, half a millisecond away.
 type fakeClient struct {
 	from    *member
--- a/stand/engine.go
+++ b/stand/engine.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -270,5 +271,6 @@
 	return wire.Load{
 		Role: e.role, Running: running, Slots: e.cfg.Slots, PiecesUsed: e.used, Pieces: e.cfg.Pieces,
 		Queued: len(e.turns.waiting), Leaving: e.gate.current().Leaving, Start: e.start,
+		Loaded: slices.Clone(e.models),
 	}
 }
