What a dead instance held is freed when the fleet gives it up

Cause: engine memory of a dead instance's requests was held for the grants' lease of 3 s after its scheduler's successor had been found, although the fleet knew of the death.

--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -31,7 +31,7 @@
 
 // fleet is a platform of stand-ins with instances in front.
 type fleet struct {
-	t         *testing.T
+	t         testing.TB
 	log       string
 	list      string
 	set       object.Set
@@ -61,7 +61,7 @@
 }
 
 // newFleet starts everything and waits until each instance is ready.
-func newFleet(t *testing.T, cfg fleetConfig) *fleet {
+func newFleet(t testing.TB, cfg fleetConfig) *fleet {
 	t.Helper()
 	f := &fleet{t: t, keys: map[string]string{"alpha": "key-of-alpha", "beta": "key-of-beta"}, upstreams: map[string]*process{}}
 	log := start(t, "log", "cairnstand", "log", "--listen", "127.0.0.1:0")
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -35,7 +35,7 @@
 }
 
 // build compiles the programs once for all tests.
-func build(t *testing.T) string {
+func build(t testing.TB) string {
 	t.Helper()
 	binaries.once.Do(func() {
 		binaries.dir, binaries.err = os.MkdirTemp("", "cairnworks-e2e-")
@@ -64,7 +64,7 @@
 }
 
 // start runs a program until the test ends.
-func start(t *testing.T, name, program string, args ...string) *process {
+func start(t testing.TB, name, program string, args ...string) *process {
 	t.Helper()
 	p := &process{name: name, cmd: exec.Command(filepath.Join(build(t), program), args...), done: make(chan struct{})}
 	out, err := p.cmd.StdoutPipe()
@@ -104,7 +104,7 @@
 }
 
 // field waits for a line that contains marker and returns the value of a key in it.
-func (p *process) field(t *testing.T, marker, key string) string {
+func (p *process) field(t testing.TB, marker, key string) string {
 	t.Helper()
 	var value string
 	eventually(t, p.name+" prints "+marker, func() bool {
@@ -133,7 +133,7 @@
 }
 
 // exitCode waits for the process to end by itself.
-func (p *process) exitCode(t *testing.T) int {
+func (p *process) exitCode(t testing.TB) int {
 	t.Helper()
 	select {
 	case <-p.done:
@@ -145,7 +145,7 @@
 }
 
 // eventually waits for a condition.
-func eventually(t *testing.T, what string, condition func() bool) {
+func eventually(t testing.TB, what string, condition func() bool) {
 	t.Helper()
 	for end := time.Now().Add(patience); ; time.Sleep(20 * time.Millisecond) {
 		if condition() {
--- a/instance/fleet.go
+++ b/instance/fleet.go
@@ -17,6 +17,17 @@
 	return home.Holder, true
 }
 
+// givenUp reports whether the fleet has declared a run of an instance dead or
+// knows a later one. A run it has never heard of is not given up.
+func (i *Instance) givenUp(holder request.Holder) bool {
+	for _, m := range i.members.All() {
+		if m.Instance == holder.Instance {
+			return m.Incarnation > holder.Incarnation || m.Incarnation == holder.Incarnation && m.State.Terminal()
+		}
+	}
+	return false
+}
+
 // self is this instance with its present incarnation, which changes when the
 // fleet has declared it dead during a pause.
 func (i *Instance) self() request.Holder { return i.members.Self().Holder }
--- a/instance/path.go
+++ b/instance/path.go
@@ -12,7 +12,8 @@
 // buildPath joins the stages of a request.
 func (i *Instance) buildPath() error {
 	i.sched = scheduler.NewServer(scheduler.Config{
-		Self: i.self(), Catalogue: i.catalogue, Home: i.schedulerHome, Engines: i.engines, Log: i.log, Metrics: i.metrics,
+		Self: i.self(), Catalogue: i.catalogue, Home: i.schedulerHome, Dead: i.givenUp,
+		Engines: i.engines, Log: i.log, Metrics: i.metrics,
 	})
 	i.placer = scheduler.NewClient(scheduler.ClientConfig{
 		Self: i.self, DataCentre: i.settings.DataCentre, Home: i.schedulerHome, Dial: i.dialScheduler,
--- a/scheduler/actor.go
+++ b/scheduler/actor.go
@@ -45,6 +45,7 @@
 	// home reports whether this instance is the service's scheduler by its own
 	// view. A former scheduler must not cancel streams that its successor renews.
 	home    func() bool
+	dead    func(request.Holder) bool
 	engines port.EngineDialer
 	log     *zap.Logger
 	metrics *observe.Metrics
@@ -200,10 +201,15 @@
 }
 
 // expire frees the grants whose holders stopped renewing them and cancels their
-// streams: the holder is dead, paused or cut off, and its caller with it.
+// streams: the holder is dead, paused or cut off, and its caller with it. What a
+// holder has that the fleet has given up is freed without waiting for the lease.
 func (a *serviceActor) expire(now time.Time) {
+	dead := make(map[request.Holder]bool)
 	for key, l := range a.byKey {
-		if now.Before(l.expires) {
+		if _, known := dead[l.holder]; !known {
+			dead[l.holder] = a.dead(l.holder)
+		}
+		if now.Before(l.expires) && !dead[l.holder] {
 			continue
 		}
 		a.log.Info("grant expired", zap.String("request", key.request), zap.Uint32("attempt", key.attempt),
--- a/scheduler/server.go
+++ b/scheduler/server.go
@@ -32,7 +32,9 @@
 	Catalogue func() Catalogue
 	// Home returns the instance that should schedule a service by this
 	// instance's view of the fleet.
-	Home    func(service string) (request.Holder, bool)
+	Home func(service string) (request.Holder, bool)
+	// Dead reports whether the fleet has given up this run of an instance.
+	Dead    func(request.Holder) bool
 	Engines port.EngineDialer
 	Log     *zap.Logger
 	Metrics *observe.Metrics
@@ -117,6 +119,7 @@
 		ended:   make(map[attemptKey]time.Time),
 		addrs:   make(map[string]string),
 		home:    func() bool { return s.isHome(service.Name) },
+		dead:    s.cfg.Dead,
 		engines: s.cfg.Engines,
 		log:     s.cfg.Log.With(zap.String("service", service.Name)),
 		metrics: s.cfg.Metrics,
