--- a/membership/codec.go
+++ b/membership/codec.go
@@ -79,7 +79,7 @@
 		Count:          p.Count,
 		Target:         p.Target,
 		TargetAddress:  target,
-		Buckets:        p.Buckets,
+		Filter:         p.Filter,
 	}
 	for _, r := range p.Records {
 		record, err := recordToProto(r)
@@ -131,7 +131,7 @@
 		Count:          message.Count,
 		Target:         message.Target,
 		TargetAddress:  target,
-		Buckets:        message.Buckets,
+		Filter:         message.Filter,
 	}
 	for _, record := range message.Records {
 		r, err := recordFromProto(record)
--- a/membership/gossip/commands.go
+++ b/membership/gossip/commands.go
@@ -8,8 +8,12 @@
 // SetConfigVersion publishes the configuration version that this instance holds.
 // Lower versions are ignored: a configuration never reverts.
 func (n *Node) SetConfigVersion(version uint64) {
-	n.self.ConfigVersion = max(n.self.ConfigVersion, version)
-	n.events.Updated = true
+	if version <= n.self.ConfigVersion {
+		return
+	}
+	n.news.urgentVersion = n.news.urgentVersion || version > n.behind.told
+	n.self.ConfigVersion = version
+	n.touch()
 }
 
 // SetDraining publishes whether this instance takes new work.
--- a/membership/gossip/config.go
+++ b/membership/gossip/config.go
@@ -19,10 +19,11 @@
 	// of 150 ms is far above the 1 ms between data centres, so that a garbage
 	// collection or a busy core seldom costs an indirect probe.
 	AckTimeout time.Duration
-	// Suspicion is the time a suspect has to refute at up to 10 members; it grows
-	// with the logarithm of their number, as the time of spreading does. The
-	// default of 1 s lets the member that suspects ping the suspect four more
-	// times: at 10 % loss each way all fail in about one of 800 suspicions.
+	// Suspicion is the time a suspect has to refute at up to 10 members. It grows
+	// by half of it with each tenfold number, as more members probe and thus more
+	// suspicions are false. The default of 1 s lets the member that suspects ping
+	// the suspect eight more times: at 10 % loss each way all fail in two of a
+	// million suspicions (0.19 to the 8th power).
 	Suspicion time.Duration
 	// Retention is how long dead and left records are kept. The default of 24 h is
 	// far above the hour that regions may be parted for, so that an instance from
@@ -40,7 +41,7 @@
 	// lossy path from raising a suspicion and bound the cost of a real death.
 	indirectProbes = 3
 	// confirmInterval is how often a member pings a suspect of its own.
-	confirmInterval = 250 * time.Millisecond
+	confirmInterval = 125 * time.Millisecond
 	// hearsayFactor lengthens the suspicion for members that only heard of it.
 	// The refutation reaches them by another path and up to some seconds after
 	// the suspicion; declaring a death at the same age would kill live members.
@@ -54,12 +55,13 @@
 	// behindInterval is how often the owner is told again that a peer holds a
 	// higher configuration, in case its fetch failed.
 	behindInterval = time.Second
+	// urgentFanout is the number of random members that are told at once of a
+	// change that matters to the owner. Three reach 1-e^-3, some 95 %, of any
+	// number of members in a few ticks; the pings carry the news to the rest.
+	urgentFanout = 3
 	// leavePushes is the number of members told directly of a leave.
 	leavePushes = 6
 
-	// buckets of the table digest: at 400 members a bucket is some 13 records,
-	// which fit a page.
-	bucketCount = 32
 	// pageBytes bounds the records of one packet below the smallest usual MTU of
 	// 1280 bytes, so that a packet is never fragmented.
 	pageBytes = 1100
@@ -72,17 +74,20 @@
 	// syncRate and syncBurst bound the bytes a second of answers to sync
 	// requests. The burst is one whole table of 400 members, so that a new
 	// instance learns it within seconds.
-	syncRate  = 800
+	syncRate  = 1000
 	syncBurst = 30000
 	// syncQuiet is how long the table must have been unchanged before a differing
 	// digest is worth a sync: news under way explains a difference.
 	syncQuiet = 2 * time.Second
-	// syncPatience is how long a table that never comes to rest goes without sync.
-	syncPatience = 10 * time.Second
-	// syncInterval and joinSyncInterval space the sync requests of one member, the
-	// latter while it knows less than half of a peer's records.
+	// syncPatience is how long a table that never comes to rest may differ from
+	// every peer's before it syncs all the same.
+	syncPatience = 3 * time.Second
+	// syncInterval and bulkSyncInterval space the sync requests of one member, the
+	// latter while it knows less than three quarters of a peer's records or the last page
+	// brought bulkPage new ones.
 	syncInterval     = time.Second
-	joinSyncInterval = 100 * time.Millisecond
+	bulkSyncInterval = 100 * time.Millisecond
+	bulkPage         = 6
 	// transmitFactor times log10 of the number of members is how often each
 	// member repeats a piece of news; 4 is the usual choice of SWIM libraries, and
 	// the bucket digests repair what is missed.
@@ -105,7 +110,7 @@
 
 // suspicion is the time that a suspect has to refute among n members.
 func (c Config) suspicion(n int) time.Duration {
-	scale := math.Max(1, math.Log10(float64(n)))
+	scale := math.Max(1, 0.5+0.5*math.Log10(float64(n)))
 	return time.Duration(scale * float64(c.Suspicion))
 }
 
--- a/membership/gossip/merge.go
+++ b/membership/gossip/merge.go
@@ -2,40 +2,81 @@
 
 import "time"
 
-// merge takes one record in from a peer.
-func (n *Node) merge(now time.Time, r Record) {
+// mergeNews takes records in and passes on what was new.
+func (n *Node) mergeNews(now time.Time, records []Record) {
+	for _, r := range records {
+		switch n.merge(now, r) {
+		case visible:
+			n.announceUrgent(r.Name)
+		case internal:
+			n.announce(r.Name)
+		}
+	}
+}
+
+// mergePage takes a sync page in. Its records are not passed on as news: a page
+// brings what its receiver missed, and peers that miss it too sync for themselves.
+// Passing on a whole table record by record would fill the news budget for
+// minutes and delay a death behind it.
+func (n *Node) mergePage(now time.Time, records []Record) {
+	useful := 0
+	for _, r := range records {
+		if n.merge(now, r) != nothing {
+			useful++
+		}
+	}
+	n.sync.bulk = useful >= bulkPage
+}
+
+// change is what a record did to the table.
+type change uint8
+
+const (
+	// nothing: the record was known.
+	nothing change = iota
+	// internal changes concern the protocol only.
+	internal
+	// visible changes matter to the owner.
+	visible
+)
+
+// merge takes one record in.
+func (n *Node) merge(now time.Time, r Record) change {
 	if r.Name == n.self.Name {
 		n.mergeSelf(r)
-		return
+		return nothing
 	}
 	m, known := n.members[r.Name]
 	if !known {
-		n.learn(now, r)
-		return
+		return n.learn(now, r)
 	}
 	if r.Supersedes(m.Record) {
-		n.replace(now, m, r)
-		return
+		return n.replace(now, m, r)
 	}
 	if r.Incarnation == m.Incarnation {
 		n.raiseVersion(m, r.ConfigVersion)
 	}
+	return nothing
 }
 
-func (n *Node) learn(now time.Time, r Record) {
+func (n *Node) learn(now time.Time, r Record) change {
 	// A record about to be forgotten here is already forgotten elsewhere.
 	if r.State.Terminal() && r.Age >= n.cfg.Retention {
-		return
+		return nothing
 	}
 	m := &member{Record: r, since: now.Add(-r.Age)}
 	n.members[r.Name] = m
 	n.table.add(r)
-	n.noteChange(now, r.Name)
-	n.events.Changed = n.events.Changed || !r.State.Terminal()
+	n.noteChange(now)
+	if r.State.Terminal() {
+		return internal
+	}
+	n.events.Changed = true
+	return visible
 }
 
 // replace moves a member to a record that supersedes its own.
-func (n *Node) replace(now time.Time, m *member, r Record) {
+func (n *Node) replace(now time.Time, m *member, r Record) change {
 	old := m.Record
 	if old.Incarnation == r.Incarnation {
 		r.ConfigVersion = max(r.ConfigVersion, old.ConfigVersion)
@@ -45,10 +86,12 @@
 	m.Record = r
 	m.since = now.Add(-r.Age)
 	m.ownDoubt = false
-	n.noteChange(now, r.Name)
-	if ownerSees(old, r) {
-		n.events.Changed = true
+	n.noteChange(now)
+	if !ownerSees(old, r) {
+		return internal
 	}
+	n.events.Changed = true
+	return visible
 }
 
 // ownerSees reports whether the change matters outside the protocol.
@@ -94,8 +137,8 @@
 	n.table.remove(n.self)
 	change(&n.self)
 	n.table.add(n.self)
-	n.announce(n.self.Name)
-	n.events.Updated = true
+	n.announceUrgent(n.self.Name)
+	n.touch()
 }
 
 // wire returns the record as it is sent at now.
--- a/membership/gossip/news.go
+++ b/membership/gossip/news.go
@@ -10,6 +10,10 @@
 type news struct {
 	sent  map[string]int
 	bytes bucket
+	// urgent is set while a record changed that owners act on, urgentVersion
+	// while a higher configuration version has just become known.
+	urgent        bool
+	urgentVersion bool
 }
 
 func newNews(now time.Time) news {
@@ -19,11 +23,33 @@
 // announce starts or restarts the spreading of a member's record.
 func (n *Node) announce(name string) { n.news.sent[name] = 0 }
 
-// noteChange announces a changed record.
-func (n *Node) noteChange(now time.Time, name string) {
+// announceUrgent also tells a few members with the next tick.
+func (n *Node) announceUrgent(name string) {
 	n.announce(name)
+	n.news.urgent = true
+}
+
+// pushUrgent tells a few members at once of what owners act on. Left to the pings,
+// a new configuration or a death takes half a second for each doubling of those
+// that know it.
+func (n *Node) pushUrgent(now time.Time) {
+	urgent, version := n.news.urgent, n.news.urgentVersion
+	n.news.urgent, n.news.urgentVersion = false, false
+	if !urgent && !version {
+		return
+	}
+	for _, m := range n.pick(urgentFanout, "") {
+		records := n.withNews(now, nil)
+		if len(records) > 0 || version {
+			n.send(m.Address, Packet{Kind: Push, Records: records})
+		}
+	}
+}
+
+// noteChange notes that the table changed.
+func (n *Node) noteChange(now time.Time) {
 	n.sync.lastChange = now
-	n.events.Updated = true
+	n.touch()
 }
 
 // withNews appends to records the news least often sent, as far as the packet and
--- a/membership/gossip/node.go
+++ b/membership/gossip/node.go
@@ -24,6 +24,7 @@
 	rotation     []string
 	news         news
 	table        table
+	derived      *index
 	sync         syncState
 	behind       behindState
 	nextExpiries time.Time
@@ -106,6 +107,7 @@
 	n.contact(now)
 	n.forget(now)
 	n.checkBehind(now)
+	n.pushUrgent(now)
 	return n.flush()
 }
 
@@ -131,8 +133,10 @@
 	if p.From == n.self.Name && p.Incarnation == n.self.Incarnation {
 		return nil
 	}
-	for _, r := range p.Records {
-		n.merge(now, r)
+	if p.Kind == SyncPage {
+		n.mergePage(now, p.Records)
+	} else {
+		n.mergeNews(now, p.Records)
 	}
 	n.noteSender(p)
 	n.noteHighest(p)
@@ -163,7 +167,7 @@
 func (n *Node) raiseVersion(m *member, version uint64) {
 	if version > m.ConfigVersion {
 		m.ConfigVersion = version
-		n.events.Updated = true
+		n.touch()
 	}
 }
 
@@ -174,7 +178,7 @@
 	p.ConfigVersion = n.self.ConfigVersion
 	p.Digest = n.table.digest()
 	p.Count = uint32(len(n.members) + 1)
-	p.HighestVersion, p.HighestHolder = n.highest()
+	p.HighestVersion, p.HighestHolder = n.index().best, n.index().holder
 	n.out = append(n.out, Outgoing{To: to, Packet: p})
 }
 
@@ -194,7 +198,7 @@
 		if m.State.Terminal() && now.Sub(m.since) >= n.cfg.Retention {
 			n.table.remove(m.Record)
 			delete(n.members, name)
-			n.events.Updated = true
+			n.touch()
 		}
 	}
 }
--- a/membership/gossip/probe.go
+++ b/membership/gossip/probe.go
@@ -70,7 +70,7 @@
 				return m, true
 			}
 		}
-		n.rotation = n.liveNames()
+		n.rotation = slices.Clone(n.index().live)
 		n.shuffle(n.rotation)
 	}
 	return nil, false
@@ -101,7 +101,7 @@
 
 // pick returns up to count random live members other than the excluded one.
 func (n *Node) pick(count int, except string) []*member {
-	names := n.liveNames()
+	names := slices.Clone(n.index().live)
 	names = slices.DeleteFunc(names, func(name string) bool { return name == except })
 	n.shuffle(names)
 	if len(names) > count {
@@ -217,7 +217,7 @@
 	}
 	address := candidates[n.rng.IntN(len(candidates))]
 	told := []Record{n.self}
-	for _, name := range n.names() {
+	for _, name := range n.index().names {
 		if m := n.members[name]; m.Address == address && m.State == Dead {
 			told = append(told, m.wire(now))
 		}
--- a/membership/gossip/queries.go
+++ b/membership/gossip/queries.go
@@ -19,40 +19,5 @@
 	return all
 }
 
-// names returns the other members' names in order, so that the same inputs give
-// the same packets whatever the order of the map.
-func (n *Node) names() []string {
-	names := make([]string, 0, len(n.members))
-	for name := range n.members {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
-
-func (n *Node) liveNames() []string {
-	names := n.names()
-	return slices.DeleteFunc(names, func(name string) bool { return n.members[name].State.Terminal() })
-}
-
-func (n *Node) suspects() []string {
-	var names []string
-	for name, m := range n.members {
-		if m.State == Suspect {
-			names = append(names, name)
-		}
-	}
-	slices.Sort(names)
-	return names
-}
-
-// liveCount is the number of other members that are not terminal.
-func (n *Node) liveCount() int {
-	count := 0
-	for _, m := range n.members {
-		if !m.State.Terminal() {
-			count++
-		}
-	}
-	return count
-}
+// Digest is equal at two nodes that hold the same records, suspicions aside.
+func (n *Node) Digest() uint32 { return n.table.digest() }
--- a/membership/gossip/record.go
+++ b/membership/gossip/record.go
@@ -99,10 +99,12 @@
 	// RelayedAck.
 	PingRequest
 	RelayedAck
-	// SyncRequest carries bucket digests and asks for the records that differ.
+	// SyncRequest carries a filter of the records held and asks for others.
 	SyncRequest
-	// Push carries records and wants no answer.
+	// Push carries news and wants no answer.
 	Push
+	// SyncPage answers a SyncRequest with records that are not in its filter.
+	SyncPage
 )
 
 // Packet is one datagram.
@@ -118,7 +120,7 @@
 	Count          uint32
 	Target         string
 	TargetAddress  string
-	Buckets        []uint32
+	Filter         []byte
 	Records        []Record
 }
 
--- a/membership/gossip/suspect.go
+++ b/membership/gossip/suspect.go
@@ -12,6 +12,7 @@
 		r := m.Record
 		r.State = Suspect
 		n.replace(now, m, r)
+		n.announce(name)
 	}
 	if !m.ownDoubt {
 		m.ownDoubt = true
@@ -28,7 +29,7 @@
 // the case that every member with a doubt of its own has died as well.
 func (n *Node) tendSuspects(now time.Time) {
 	limit := n.cfg.suspicion(n.liveCount())
-	for _, name := range n.suspects() {
+	for _, name := range n.index().suspects {
 		m := n.members[name]
 		wait := limit
 		if !m.ownDoubt {
@@ -50,4 +51,5 @@
 	r.State = Dead
 	r.Age = 0
 	n.replace(now, m, r)
+	n.announceUrgent(m.Name)
 }
--- a/membership/gossip/sync.go
+++ b/membership/gossip/sync.go
@@ -1,28 +1,31 @@
 package gossip
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
 
-// table is the digest of all records, by bucket. Suspicions are left out: they
-// come and go with lost packets and end by themselves.
+// table is the digest of all records. Suspicions are left out: they come and go
+// with lost packets and end by themselves.
 type table struct {
-	buckets [bucketCount]uint32
+	sum uint64
 }
 
-func bucketOf(name string) int {
-	return int(xxhash.Sum64String(name) % bucketCount)
-}
+// add and remove are the same operation: the digest is an exclusive or.
+func (t *table) add(r Record)    { t.sum ^= recordHash(r) }
+func (t *table) remove(r Record) { t.add(r) }
 
-func recordHash(r Record) uint32 {
-	h := xxhash.Sum64String(r.Name)
-	h = mix(h, r.Incarnation)
+func (t *table) digest() uint32 { return uint32(t.sum>>32) ^ uint32(t.sum) }
+
+// recordHash is equal for records that no merge tells apart.
+func recordHash(r Record) uint64 {
+	h := mix(xxhash.Sum64String(r.Name), r.Incarnation)
 	if r.State.Terminal() {
-		return uint32(mix(h, uint64(r.State)) >> 32)
+		return mix(h, uint64(r.State))
 	}
-	return uint32(mix(h, uint64(r.Seq)<<8) >> 32)
+	return mix(h, uint64(r.Seq)<<8)
 }
 
 // mix is the finaliser of SplitMix64 over a combination of two words.
@@ -33,84 +36,84 @@
 	return h ^ (h >> 31)
 }
 
-// add and remove are the same operation: the digest is an exclusive or.
-func (t *table) add(r Record)    { t.buckets[bucketOf(r.Name)] ^= recordHash(r) }
-func (t *table) remove(r Record) { t.add(r) }
-
-func (t *table) digest() uint32 {
-	var d uint64
-	for _, b := range t.buckets {
-		d = mix(d, uint64(b))
-	}
-	return uint32(d >> 32)
-}
-
 type syncState struct {
 	lastChange time.Time
+	lastAgreed time.Time
 	lastSync   time.Time
-	bytes      bucket
+	// bulk is set while pages bring many records.
+	bulk  bool
+	bytes bucket
 }
 
 func newSyncState(now time.Time) syncState {
-	return syncState{lastChange: now, bytes: newBucket(now, syncRate, syncBurst)}
+	return syncState{lastChange: now, lastAgreed: now, bytes: newBucket(now, syncRate, syncBurst)}
 }
 
 // considerSync asks a peer for the records that differ. Equal digests cost four
 // bytes a packet; only what differs is ever sent again.
 func (n *Node) considerSync(now time.Time, from string, p Packet) {
-	if p.Kind == SyncRequest || p.Digest == n.table.digest() || n.self.State.Terminal() {
+	if p.Digest == n.table.digest() {
+		n.sync.lastAgreed = now
+		n.sync.bulk = false
+		return
+	}
+	if p.Kind == SyncRequest || n.self.State.Terminal() {
 		return
 	}
-	joining := 2*(len(n.members)+1) < int(p.Count)
+	joining := 4*(len(n.members)+1) < 3*int(p.Count)
 	if !n.syncDue(now, joining) {
 		return
 	}
 	n.sync.lastSync = now
-	n.send(from, Packet{Kind: SyncRequest, Buckets: append([]uint32(nil), n.table.buckets[:]...)})
+	salt := n.probeNumber()
+	n.send(from, Packet{Kind: SyncRequest, Probe: salt, Filter: n.held(salt)})
 }
 
 func (n *Node) syncDue(now time.Time, joining bool) bool {
 	waited := now.Sub(n.sync.lastSync)
-	if joining {
-		return waited >= joinSyncInterval
+	if joining || n.sync.bulk {
+		return waited >= bulkSyncInterval
 	}
 	quiet := now.Sub(n.sync.lastChange) >= syncQuiet
-	return waited >= syncInterval && (quiet || waited >= syncPatience)
+	apart := now.Sub(n.sync.lastAgreed) >= syncPatience
+	return waited >= syncInterval && (quiet || apart)
 }
 
-// answerSync pushes one page of records from the buckets that differ, starting at
-// a random one so that repeated pages bring the rest.
+// answerSync sends one page of the records that the asker does not hold.
 func (n *Node) answerSync(now time.Time, from string, p Packet) {
-	if len(p.Buckets) != bucketCount {
-		return
-	}
-	page := n.differing(now, p.Buckets)
+	page := n.missing(now, p.Filter, p.Probe)
 	if len(page) == 0 || !n.sync.bytes.take(now, recordsSize(page)) {
 		return
 	}
-	n.send(from, Packet{Kind: Push, Records: page})
+	n.send(from, Packet{Kind: SyncPage, Records: page})
 }
 
-func (n *Node) differing(now time.Time, theirs []uint32) []Record {
-	byBucket := make(map[int][]Record)
-	for _, name := range append(n.names(), n.self.Name) {
-		b := bucketOf(name)
-		if n.table.buckets[b] == theirs[b] {
-			continue
-		}
-		r, _ := n.record(now, name)
-		byBucket[b] = append(byBucket[b], r)
-	}
+// missing collects a page from a random place of the table on, so that the pages
+// of several peers seldom bring the same.
+func (n *Node) missing(now time.Time, f filter, salt uint32) []Record {
+	names := append(slices.Clone(n.index().names), n.self.Name)
+	start := n.rng.IntN(len(names))
 	var page []Record
 	size := 0
-	start := n.rng.IntN(bucketCount)
-	for i := range bucketCount {
-		for _, r := range byBucket[(start+i)%bucketCount] {
-			if size += r.Size(); size > pageBytes {
-				return page
-			}
-			page = append(page, r)
+	for i := range names {
+		r, _ := n.record(now, names[(start+i)%len(names)])
+		if f.has(recordHash(r), salt) {
+			continue
+		}
+		if size += r.Size(); size > pageBytes {
+			break
 		}
+		page = append(page, r)
 	}
 	return page
 }
+
+// held is the filter of this node's own records.
+func (n *Node) held(salt uint32) filter {
+	f := newFilter(len(n.members) + 1)
+	f.add(recordHash(n.self), salt)
+	for _, m := range n.members {
+		f.add(recordHash(m.Record), salt)
+	}
+	return f
+}
--- a/membership/gossip/version.go
+++ b/membership/gossip/version.go
@@ -7,7 +7,9 @@
 	told uint64
 }
 
-// noteHighest learns of a third member's configuration version.
+// noteHighest learns of a third member's configuration version. One version and
+// its holder in each packet spread a new version as fast as any news, without a
+// record from each member for each version.
 func (n *Node) noteHighest(p Packet) {
 	m, ok := n.members[p.HighestHolder]
 	if ok {
@@ -15,33 +17,14 @@
 	}
 }
 
-// highest returns the highest configuration version held by a live peer, when it
-// is above this instance's own. One number a packet spreads a new version in as
-// many rounds as any news takes, without a record from each member for each
-// version.
-func (n *Node) highest() (uint64, string) {
-	best, holder := n.self.ConfigVersion, ""
-	for name, m := range n.members {
-		if m.State.Terminal() || m.ConfigVersion < best {
-			continue
-		}
-		if m.ConfigVersion > best || (holder != "" && name < holder) {
-			best, holder = m.ConfigVersion, name
-		}
-	}
-	if holder == "" {
-		return 0, ""
-	}
-	return best, holder
-}
-
 // checkBehind tells the owner of a peer with a higher version, at once when the
 // version is new and then again while this instance stays behind.
 func (n *Node) checkBehind(now time.Time) {
-	version, _ := n.highest()
+	version := n.index().best
 	if version == 0 || (version <= n.behind.told && now.Before(n.behind.next)) {
 		return
 	}
+	n.news.urgentVersion = n.news.urgentVersion || version > n.behind.told
 	holders := n.holdersOf(version)
 	peer := holders[n.rng.IntN(len(holders))]
 	n.behind = behindState{next: now.Add(behindInterval), told: version}
@@ -50,9 +33,9 @@
 
 func (n *Node) holdersOf(version uint64) []Record {
 	var holders []Record
-	for _, name := range n.names() {
+	for _, name := range n.index().live {
 		m := n.members[name]
-		if !m.State.Terminal() && m.ConfigVersion >= version {
+		if m.ConfigVersion >= version {
 			holders = append(holders, m.Record)
 		}
 	}
--- /dev/null
+++ b/membership/home_test.go
@@ -0,0 +1,61 @@
+package membership
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cairnworks/cairnworks/request"
+)
+
+func fleet(count int) []Member {
+	members := make([]Member, count)
+	for i := range members {
+		members[i] = Member{Holder: request.Holder{Instance: fmt.Sprintf("entry-%03d", i)}, State: Alive}
+	}
+	return members
+}
+
+// A member dies or drains. Only the keys it was home of may move, or every loss
+// would rebuild all schedulers at once.
+func TestOnlyTheLostHomesMove(t *testing.T) {
+	before := fleet(9)
+	after := slices.Clone(before)
+	after[3].State = Dead
+	after[5].Draining = true
+	after[6].State = Suspect
+	share := make(map[string]int)
+	for i := range 9000 {
+		key := fmt.Sprint("service-", i)
+		old, ok := Home(key, before)
+		assert.Assert(t, ok)
+		share[old.Instance]++
+		moved, ok := Home(key, after)
+		assert.Assert(t, ok)
+		switch old.Instance {
+		case "entry-003", "entry-005":
+			order := Homes(key, before, 3)
+			next := slices.IndexFunc(order, func(m Member) bool {
+				return m.Instance != "entry-003" && m.Instance != "entry-005"
+			})
+			assert.Equal(t, moved.Instance, order[next].Instance)
+		default:
+			assert.Equal(t, moved.Instance, old.Instance)
+		}
+	}
+	for instance, keys := range share {
+		assert.Assert(t, keys > 850 && keys < 1150, "%s has %d of 9000 keys", instance, keys)
+	}
+	_, ok := Home("any", nil)
+	assert.Assert(t, !ok)
+	assert.Equal(t, len(Homes("any", before, 20)), 9)
+}
+
+func BenchmarkHome400(b *testing.B) {
+	members := fleet(400)
+	for b.Loop() {
+		Home("gilt-scribe", members)
+	}
+}
