config: small edits are published as changes of their base

Cause: a whole set of 12000 organisations is a 1.03 MB record.

Change: a publish carries the edit of its base and the checksum of the result when that is less than half as large. Readers make the set, compare the checksum and check it like a whole one, so that a record still stands for one checked set. A whole set is written after 16 changes or an hour. Readers take an anchor only from records with whole sets, so that an anchored one always knows its set. Peers pass on whole sets as before.

--- a/config/config.go
+++ b/config/config.go
@@ -1,8 +1,10 @@
 // Package config publishes the operators' object set through the platform's log
 // and keeps every instance on the newest published version.
 //
-// One record of the stream carries one whole checked set and names the version
-// it was made from, its base. The record's offset is its version. Readers apply
+// One record of the stream stands for one whole checked set and names the version
+// it was made from, its base. It carries the set, or the edit of its base when that
+// is much smaller: at 12000 organisations a set is a megabyte, and hundreds of
+// those a day would pass the few kilobytes a second that control may use. The record's offset is its version. Readers apply
 // one rule (see Replay): a record is accepted if its base is the last accepted
 // version, and void otherwise. Of two operators who publish at once on the same
 // base, the first by offset wins on every instance, and the other is told.
@@ -52,6 +54,14 @@
 	refusedAgain = 30 * time.Second
 	// fetchParallel bounds concurrent fetches of one instance.
 	fetchParallel = 8
+	// maxChanges is the most changes between two whole sets. A fresh instance applies
+	// them one by one, at 12000 organisations about 0.1 s each; writing whole sets
+	// more often costs every instance a megabyte each time.
+	maxChanges = 16
+	// maxWholeAge is the age of the last whole set from which the next publish writes
+	// one. While instances are cut off from the log and cannot republish, publishes
+	// alone keep it usable this way, at a megabyte an hour at most.
+	maxWholeAge = time.Hour
 	// appendTimeout bounds one append.
 	appendTimeout = 5 * time.Second
 	// settleTime is how long a publisher looks for a record whose append was not
--- a/config/follow_log.go
+++ b/config/follow_log.go
@@ -91,7 +91,7 @@
 		f.mu.Unlock()
 		return
 	}
-	f.offer(replay.version, *replay.set, replay.data, "log")
+	f.offer(replay.version, *replay.set, "log")
 	f.mu.Lock()
 	f.carrier.update(replay, live, time.Now())
 	f.caughtUp = f.caughtUp || atEnd
--- a/config/follow_peers.go
+++ b/config/follow_peers.go
@@ -136,8 +136,8 @@
 // takeRecord checks a peer's record as strictly as one from the log.
 func (f *Follower) takeRecord(address string, msg *peerv1.FetchResponse) error {
 	decoded, err := decodeRecord(msg.GetRecord())
-	if h := decoded.header; err == nil && h.Kind == KindRepublish && h.Base != msg.GetVersion() {
-		err = oops.Errorf("the record repeats version %d", h.Base)
+	if h := decoded.header; err == nil && (h.Kind != KindRepublish || h.Base != msg.GetVersion()) {
+		err = oops.Errorf("the record is a %s on version %d", h.Kind, h.Base)
 	}
 	if err == nil && len(object.Check(decoded.set)) > 0 {
 		err = oops.Errorf("the set has faults")
@@ -148,7 +148,7 @@
 		f.log.Warn("configuration from peer refused", zap.String("peer", address), zap.Uint64("version", msg.GetVersion()), zap.Error(err))
 		return err
 	}
-	f.offer(msg.GetVersion(), decoded.set, msg.GetRecord(), "peer")
+	f.offer(msg.GetVersion(), decoded.set, "peer")
 	return nil
 }
 
--- a/config/follower.go
+++ b/config/follower.go
@@ -79,10 +79,18 @@
 	rand *rand.Rand
 }
 
-// held is a version with the record that carries it.
+// held is a version with the record that passes it on to peers.
 type held struct {
 	index *object.Index
-	data  []byte
+	// record is made when the first peer asks, and kept for the others.
+	record func() ([]byte, error)
+}
+
+func newHeld(set object.Set, version uint64) held {
+	index := object.NewIndex(set, version)
+	return held{index: index, record: sync.OnceValues(func() ([]byte, error) {
+		return encodeSet(Header{Format: format, Kind: KindRepublish, Base: version, Through: version}, index.Published())
+	})}
 }
 
 func (h held) version() uint64 {
@@ -158,13 +166,13 @@
 // offer takes a version that arrived from the log or from a peer. Only a higher
 // one replaces the one held: a page that was read before an outage, or a peer
 // that is behind, would otherwise bring a withdrawn key back to life.
-func (f *Follower) offer(version uint64, set object.Set, data []byte, source string) {
+func (f *Follower) offer(version uint64, set object.Set, source string) {
 	f.mu.Lock()
 	if version <= f.held.version() {
 		f.mu.Unlock()
 		return
 	}
-	f.held = held{index: object.NewIndex(set, version), data: data}
+	f.held = newHeld(set, version)
 	f.mu.Unlock()
 	f.scope.Tagged(map[string]string{"source": source}).Counter("received").Inc(1)
 	f.log.Info("configuration received", zap.Uint64("version", version), zap.String("source", source))
--- a/config/handler.go
+++ b/config/handler.go
@@ -25,10 +25,16 @@
 		return connect.NewResponse(resp), nil
 	}
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	if version := f.held.version(); version > req.Msg.GetHaveVersion() {
-		resp.Version = version
-		resp.Record = f.held.data
+	held := f.held
+	f.mu.Unlock()
+	if held.version() <= req.Msg.GetHaveVersion() {
+		return connect.NewResponse(resp), nil
+	}
+	record, err := held.record()
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
 	}
+	resp.Version = held.version()
+	resp.Record = record
 	return connect.NewResponse(resp), nil
 }
--- a/config/publisher.go
+++ b/config/publisher.go
@@ -104,7 +104,7 @@
 		return 0, fail.because(err, nil)
 	}
 	h.Through = replay.next - 1
-	data, err := encodeSet(h, set)
+	data, err := encodePublish(h, set, replay)
 	if err != nil {
 		return 0, fail.because(ErrNotPublished, err)
 	}
@@ -133,8 +133,29 @@
 	}
 }
 
-func encodeSet(h Header, set object.Set) ([]byte, error) {
-	payload, err := compressSet(set)
+// encodePublish returns the record of a publish: a change, if that is much smaller
+// and the last whole set is neither too many changes nor too long ago.
+func encodePublish(h Header, set object.Set, replay *Replay) ([]byte, error) {
+	whole, err := compress(set)
+	if err != nil || h.Kind != KindPublish || needsWhole(replay) {
+		return encodeIf(err, h, whole)
+	}
+	edit := object.EditBetween(*replay.set, set)
+	payload, err := compress(change{Edit: edit, Sum: setSum(edit.Apply(*replay.set))})
+	if err != nil || len(payload) > len(whole)/2 {
+		return encodeIf(err, h, whole)
+	}
+	h.Kind = KindChange
+	return encodeRecord(h, payload)
+}
+
+// needsWhole uses the log's clock, which may be off: whole sets are then written
+// more often than needed, or less, and republishing makes up for that.
+func needsWhole(replay *Replay) bool {
+	return replay.set == nil || replay.changes >= maxChanges || time.Since(replay.whole.Appended) > maxWholeAge
+}
+
+func encodeIf(err error, h Header, payload []byte) ([]byte, error) {
 	if err != nil {
 		return nil, err
 	}
--- a/config/read.go
+++ b/config/read.go
@@ -11,9 +11,9 @@
 )
 
 // tailStart is how many records before the end a reader begins. Each record
-// states what was in force shortly before it, so that a few are nearly always
-// enough; reading everything retained would move gigabytes at each start of an
-// instance once sets are a megabyte and hundreds are published a day.
+// states what was in force shortly before it, so that those since the last whole
+// set are enough; reading everything retained would take minutes at each start of
+// an instance once hundreds are published a day.
 const tailStart = 4
 
 // readTail replays the stream to its end, beginning as late as the result allows.
@@ -32,8 +32,7 @@
 		if _, err := catchUp(ctx, log, replay); err != nil {
 			return nil, err
 		}
-		settled := replay.anchored && (replay.set != nil || replay.version == 0)
-		if settled || from == first {
+		if replay.anchored || from == first {
 			return replay, nil
 		}
 	}
@@ -134,15 +133,42 @@
 	return judged, err
 }
 
-// SetAt returns the set that a retained record carries, whatever its judgement.
+// SetAt returns the set that a retained record stands for. Of a void record that
+// is known only if it carries the set whole.
 func SetAt(ctx context.Context, log port.Log, offset uint64) (object.Set, error) {
 	page, err := readPage(ctx, log, offset, 1, 0)
 	if err != nil {
 		return object.Set{}, err
 	}
+	fail := oops.With("offset", offset, "first", page.First, "next", page.Next)
 	if len(page.Records) == 0 || page.Records[0].Offset != offset {
-		return object.Set{}, oops.With("offset", offset, "first", page.First, "next", page.Next).Errorf("no record is retained at this offset")
+		return object.Set{}, fail.Errorf("no record is retained at this offset")
 	}
 	decoded, err := decodeRecord(page.Records[0].Data)
-	return decoded.set, err
+	if err != nil || decoded.header.Kind != KindChange {
+		return decoded.set, err
+	}
+	replay := NewReplay(max(page.First, 1))
+	if err := replayThrough(ctx, log, replay, offset); err != nil {
+		return object.Set{}, err
+	}
+	if !replay.anchored || replay.version != offset {
+		return object.Set{}, fail.Errorf("the record is a change that was not accepted, or whose base is not retained")
+	}
+	return *replay.set, nil
+}
+
+// replayThrough applies the records up to an offset that is retained.
+func replayThrough(ctx context.Context, log port.Log, replay *Replay, offset uint64) error {
+	for replay.next <= offset {
+		left := int(min(offset-replay.next+1, pageSize))
+		page, err := readPage(ctx, log, replay.next, left, 0)
+		if err != nil {
+			return err
+		}
+		if _, err := applyPage(replay, page); err != nil {
+			return err
+		}
+	}
+	return nil
 }
--- a/config/replay.go
+++ b/config/replay.go
@@ -1,8 +1,6 @@
 package config
 
 import (
-	"bytes"
-
 	"github.com/cairnworks/cairnworks/object"
 	"github.com/cairnworks/cairnworks/port"
 )
@@ -22,7 +20,8 @@
 	VoidDamaged Judgement = "void_damaged"
 	// VoidInvalid records carry a set with faults.
 	VoidInvalid Judgement = "void_invalid"
-	// VoidMismatch records claim to repeat the set in force but differ from it.
+	// VoidMismatch records claim to repeat the set in force, or to be an edit of it,
+	// and are not.
 	VoidMismatch Judgement = "void_mismatch"
 	// Undecided records stand before the first that tells what was in force.
 	Undecided Judgement = "undecided"
@@ -40,26 +39,30 @@
 //
 // A replay that begins at offset 1 knows that nothing was in force before. One
 // that begins later is not anchored: whether its first record was accepted depends
-// on records that it does not have. It becomes anchored by the first record that
-// states what was in force at an offset no earlier than its own beginning, and
-// judges the records after that offset from there. Without this, a fresh instance
-// and one that has run for months would take different sides on an old race.
+// on records that it does not have. It becomes anchored by a record with a whole
+// set that states what was in force at an offset no earlier than its own beginning,
+// and judges the records after that offset from there. Without this, a fresh
+// instance and one that has run for months would take different sides on an old
+// race. An anchored replay knows the set of its version.
 type Replay struct {
-	anchored bool
-	version  uint64
-	// through is the last offset whose effect is part of version, when anchored.
-	through uint64
+	state
 	// next is the offset of the record to apply next.
-	next uint64
-	// set is the content of version; nil while it is not known.
-	set     *object.Set
-	payload []byte
-	// data is a record that carries the set, as it stands in the log.
-	data    []byte
-	carrier port.Record
+	next    uint64
 	pending []candidate
 }
 
+// state is what a replay knows after the records judged so far.
+type state struct {
+	anchored bool
+	version  uint64
+	// set is the content of version, nil when nothing was published.
+	set *object.Set
+	// whole is the last accepted or republished record with a whole set.
+	whole port.Record
+	// changes counts the accepted changes since that record.
+	changes int
+}
+
 // maxPending bounds the records kept before an anchor is found. Dropping the first
 // is the same as beginning one record later.
 const maxPending = 64
@@ -73,7 +76,7 @@
 
 // NewReplay returns a replay that begins with the record at offset from.
 func NewReplay(from uint64) *Replay {
-	return &Replay{anchored: from <= 1, through: from - 1, next: from}
+	return &Replay{state: state{anchored: from <= 1}, next: from}
 }
 
 // Anchored tells whether the version is known.
@@ -85,7 +88,7 @@
 // Next is the offset of the record to apply next.
 func (r *Replay) Next() uint64 { return r.next }
 
-// Set is the set of the version, or nil when it is not known.
+// Set is the set of the version, nil when nothing was published.
 func (r *Replay) Set() *object.Set { return r.set }
 
 // Apply judges the record at offset Next. It returns the judgements that became
@@ -100,10 +103,7 @@
 	if len(r.pending) > maxPending {
 		r.pending = r.pending[1:]
 	}
-	if !r.anchor(c) {
-		return nil
-	}
-	return r.judgePending()
+	return r.anchor(c)
 }
 
 func newCandidate(rec port.Record) candidate {
@@ -112,7 +112,7 @@
 	switch {
 	case err != nil, decoded.header.Through >= rec.Offset, decoded.header.Base > decoded.header.Through:
 		c.fault = VoidDamaged
-	case len(object.Check(decoded.set)) > 0:
+	case decoded.header.Kind != KindChange && len(object.Check(decoded.set)) > 0:
 		c.fault = VoidInvalid
 	}
 	c.record = decoded
@@ -120,35 +120,43 @@
 }
 
 // anchor takes a record's statement of what was in force, if it reaches back no
-// further than the records at hand.
-func (r *Replay) anchor(c candidate) bool {
+// further than the records at hand, and judges those after it.
+func (r *Replay) anchor(c candidate) []Judged {
 	h := c.record.header
-	if c.fault != "" || h.Through+1 < r.pending[0].raw.Offset {
-		return false
+	if c.fault != "" || h.Kind == KindChange || h.Through+1 < r.pending[0].raw.Offset {
+		return nil
 	}
 	if h.Kind == KindRestart && !c.followsDirectly() {
-		return false
+		return nil
+	}
+	r.state = state{anchored: true, version: h.Base}
+	if h.Kind == KindRepublish {
+		r.keepWhole(c)
 	}
-	r.anchored = true
-	r.version = h.Base
-	r.through = h.Through
-	return true
-}
-
-func (r *Replay) judgePending() []Judged {
 	out := make([]Judged, 0, len(r.pending))
-	start := r.through
-	for _, c := range r.pending {
-		if c.raw.Offset <= start {
-			out = append(out, Judged{Record: c.raw, Header: c.record.header, Judgement: Undecided})
+	for _, p := range r.pending {
+		if p.raw.Offset <= h.Through {
+			out = append(out, Judged{Record: p.raw, Header: p.record.header, Judgement: Undecided})
 			continue
 		}
-		out = append(out, r.judge(c))
+		if r.undecidable(p) {
+			r.state = state{}
+			return nil
+		}
+		out = append(out, r.judge(p))
 	}
 	r.pending = nil
 	return out
 }
 
+// undecidable tells whether a change was made from a set that is not known. It
+// cannot be checked then, and taking it on trust would let this reader accept what
+// the others find void.
+func (r *Replay) undecidable(c candidate) bool {
+	h := c.record.header
+	return c.fault == "" && h.Kind == KindChange && h.Base == r.version && r.set == nil && r.version > 0
+}
+
 // followsDirectly tells whether no record stands between what the writer had read
 // and the record. A restart needs this: its writer does not know what was in
 // force, so that only the absence of any other record keeps it from replacing one.
@@ -165,7 +173,6 @@
 
 // judge applies the rule to one record of an anchored replay.
 func (r *Replay) judge(c candidate) Judged {
-	r.through = c.raw.Offset
 	out := Judged{Record: c.raw, Header: c.record.header, Judgement: c.fault}
 	if c.fault != "" {
 		return out
@@ -174,16 +181,43 @@
 	switch c.record.header.Kind {
 	case KindRepublish:
 		out.Judgement = r.judgeRepublish(c, onBase)
+	case KindChange:
+		out.Judgement = r.judgeChange(c, onBase)
 	case KindRestart:
-		out.Judgement = acceptedIf(c.followsDirectly())
+		out.Judgement = r.judgeWhole(c, c.followsDirectly())
 	default:
-		out.Judgement = acceptedIf(onBase)
+		out.Judgement = r.judgeWhole(c, onBase)
 	}
-	if out.Judgement == Accepted {
+	return out
+}
+
+func (r *Replay) judgeWhole(c candidate, ok bool) Judgement {
+	if ok {
 		r.version = c.raw.Offset
-		r.keep(c)
+		r.keepWhole(c)
 	}
-	return out
+	return acceptedIf(ok)
+}
+
+// judgeChange makes the set that the change stands for and checks it like a whole one.
+func (r *Replay) judgeChange(c candidate, onBase bool) Judgement {
+	if !onBase {
+		return VoidStaleBase
+	}
+	if r.set == nil {
+		return VoidDamaged
+	}
+	set := c.record.change.Edit.Apply(*r.set)
+	if setSum(set) != c.record.change.Sum {
+		return VoidMismatch
+	}
+	if len(object.Check(set)) > 0 {
+		return VoidInvalid
+	}
+	r.version = c.raw.Offset
+	r.set = &set
+	r.changes++
+	return Accepted
 }
 
 // judgeRepublish never changes the version. One made before an operator's publish
@@ -192,17 +226,16 @@
 	if !onBase {
 		return VoidStaleBase
 	}
-	if r.set != nil && !bytes.Equal(r.payload, c.record.payload) {
+	if r.set != nil && setSum(*r.set) != setSum(c.record.set) {
 		return VoidMismatch
 	}
-	r.keep(c)
+	r.keepWhole(c)
 	return Republished
 }
 
-func (r *Replay) keep(c candidate) {
+func (r *Replay) keepWhole(c candidate) {
 	set := c.record.set
 	r.set = &set
-	r.payload = c.record.payload
-	r.data = c.raw.Data
-	r.carrier = c.raw
+	r.whole = c.raw
+	r.changes = 0
 }
--- a/config/republish.go
+++ b/config/republish.go
@@ -10,15 +10,16 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cairnworks/cairnworks/object"
 	"github.com/cairnworks/cairnworks/port"
 )
 
-// carrier is the newest record in the log that carries the set in force.
+// carrier is the newest record in the log with a whole set, and what is in force.
 type carrier struct {
 	// version is 0 while there is none.
 	version uint64
+	set     *object.Set
 	offset  uint64
-	payload []byte
 	// through is the last offset read; version is in force after it.
 	through uint64
 	// since is when the record was appended, as far as that is known.
@@ -31,16 +32,16 @@
 // arrive is known by the own clock. That of an older one is known by the log's
 // clock only; if that is wrong, a republish comes too early or late, once.
 func (c *carrier) update(replay *Replay, live bool, now time.Time) {
+	c.version = replay.version
+	c.set = replay.set
 	c.through = replay.next - 1
-	if replay.carrier.Offset == c.offset {
+	if replay.whole.Offset == c.offset {
 		return
 	}
-	c.version = replay.version
-	c.offset = replay.carrier.Offset
-	c.payload = replay.payload
+	c.offset = replay.whole.Offset
 	c.expired = time.Time{}
 	c.since = now
-	if appended := replay.carrier.Appended; !live && !appended.IsZero() && appended.Before(now) {
+	if appended := replay.whole.Appended; !live && !appended.IsZero() && appended.Before(now) {
 		c.since = appended
 	}
 }
@@ -127,7 +128,7 @@
 // republish appends the carrier's set once. Its result is not looked at: the
 // record is seen when it is read, and tried again later if it is not.
 func (f *Follower) republish(ctx context.Context, c carrier) {
-	data, err := encodeRecord(Header{Format: format, Kind: KindRepublish, Base: c.version, Through: c.through}, c.payload)
+	data, err := encodeSet(Header{Format: format, Kind: KindRepublish, Base: c.version, Through: c.through}, *c.set)
 	if err == nil {
 		ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 		defer cancel()
--- a/object/diff.go
+++ b/object/diff.go
@@ -62,11 +62,11 @@
 
 func fieldsByRef(set Set) map[Ref]fields {
 	out := make(map[Ref]fields)
-	collect(out, TypeOrganisation, set.Organisations, func(o Organisation) string { return o.Name })
-	collect(out, TypeKey, set.Keys, func(k Key) string { return k.Name })
-	collect(out, TypeService, set.Services, func(s Service) string { return s.Name })
-	collect(out, TypeUpstream, set.Upstreams, func(u Upstream) string { return u.Name })
-	collect(out, TypeLimit, set.Limits, func(l Limit) string { return l.Name })
+	collect(out, TypeOrganisation, set.Organisations, Organisation.name)
+	collect(out, TypeKey, set.Keys, Key.name)
+	collect(out, TypeService, set.Services, Service.name)
+	collect(out, TypeUpstream, set.Upstreams, Upstream.name)
+	collect(out, TypeLimit, set.Limits, Limit.name)
 	return out
 }
 
--- a/object/object_test.go
+++ b/object/object_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"os"
 	"reflect"
 	"slices"
@@ -206,6 +207,26 @@
 	match(&root, reflect.TypeFor[Set](), "set")
 }
 
+// Changes travel as edits; one that lost or kept an object too many would put
+// another set in force than the operator published.
+func TestEditMakesTheNewSet(t *testing.T) {
+	good := load(t, "testdata/good.json")
+	for seed := range uint64(50) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		some := func() Set {
+			set := good.filter(func(Ref) bool { return r.IntN(3) > 0 }).clone()
+			for i := range set.Upstreams {
+				set.Upstreams[i].Slots = 1 + r.IntN(2)
+			}
+			return set
+		}
+		old, new := some(), some()
+		made := EditBetween(old, new).Apply(old)
+		assert.Equal(t, len(Diff(made, new)), 0, "seed %d", seed)
+		assert.Equal(t, len(refs(made)), len(refs(new)), "seed %d", seed)
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	for _, file := range []string{"testdata/good.json", "testdata/six_faults.json"} {
 		data, err := os.ReadFile(file)
