--- a/config/record.go
+++ b/config/record.go
@@ -3,6 +3,9 @@
 import (
 	"bytes"
 	"compress/gzip"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -21,12 +24,17 @@
 // could otherwise expand until the instance runs out of memory.
 const maxSetBytes = 64 << 20
 
+// maxRatio bounds how much memory is reserved on the word of a record.
+const maxRatio = 64
+
 // Kind tells why a record was written.
 type Kind string
 
 const (
-	// KindPublish records carry a set that replaces the base.
+	// KindPublish records carry a whole set that replaces the base.
 	KindPublish Kind = "publish"
+	// KindChange records carry the edit of the base that makes the new set.
+	KindChange Kind = "change"
 	// KindRepublish records carry the set of the base again, so that it outlives
 	// the retention of its first record.
 	KindRepublish Kind = "republish"
@@ -48,18 +56,25 @@
 	Note string `json:"note,omitempty"`
 }
 
-// record is a decoded record.
+// change is the content of a KindChange record.
+type change struct {
+	Edit object.Edit `json:"edit"`
+	// Sum is the setSum of the result. A reader whose base differs, through a fault
+	// of a program, would otherwise run another set under the same version.
+	Sum string `json:"sum"`
+}
+
+// record is a decoded record: a whole set, or a change.
 type record struct {
 	header Header
 	set    object.Set
-	// payload is the compressed set as it stands in the log.
-	payload []byte
+	change change
 }
 
 var errDamaged = errors.New("damaged record")
 
 // encodeRecord writes the header on the first line, as text that tools can read,
-// and the compressed set after it. The set carries the checksum of its compression;
+// and the compressed content after it. That carries the checksum of its compression;
 // the header needs one of its own: a damaged digit of Base or Through would
 // otherwise be a false statement of what was in force.
 func encodeRecord(h Header, payload []byte) ([]byte, error) {
@@ -71,10 +86,41 @@
 	return append(data, payload...), nil
 }
 
-func compressSet(set object.Set) ([]byte, error) {
+// encodeSet returns a record with a whole set.
+func encodeSet(h Header, set object.Set) ([]byte, error) {
+	payload, err := compress(set)
+	if err != nil {
+		return nil, err
+	}
+	return encodeRecord(h, payload)
+}
+
+// setSum is the checksum of a set's objects in their order. They are encoded one
+// by one: the text of a large set at once would be several megabytes of garbage
+// for each version.
+func setSum(set object.Set) string {
+	h := sha256.New()
+	enc := json.NewEncoder(h)
+	addObjects(enc, object.TypeOrganisation, set.Organisations)
+	addObjects(enc, object.TypeKey, set.Keys)
+	addObjects(enc, object.TypeService, set.Services)
+	addObjects(enc, object.TypeUpstream, set.Upstreams)
+	addObjects(enc, object.TypeLimit, set.Limits)
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+func addObjects[T any](enc *json.Encoder, t object.Type, objects []T) {
+	// The type separates the lists; neither it nor an object can fail to encode.
+	_ = enc.Encode(t)
+	for i := range objects {
+		_ = enc.Encode(&objects[i])
+	}
+}
+
+func compress(content any) ([]byte, error) {
 	var b bytes.Buffer
 	zw := gzip.NewWriter(&b)
-	if err := json.NewEncoder(zw).Encode(set); err != nil {
+	if err := json.NewEncoder(zw).Encode(content); err != nil {
 		return nil, err
 	}
 	if err := zw.Close(); err != nil {
@@ -93,8 +139,11 @@
 	if err != nil {
 		return record{}, err
 	}
-	set, err := decodeSet(payload)
-	return record{header: header, set: set, payload: payload}, err
+	r := record{header: header}
+	if header.Kind == KindChange {
+		return r, decompress(payload, &r.change)
+	}
+	return r, decompress(payload, &r.set)
 }
 
 func decodeHeader(line []byte) (Header, error) {
@@ -110,27 +159,40 @@
 		return h, fmt.Errorf("%w: format %d", errDamaged, h.Format)
 	}
 	switch h.Kind {
-	case KindPublish, KindRepublish, KindRestart:
+	case KindPublish, KindChange, KindRepublish, KindRestart:
 		return h, nil
 	default:
 		return h, fmt.Errorf("%w: kind %q", errDamaged, h.Kind)
 	}
 }
 
-func decodeSet(payload []byte) (object.Set, error) {
-	var set object.Set
+func decompress(payload []byte, into any) error {
 	zr, err := gzip.NewReader(bytes.NewReader(payload))
 	if err != nil {
-		return set, fmt.Errorf("%w: set: %v", errDamaged, err)
+		return fmt.Errorf("%w: content: %v", errDamaged, err)
 	}
-	text, err := io.ReadAll(io.LimitReader(zr, maxSetBytes+1))
-	if err != nil || len(text) > maxSetBytes {
-		return set, fmt.Errorf("%w: set: %v, %d bytes", errDamaged, err, len(text))
+	var text bytes.Buffer
+	text.Grow(statedSize(payload))
+	if n, err := text.ReadFrom(io.LimitReader(zr, maxSetBytes+1)); err != nil || n > maxSetBytes {
+		return fmt.Errorf("%w: content: %v, %d bytes", errDamaged, err, n)
+	}
+	if err := decodeStrict(&text, into); err != nil {
+		return fmt.Errorf("%w: content: %v", errDamaged, err)
+	}
+	return nil
+}
+
+// statedSize is the uncompressed size that the last four bytes of a gzip stream
+// state, or little when they cannot be right. It only saves growing a buffer.
+func statedSize(payload []byte) int {
+	if len(payload) < 4 {
+		return 0
 	}
-	if err := decodeStrict(bytes.NewReader(text), &set); err != nil {
-		return set, fmt.Errorf("%w: set: %v", errDamaged, err)
+	stated := int(binary.LittleEndian.Uint32(payload[len(payload)-4:])) + bytes.MinRead
+	if stated > maxSetBytes || stated > maxRatio*len(payload) {
+		return 0
 	}
-	return set, nil
+	return stated
 }
 
 func decodeStrict(r io.Reader, into any) error {
