Retry budgets and the quarantine of prompts that crash engines, on the path

Cause: a prompt that crashes what runs it took down three engines for each time it was sent, and any failure could be retried three times by everybody at once. Change: the instance's retrier is decision/retry; the service's scheduler, which sees all outcomes, keeps a decision/quarantine ledger and refuses what it blocks. A crash is no longer hidden by the refusal of the resume that follows it, and a failed dial is not one. A scheduler that takes over starts with an empty ledger.

--- a/instance/path.go
+++ b/instance/path.go
@@ -1,9 +1,11 @@
 package instance
 
 import (
+	"math/rand/v2"
 	"net/http"
 
 	"github.com/cairnworks/cairnworks/caller"
+	"github.com/cairnworks/cairnworks/decision/retry"
 	"github.com/cairnworks/cairnworks/gen/cairnworks/peer/v1/peerv1connect"
 	"github.com/cairnworks/cairnworks/route"
 	"github.com/cairnworks/cairnworks/scheduler"
@@ -22,7 +24,7 @@
 	if err := i.buildStages(); err != nil {
 		return err
 	}
-	retrier := i.newRetrier()
+	retrier := retry.New(retry.DefaultConfig(), rand.Float64)
 	models := &route.ModelRunner{
 		Self: i.self, Placer: i.placer, Engines: i.engines, Address: i.upstreamAddress,
 		Retrier: retrier, Log: i.log, Metrics: i.metrics,
--- a/route/attempt.go
+++ b/route/attempt.go
@@ -124,7 +124,7 @@
 	if err != nil && ctx.Err() == nil && !errors.Is(err, errStalled) && a.answer.OutputTokens > before {
 		a.log.Info("resume", zap.Uint32("attempt", a.stream.Attempt), zap.Int("from", a.answer.OutputTokens), zap.Error(err))
 		a.Metrics.Retried(a.req.Service, verdict.From(err).Reason)
-		err = a.forward(ctx, engine)
+		err = resumeFailed(err, a.forward(ctx, engine))
 	}
 	a.outcome.Decode = time.Since(a.started) - a.outcome.FirstToken
 	a.outcome.OutputTokens = a.answer.OutputTokens
@@ -135,6 +135,16 @@
 	return nil
 }
 
+// resumeFailed names the failure of a resumed stream. An engine that crashed and
+// started again refuses the resume, since it knows nothing of the stream; that
+// refusal would hide the crash from those who count crashes.
+func resumeFailed(broke, resumed error) error {
+	if resumed != nil && verdict.From(resumed).Reason == verdict.ReasonUpstreamRefused {
+		return broke
+	}
+	return resumed
+}
+
 // errStalled ends a stream that has been silent for too long.
 var errStalled = verdict.Fail(verdict.MayHaveRun, verdict.ReasonTimeout, nil, "no token for %v", stallTimeout)
 
@@ -214,7 +224,7 @@
 	}
 	a.outcome.Kind = kind
 	a.outcome.FailedUpstream = upstream
-	if v.Reason == verdict.ReasonUpstreamCrashed || v.Reason == verdict.ReasonUpstreamUnreachable {
+	if v.Reason == verdict.ReasonUpstreamCrashed {
 		a.outcome.Kind = OutcomeUpstreamCrashed
 	}
 	a.log.Info("attempt failed", zap.Uint32("attempt", a.stream.Attempt), zap.String("upstream", upstream),
--- a/scheduler/actor.go
+++ b/scheduler/actor.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cairnworks/cairnworks/decision/group"
+	"github.com/cairnworks/cairnworks/decision/quarantine"
 	"github.com/cairnworks/cairnworks/object"
 	"github.com/cairnworks/cairnworks/observe"
 	"github.com/cairnworks/cairnworks/port"
@@ -49,8 +50,12 @@
 	engines port.EngineDialer
 	log     *zap.Logger
 	metrics *observe.Metrics
-	timer   *time.Timer
-	plain   bool
+	// crashes counts the prompts that upstreams died of; processes holds each
+	// upstream's process as last reported.
+	crashes   *quarantine.Ledger
+	processes map[string]string
+	timer     *time.Timer
+	plain     bool
 }
 
 // lease is a grant with its holder and the time it ends without a renewal.
@@ -61,6 +66,9 @@
 	prefill string
 	decode  string
 	expires time.Time
+	// prefilled leases no longer use their prefill upstream.
+	prefilled   bool
+	fingerprint uint64
 }
 
 // Receive implements actor.Actor.
@@ -75,9 +83,11 @@
 		a.withdraw(now, msg.key)
 	case prefillDoneMsg:
 		if l := a.byKey[msg.key]; l != nil {
+			l.prefilled = true
 			a.apply(now, a.group.PrefillDone(now, l.id))
 		}
 	case releaseMsg:
+		a.judge(now, msg.outcome)
 		a.end(now, msg.key, msg.outcome)
 	case renewMsg:
 		msg.lost <- a.renew(now, msg)
@@ -135,6 +145,11 @@
 	if l := a.byKey[msg.key]; l != nil {
 		a.end(now, msg.key, group.Outcome{Kind: group.OutcomeCancelled})
 	}
+	if refusal := a.quarantined(now, msg.req.Fingerprint); refusal != nil {
+		a.metrics.Refused("scheduler", refusal)
+		msg.answer <- reply{refusal: refusal}
+		return
+	}
 	a.waiting[msg.key] = msg
 	a.apply(now, a.group.Submit(now, msg.req))
 }
@@ -164,7 +179,7 @@
 		}
 		l := &lease{
 			id: d.Grant.ID, key: key, holder: msg.holder, prefill: d.Grant.Prefill, decode: d.Grant.Decode,
-			expires: now.Add(LeaseTime),
+			expires: now.Add(LeaseTime), fingerprint: msg.req.Fingerprint,
 		}
 		a.byKey[key], a.byID[l.id] = l, l
 		delete(a.ended, key)
--- a/scheduler/messages.go
+++ b/scheduler/messages.go
@@ -86,4 +86,5 @@
 	prefill      string
 	decode       string
 	pieces       int
+	fingerprint  uint64
 }
--- a/scheduler/server.go
+++ b/scheduler/server.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cairnworks/cairnworks/decision/group"
+	"github.com/cairnworks/cairnworks/decision/quarantine"
 	peerv1 "github.com/cairnworks/cairnworks/gen/cairnworks/peer/v1"
 	"github.com/cairnworks/cairnworks/object"
 	"github.com/cairnworks/cairnworks/observe"
@@ -117,6 +118,7 @@
 		byKey:   make(map[attemptKey]*lease),
 		byID:    make(map[uint64]*lease),
 		ended:   make(map[attemptKey]time.Time),
+		crashes: quarantine.New(quarantine.DefaultConfig()), processes: make(map[string]string),
 		addrs:   make(map[string]string),
 		home:    func() bool { return s.isHome(service.Name) },
 		dead:    s.cfg.Dead,
--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -42,7 +42,7 @@
 		ID: id, RequestID: held.key.String(), Organisation: held.organisation,
 		Prefill: held.prefill, Decode: held.decode, Pieces: held.pieces,
 	})
-	l := &lease{id: id, key: held.key, holder: holder, prefill: held.prefill, decode: held.decode, expires: now.Add(LeaseTime)}
+	l := &lease{id: id, key: held.key, holder: holder, prefill: held.prefill, decode: held.decode, expires: now.Add(LeaseTime), fingerprint: held.fingerprint}
 	a.byKey[held.key], a.byID[id] = l, l
 	a.metrics.Scope.Counter("grants_adopted").Inc(1)
 }
@@ -58,6 +58,7 @@
 		Running: msg.load.Running, Slots: msg.load.Slots, PiecesUsed: msg.load.PiecesUsed,
 		Pieces: msg.load.Pieces, Queued: msg.load.Queued, Leaving: msg.load.Leaving,
 	})
+	a.processes[msg.upstream] = msg.load.Start
 	if !a.home() {
 		return
 	}
