Advice on which upstream should change role

Cause: when the mix of a service shifts, one pool is full beside idle engines of the other, and following each moment's bottleneck costs more than it gives. Change: decision/balance names one upstream after the smoothed load of a pool has been high for a minute and the other pool can spare one; a cooldown after each change.

--- /dev/null
+++ b/decision/balance/balance_test.go
@@ -0,0 +1,216 @@
+package balance
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Unix(1_764_700_000, 0)
+
+// engines returns a sample with pools of the given sizes and loads.
+func engines(prefill, decode int, prefillBusy, decodeBusy float64) []Upstream {
+	var all []Upstream
+	for i := range prefill + decode {
+		u := Upstream{Name: fmt.Sprintf("engine-%02d", i), Role: Prefill, Busy: prefillBusy}
+		if i >= prefill {
+			u.Role, u.Busy = Decode, decodeBusy
+		}
+		all = append(all, u)
+	}
+	return all
+}
+
+// Decode stays full for minutes beside idle prefill engines: one is named after a
+// minute. A burst of half a minute, a pool that could give none without filling up
+// itself, or engines that may not change, bring no advice.
+func TestAdvice(t *testing.T) {
+	cases := []struct {
+		name      string
+		seconds   int
+		upstreams func() []Upstream
+		want      bool
+	}{
+		{"lasting", 120, func() []Upstream { return engines(5, 5, 0.4, 1) }, true},
+		{"burst", 30, func() []Upstream { return engines(5, 5, 0.4, 1) }, false},
+		{"both full", 600, func() []Upstream { return engines(5, 5, 0.8, 1) }, false},
+		{"last prefill engine", 600, func() []Upstream { return engines(1, 5, 0.1, 1) }, false},
+		{"fixed", 600, func() []Upstream {
+			all := engines(5, 5, 0.4, 1)
+			for i := range all {
+				all[i].Fixed = true
+			}
+			return all
+		}, false},
+	}
+	for _, c := range cases {
+		a := New(DefaultConfig())
+		a.Observe(start, engines(5, 5, 0.4, 0.4))
+		for second := 1; second <= c.seconds; second++ {
+			a.Observe(start.Add(time.Duration(second)*time.Second), c.upstreams())
+		}
+		advice, ok := a.Advice()
+		assert.Equal(t, ok, c.want, c.name)
+		if ok {
+			assert.Equal(t, advice.Upstream, "engine-00")
+			assert.Equal(t, advice.To, Decode)
+		}
+	}
+}
+
+// naiveAdvice works the smoothed loads and the time that the same pool has been too
+// small out from all samples. It covers samples without a change of sizes.
+func naiveAdvice(cfg Config, samples [][2]float64, sizes [2]int) (Role, bool) {
+	smoothed := samples[0]
+	lasting, wanting, given := 0, Prefill, false
+	for i, s := range samples {
+		if i > 0 {
+			keep := math.Exp(-1 / cfg.Smoothing.Seconds())
+			for r := range smoothed {
+				smoothed[r] = keep*smoothed[r] + (1-keep)*s[r]
+			}
+		}
+		role := Prefill
+		if smoothed[Decode] > smoothed[Prefill] {
+			role = Decode
+		}
+		limit := cfg.High
+		if given && role == wanting {
+			limit -= 2 * cfg.Gain
+		}
+		n, m := float64(sizes[role]), float64(sizes[role.other()])
+		relieved := smoothed[role] * n / (n + 1)
+		loaded := smoothed[role.other()] * m / (m - 1)
+		if smoothed[role] < limit || loaded > cfg.Room || max(relieved, loaded) > smoothed[role]-cfg.Gain {
+			lasting, given = 0, false
+			continue
+		}
+		if lasting == 0 || role != wanting {
+			lasting, given = 0, false
+		}
+		lasting++
+		wanting = role
+		given = time.Duration(lasting-1)*time.Second >= cfg.Hold
+	}
+	return wanting, given
+}
+
+func TestAgainstNaive(t *testing.T) {
+	advised := 0
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 0))
+		a := New(DefaultConfig())
+		sizes := [2]int{2 + rng.IntN(8), 2 + rng.IntN(8)}
+		var samples [][2]float64
+		level := [2]float64{0.5, 0.5}
+		for second := range 400 {
+			if second%80 == 0 {
+				level = [2]float64{rng.Float64() * 0.8, 0.3 + rng.Float64()}
+			}
+			s := [2]float64{}
+			for r := range s {
+				s[r] = min(1, max(0, level[r]+0.1*rng.NormFloat64()))
+			}
+			samples = append(samples, s)
+			a.Observe(start.Add(time.Duration(second)*time.Second), engines(sizes[0], sizes[1], s[0], s[1]))
+			advice, got := a.Advice()
+			role, want := naiveAdvice(DefaultConfig(), samples, sizes)
+			assert.Equal(t, got, want)
+			if got {
+				advised++
+				assert.Equal(t, advice.To, role)
+			}
+		}
+	}
+	assert.Assert(t, advised > 100)
+}
+
+// shift runs two hours of ten engines whose mix turns from prompts to answers after
+// half an hour, with a burst of the other kind of half a minute every four
+// minutes. A change of role takes an engine out for a minute. It returns the share
+// of the work that was done and the number of changes.
+func shift(advise func(now time.Time, all []Upstream) (string, bool)) (float64, int) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	all := engines(5, 5, 0, 0)
+	backAt := make(map[string]int)
+	asked, done := 0.0, 0.0
+	changes := 0
+	for second := range 7200 {
+		demand := [2]float64{4, 3}
+		if second >= 1800 {
+			demand = [2]float64{2, 6}
+		}
+		if second%240 < 30 {
+			demand[0], demand[1] = demand[1], demand[0]
+		}
+		var working [2]float64
+		for _, u := range all {
+			if backAt[u.Name] <= second {
+				working[u.Role]++
+			}
+		}
+		var busy [2]float64
+		served := 1.0
+		for r := range demand {
+			demand[r] *= 0.9 + 0.2*rng.Float64()
+			served = min(served, working[r]/demand[r])
+			busy[r] = min(1, demand[r]/max(working[r], 0.1))
+		}
+		asked++
+		done += served
+		for i := range all {
+			all[i].Busy = busy[all[i].Role]
+		}
+		name, ok := advise(start.Add(time.Duration(second)*time.Second), all)
+		for i := range all {
+			if ok && all[i].Name == name && backAt[name] <= second {
+				all[i].Role = all[i].Role.other()
+				backAt[name] = second + 60
+				changes++
+			}
+		}
+	}
+	return done / asked, changes
+}
+
+// The mix of a service turns from long prompts to long answers. Left alone, callers
+// wait for decode beside idle prefill engines; with changes at each moment's
+// bottleneck, engines spend their time changing.
+func TestShiftOfMix(t *testing.T) {
+	alone, _ := shift(func(time.Time, []Upstream) (string, bool) { return "", false })
+	momentary, flaps := shift(func(_ time.Time, all []Upstream) (string, bool) {
+		var load, size [2]float64
+		for _, u := range all {
+			size[u.Role]++
+			load[u.Role] = u.Busy
+		}
+		for _, u := range all {
+			if load[u.Role] < load[u.Role.other()] && load[u.Role.other()] > 0.85 && size[u.Role] > 1 {
+				return u.Name, true
+			}
+		}
+		return "", false
+	})
+	a := New(DefaultConfig())
+	ours, changes := shift(func(now time.Time, all []Upstream) (string, bool) {
+		a.Observe(now, all)
+		advice, ok := a.Advice()
+		return advice.Upstream, ok
+	})
+	t.Logf("share of work done: alone %.3f, momentary %.3f with %d changes, advised %.3f with %d changes",
+		alone, momentary, flaps, ours, changes)
+	assert.Assert(t, ours > alone && ours > momentary)
+	assert.Assert(t, changes <= 4 && changes < flaps)
+}
+
+func BenchmarkObserve(b *testing.B) {
+	a := New(DefaultConfig())
+	all := engines(100, 100, 0.5, 0.9)
+	for i := 0; b.Loop(); i++ {
+		a.Observe(start.Add(time.Duration(i)*time.Second), all)
+	}
+}
