config: an unreachable peer is asked at a pace

Cause: a peer listed with a higher version that refuses connections was asked again at once, without a pause, while the log was down: each look at the list woke the loop that looks at the list.

Change: only a notice from membership wakes it; looking at the list does not. Log lines give an error's message without its stack trace.

Measured: TestUnreachablePeerIsAskedAtAPace stops at 1001 connections in 25 s before, and passes with at most 60 after. go test -race ./config ok, 10.1 s.

--- a/config/follow_log.go
+++ b/config/follow_log.go
@@ -123,9 +123,18 @@
 		return
 	}
 	if down {
-		f.log.Warn("configuration log down", zap.Error(err))
+		f.log.Warn("configuration log down", errorField(err))
 		f.poke()
 		return
 	}
 	f.log.Info("configuration log up")
 }
+
+// errorField gives the message alone. zap.Error adds the stack trace of errors
+// that carry one, over many lines' worth of one line.
+func errorField(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String("error", err.Error())
+}
--- a/config/follow_peers.go
+++ b/config/follow_peers.go
@@ -17,14 +17,20 @@
 
 // Notice tells the follower that a peer holds a version.
 func (f *Follower) Notice(peerAddress string, version uint64) {
+	if f.note(peerAddress, version) {
+		f.poke()
+	}
+}
+
+// note remembers a version that a peer is said to hold, if that is news.
+func (f *Follower) note(peerAddress string, version uint64) bool {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	if version <= f.held.version() || version <= f.notices[peerAddress].version {
-		f.mu.Unlock()
-		return
+		return false
 	}
 	f.notices[peerAddress] = notice{version: version, heard: time.Now()}
-	f.mu.Unlock()
-	f.poke()
+	return true
 }
 
 func (f *Follower) poke() {
@@ -59,10 +65,11 @@
 	}
 }
 
-// noticePeers takes the versions that membership knows.
+// noticePeers takes the versions that membership knows. It wakes nobody: a peer
+// that cannot be reached would be asked again without a pause.
 func (f *Follower) noticePeers() {
 	for _, p := range f.peers() {
-		f.Notice(p.Address, p.Version)
+		f.note(p.Address, p.Version)
 	}
 }
 
@@ -145,7 +152,7 @@
 	if err != nil {
 		f.scope.Counter("fetch_void").Inc(1)
 		f.refuseVersion(msg.GetVersion())
-		f.log.Warn("configuration from peer refused", zap.String("peer", address), zap.Uint64("version", msg.GetVersion()), zap.Error(err))
+		f.log.Warn("configuration from peer refused", zap.String("peer", address), zap.Uint64("version", msg.GetVersion()), errorField(err))
 		return err
 	}
 	f.offer(msg.GetVersion(), decoded.set, "peer")
--- a/config/follower.go
+++ b/config/follower.go
@@ -41,8 +41,8 @@
 	// Logger and Metrics may be nil.
 	Logger  *zap.Logger
 	Metrics *observe.Metrics
-	// Seed makes the choice among equal peers and the spread of republishing
-	// differ from instance to instance.
+	// Seed makes the choice among peers that hold the same version differ from
+	// instance to instance.
 	Seed uint64
 }
 
--- a/config/follower_test.go
+++ b/config/follower_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	peerv1 "github.com/cairnworks/cairnworks/gen/cairnworks/peer/v1"
+	"github.com/cairnworks/cairnworks/gen/cairnworks/peer/v1/peerv1connect"
 	"github.com/cairnworks/cairnworks/object"
 	"github.com/cairnworks/cairnworks/port"
 )
@@ -343,3 +344,36 @@
 		assert.Equal(t, n.version(), uint64(1))
 	})
 }
+
+// A peer that is listed with a higher version refuses connections while the log is
+// down. Asked without a pause, it takes a whole core of every instance.
+func TestUnreachablePeerIsAskedAtAPace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		log := newMemLog()
+		mustPublish(t, log, 1)
+		view := &logView{memLog: log}
+		dials := 0
+		f := NewFollower(FollowerConfig{
+			Log: view, Peers: func() []Peer { return []Peer{{Address: "10.0.0.2:1", Version: 9}} },
+			Dial: func(string) peerv1connect.ConfigServiceClient {
+				if dials++; dials > 1000 {
+					cancel()
+				}
+				return client{newFleet(0), "10.0.0.2:1"}
+			},
+		})
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = f.Run(ctx)
+		}()
+		settleFleet(5 * time.Second)
+		assert.Equal(t, f.Current().Version(), uint64(1))
+		view.set(true)
+		settleFleet(longPoll + 10*time.Second)
+		cancel()
+		<-done
+		assert.Assert(t, dials <= 60, "%d connections in 25 s", dials)
+	})
+}
--- a/config/republish.go
+++ b/config/republish.go
@@ -136,5 +136,5 @@
 		_, err = f.cfg.Log.Append(ctx, Stream, entry)
 	}
 	f.scope.Counter("republished").Inc(1)
-	f.log.Info("configuration republished", zap.Uint64("version", c.version), zap.Error(err))
+	f.log.Info("configuration republished", zap.Uint64("version", c.version), errorField(err))
 }
