--- a/e2e/engines_test.go
+++ b/e2e/engines_test.go
@@ -112,3 +112,52 @@
 	}
 	return total
 }
+
+// One of three decode engines turns ten times slower while its reports go on
+// saying that it has free slots. Callers of the others must not wait behind it:
+// it gets less, is tried now and then, and comes back when it is well again.
+func TestSlowEngineGetsLessAndComesBack(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, fleetConfig{instances: 1, prefill: 1, decode: 3, plain: 1, tokenTime: 2 * time.Millisecond})
+	f.fault("decode-1", stand.Faults{SlowFactor: 10})
+	send := func() { f.sendBatch(t, 6) }
+	d := f.instances[0]
+	said := func(state string) func() bool {
+		return func() bool {
+			send()
+			for _, line := range d.printed() {
+				if strings.Contains(line, "upstream health") && strings.Contains(line, "upstream=decode-1") && strings.Contains(line, "state="+state) {
+					return true
+				}
+			}
+			return false
+		}
+	}
+	eventually(t, "the slow engine is out", said("out"))
+	before := f.decodes("decode-1")
+	for range 5 {
+		send()
+	}
+	assert.Assert(t, f.decodes("decode-1")-before <= 6, "the slow engine got %d of 30", f.decodes("decode-1")-before)
+	f.fault("decode-1", stand.Faults{})
+	eventually(t, "the engine comes back", said("healthy"))
+}
+
+// sendBatch sends n requests at once and checks their answers.
+func (f *fleet) sendBatch(t *testing.T, n int) {
+	var all sync.WaitGroup
+	for k := range n {
+		all.Go(func() {
+			a := chat(context.Background(), f.instances[0].callers, f.keys["alpha"], prompt(6, k), 30, nil)
+			assert.Check(t, a.wrong(prompt(6, k), 30) == "", a.wrong(prompt(6, k), 30))
+		})
+	}
+	all.Wait()
+}
+
+// decodes counts the requests that an engine has decoded.
+func (f *fleet) decodes(name string) int {
+	var stats stand.EngineStats
+	f.stats(name, &stats)
+	return len(stats.Requests)
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -17,6 +17,7 @@
 	"github.com/cairnworks/cairnworks/object"
 	"github.com/cairnworks/cairnworks/observe"
 	"github.com/cairnworks/cairnworks/once"
+	"github.com/cairnworks/cairnworks/order"
 	"github.com/cairnworks/cairnworks/peer"
 	"github.com/cairnworks/cairnworks/port"
 	"github.com/cairnworks/cairnworks/port/httpport"
@@ -45,6 +46,7 @@
 	platform platformClients
 	rate     *rate.Service
 	guard    *once.Service
+	orders   *order.Service
 
 	listeners listeners
 	readiness readiness
--- a/instance/operators.go
+++ b/instance/operators.go
@@ -9,6 +9,7 @@
 
 	"github.com/cairnworks/cairnworks/config"
 	peerv1 "github.com/cairnworks/cairnworks/gen/cairnworks/peer/v1"
+	"github.com/cairnworks/cairnworks/object"
 	"github.com/cairnworks/cairnworks/operator"
 	"github.com/cairnworks/cairnworks/request"
 )
@@ -27,9 +28,24 @@
 		Token: token, Logger: i.log, Metrics: i.metrics.Handler,
 		Status: sources, Instances: sources, Upstreams: sources, Queues: sources, Objects: i.follower,
 		Drainer: i, Level: i.level, Publisher: config.NewPublisher(i.platform.log),
+		Mounts: []func(*http.ServeMux){i.guard.AddQueries, i.orders.AddQueries, i.addOrderCommands},
 	}), nil
 }
 
+func (i *Instance) addOrderCommands(mux *http.ServeMux) {
+	i.orders.AddCommands(mux, func(name string) (object.Upstream, bool) {
+		index := i.index()
+		if index == nil {
+			return object.Upstream{}, false
+		}
+		upstream, ok := index.Upstream(name)
+		if !ok {
+			return object.Upstream{}, false
+		}
+		return *upstream, true
+	})
+}
+
 // operatorSources answers operators' queries about an instance and the fleet.
 type operatorSources struct{ i *Instance }
 
--- a/instance/stages.go
+++ b/instance/stages.go
@@ -9,12 +9,13 @@
 	"github.com/cairnworks/cairnworks/gen/cairnworks/peer/v1/peerv1connect"
 	"github.com/cairnworks/cairnworks/object"
 	"github.com/cairnworks/cairnworks/once"
+	"github.com/cairnworks/cairnworks/order"
 	"github.com/cairnworks/cairnworks/rate"
 	"github.com/cairnworks/cairnworks/request"
 )
 
-// buildStages prepares the parts of the path whose state the fleet shares: the
-// token rate and the at-most-once guard.
+// buildStages prepares the parts whose state the fleet shares through the log: the
+// token rate, the at-most-once guard, and orders to upstreams.
 func (i *Instance) buildStages() error {
 	var err error
 	i.rate, err = rate.New(rate.Config{
@@ -29,6 +30,12 @@
 		LogRetention: i.logRetention(),
 		Window:       i.logRetention() / 2,
 	})
+	if err != nil {
+		return err
+	}
+	i.orders, err = order.New(order.Config{
+		Self: i.self(), Log: i.platform.log, Engines: i.engines, Logger: i.log, Metrics: i.metrics,
+	})
 	return err
 }
 
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -36,6 +36,10 @@
 	Drainer   Drainer
 	Level     LevelSetter
 	Publisher Publisher
+
+	// Mounts add further endpoints behind the token, those of packages that come
+	// with their own.
+	Mounts []func(*http.ServeMux)
 }
 
 // LevelSetter changes the least severe level that is logged; zap.AtomicLevel is one.
@@ -54,6 +58,9 @@
 	guarded := http.NewServeMux()
 	addQueries(guarded, cfg)
 	addCommands(guarded, cfg)
+	for _, mount := range cfg.Mounts {
+		mount(guarded)
+	}
 	open.Handle("/", requireToken(cfg.Token, guarded))
 	// A page in a browser on the operator's machine could otherwise send commands
 	// to an instance on loopback that has no token.
--- a/scheduler/actor.go
+++ b/scheduler/actor.go
@@ -54,6 +54,7 @@
 	// upstream's process as last reported.
 	crashes   *quarantine.Ledger
 	processes map[string]string
+	health    *upstreamHealth
 	timer     *time.Timer
 	plain     bool
 }
@@ -67,8 +68,9 @@
 	decode  string
 	expires time.Time
 	// prefilled leases no longer use their prefill upstream.
-	prefilled   bool
-	fingerprint uint64
+	prefilled    bool
+	fingerprint  uint64
+	promptTokens int
 }
 
 // Receive implements actor.Actor.
@@ -87,7 +89,7 @@
 			a.apply(now, a.group.PrefillDone(now, l.id))
 		}
 	case releaseMsg:
-		a.judge(now, msg.outcome)
+		a.judge(now, msg.key, msg.outcome)
 		a.end(now, msg.key, msg.outcome)
 	case renewMsg:
 		msg.lost <- a.renew(now, msg)
@@ -98,7 +100,7 @@
 	case cacheMsg:
 		a.cache(now, msg)
 	case statusMsg:
-		msg.answer <- a.group.Status(now)
+		msg.answer <- statusReply{a.group.Status(now), a.advice()}
 	case tickMsg:
 	case *actor.Stopping:
 		a.stop()
@@ -112,6 +114,8 @@
 // advance handles what is due and sets the timer for what comes next.
 func (a *serviceActor) advance(ctx actor.Context, now time.Time) {
 	a.expire(now)
+	a.carryHealth(now)
+	a.sampleBalance(now)
 	decisions, next := a.group.Advance(now)
 	a.apply(now, decisions)
 	wait := maxTick
@@ -129,6 +133,7 @@
 	ups := make([]group.Upstream, 0, len(msg.upstreams))
 	clear(a.addrs)
 	a.plain = msg.service.Kind == object.KindPlain
+	a.health.configure(msg.upstreams)
 	for _, u := range msg.upstreams {
 		a.addrs[u.Name] = u.Address
 		ups = append(ups, group.Upstream{
@@ -179,7 +184,7 @@
 		}
 		l := &lease{
 			id: d.Grant.ID, key: key, holder: msg.holder, prefill: d.Grant.Prefill, decode: d.Grant.Decode,
-			expires: now.Add(LeaseTime), fingerprint: msg.req.Fingerprint,
+			expires: now.Add(LeaseTime), fingerprint: msg.req.Fingerprint, promptTokens: msg.req.PromptTokens,
 		}
 		a.byKey[key], a.byID[l.id] = l, l
 		delete(a.ended, key)
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -10,10 +10,13 @@
 	"github.com/cairnworks/cairnworks/verdict"
 )
 
-// judge learns from the end of an attempt which prompts upstreams survive. Every
-// outcome of a service passes here, so that a prompt which its caller sends again
-// through another instance is known.
-func (a *serviceActor) judge(now time.Time, outcome group.Outcome) {
+// judge learns from the end of an attempt how well its upstreams do and which
+// prompts they survive. Every outcome of a service passes here, so that a prompt
+// which its caller sends again through another instance is known.
+func (a *serviceActor) judge(now time.Time, key attemptKey, outcome group.Outcome) {
+	if l := a.byKey[key]; l != nil {
+		a.health.observe(now, l, outcome)
+	}
 	switch outcome.Kind {
 	case group.OutcomeDone:
 		a.crashes.Succeeded(outcome.Fingerprint)
--- a/scheduler/messages.go
+++ b/scheduler/messages.go
@@ -75,9 +75,15 @@
 		reset    bool
 	}
 	tickMsg   struct{}
-	statusMsg struct{ answer chan<- group.Status }
+	statusMsg struct{ answer chan<- statusReply }
 )
 
+// statusReply is what operators see of a service.
+type statusReply struct {
+	status group.Status
+	advice string
+}
+
 // heldGrant is a grant that an instance renews.
 type heldGrant struct {
 	id           uint64
--- a/scheduler/query.go
+++ b/scheduler/query.go
@@ -15,11 +15,13 @@
 	if err != nil {
 		return nil, err
 	}
-	answer := make(chan group.Status, 1)
+	answer := make(chan statusReply, 1)
 	s.system.Root.Send(pid, statusMsg{answer})
 	select {
-	case status := <-answer:
-		return connect.NewResponse(statusResponse(status)), nil
+	case r := <-answer:
+		response := statusResponse(r.status)
+		response.Advice = r.advice
+		return connect.NewResponse(response), nil
 	case <-ctx.Done():
 		return nil, connect.NewError(connect.CodeCanceled, ctx.Err())
 	}
--- a/scheduler/server.go
+++ b/scheduler/server.go
@@ -112,13 +112,16 @@
 		service: service.Name,
 		group: group.New(group.Config{
 			Kind: service.Kind, FirstGrantID: uint64(time.Now().UnixMilli()) << 20,
-			FirstToken: time.Duration(service.FirstByteMS) * time.Millisecond,
+			// The operators' bound on the wait, which is the target unless they say
+			// otherwise: a service whose callers may wait longer must not refuse at it.
+			FirstToken: time.Duration(service.MaxWaitMS) * time.Millisecond,
 		}),
 		waiting: make(map[attemptKey]reserveMsg),
 		byKey:   make(map[attemptKey]*lease),
 		byID:    make(map[uint64]*lease),
 		ended:   make(map[attemptKey]time.Time),
 		crashes: quarantine.New(quarantine.DefaultConfig()), processes: make(map[string]string),
+		health:  newUpstreamHealth(),
 		addrs:   make(map[string]string),
 		home:    func() bool { return s.isHome(service.Name) },
 		dead:    s.cfg.Dead,
