config: a fresh instance asks each peer once

Cause: while the log is down and no peer has a set, as after a restart of the whole fleet, each instance asked each other twice a second: at 400 instances 800 questions a second for every one of them.

Change: a peer that has answered is asked again only when membership knows it at a higher version than the own one.

--- a/config/config.go
+++ b/config/config.go
@@ -52,8 +52,9 @@
 	// refusedAgain is how long peers are not asked again for a version that could
 	// not be used.
 	refusedAgain = 30 * time.Second
-	// fetchParallel bounds concurrent fetches of one instance.
-	fetchParallel = 8
+	// fetchParallel bounds concurrent fetches of a fresh instance. Peers that do not
+	// answer cost fetchTimeout each; 32 at once keep 400 of them below 40 s.
+	fetchParallel = 32
 	// maxChanges is the most changes between two whole sets. A fresh instance applies
 	// them one by one, at 12000 organisations about 55 ms each; writing whole sets
 	// more often costs every instance a megabyte each time.
--- a/config/fakes_test.go
+++ b/config/fakes_test.go
@@ -163,6 +163,8 @@
 	retention time.Duration
 	mu        sync.Mutex
 	nodes     map[string]*node
+	// fetches counts questions between peers.
+	fetches atomic.Int64
 }
 
 func newFleet(retention time.Duration) *fleet {
@@ -246,6 +248,7 @@
 }
 
 func (c client) Fetch(ctx context.Context, req *connect.Request[peerv1.FetchRequest]) (*connect.Response[peerv1.FetchResponse], error) {
+	c.fleet.fetches.Add(1)
 	c.fleet.mu.Lock()
 	n := c.fleet.nodes[c.to]
 	c.fleet.mu.Unlock()
--- a/config/follow_peers.go
+++ b/config/follow_peers.go
@@ -44,7 +44,7 @@
 func (f *Follower) followPeers(ctx context.Context) error {
 	tick := time.NewTicker(peerInterval)
 	defer tick.Stop()
-	var round startRound
+	var fresh start
 	for {
 		select {
 		case <-ctx.Done():
@@ -60,7 +60,7 @@
 			f.fetchHigher(ctx)
 			f.becomeReady()
 		case f.askPeersToStart():
-			f.startFromPeers(ctx, &round)
+			f.startFromPeers(ctx, &fresh)
 		}
 	}
 }
@@ -178,55 +178,70 @@
 	return f.held.version()
 }
 
-// startRound remembers which peers a fresh instance knows, and since when.
-type startRound struct {
+// start is what a fresh instance remembers while it asks its peers.
+type start struct {
 	addresses []string
 	since     time.Time
+	// answered holds the peers that have answered. They are asked again only when
+	// membership knows them at a higher version: if a whole fleet starts while the
+	// log is down, everybody asking everybody twice a second would fill the links.
+	answered map[string]bool
 }
 
 // stable tells whether the same peers, at least one, have been known for
 // peersSettle.
-func (r *startRound) stable(addresses []string, now time.Time) bool {
-	if !slices.Equal(addresses, r.addresses) {
-		r.addresses, r.since = addresses, now
+func (s *start) stable(addresses []string, now time.Time) bool {
+	if !slices.Equal(addresses, s.addresses) {
+		s.addresses, s.since = addresses, now
 	}
-	return len(addresses) > 0 && now.Sub(r.since) >= peersSettle
+	return len(addresses) > 0 && now.Sub(s.since) >= peersSettle
 }
 
 // startFromPeers asks every known peer. The instance becomes ready once it has
-// asked the same peers for a while: membership fills its list while the instance
-// starts, and the first peer that it names may be the one that is behind.
-func (f *Follower) startFromPeers(ctx context.Context, round *startRound) {
-	stable := round.stable(f.askAll(ctx), time.Now())
-	if stable && ctx.Err() == nil && f.heldVersion() > 0 {
+// known and asked the same peers for a while: membership fills its list while the
+// instance starts, and the first peer that it names may be the one that is behind.
+func (f *Follower) startFromPeers(ctx context.Context, s *start) {
+	peers := f.peers()
+	f.askAll(ctx, peers, s)
+	addresses := make([]string, len(peers))
+	for i, p := range peers {
+		addresses[i] = p.Address
+	}
+	slices.Sort(addresses)
+	if s.stable(addresses, time.Now()) && ctx.Err() == nil && f.heldVersion() > 0 {
 		f.deliver()
 		f.log.Info("configuration ready", zap.String("source", "peers"))
 	}
 }
 
-// askAll fetches from every known peer and returns their addresses in order. The
-// peer with the highest version is asked first, so that the others have nothing
-// to send.
-func (f *Follower) askAll(ctx context.Context) []string {
-	peers := f.peers()
+// askAll fetches from the peers that have not answered yet or are known to hold
+// more. The one with the highest version is asked first, so that the others have
+// nothing to send.
+func (f *Follower) askAll(ctx context.Context, peers []Peer, s *start) {
+	peers = slices.Clone(peers)
 	slices.SortFunc(peers, func(a, b Peer) int {
 		return cmp.Or(cmp.Compare(b.Version, a.Version), cmp.Compare(a.Address, b.Address))
 	})
-	addresses := make([]string, 0, len(peers))
+	ok := make([]bool, len(peers))
 	var group errgroup.Group
 	group.SetLimit(fetchParallel)
 	for i, p := range peers {
-		addresses = append(addresses, p.Address)
+		ok[i] = s.answered[p.Address] && p.Version <= f.heldVersion()
+		if ok[i] {
+			continue
+		}
 		if i == 0 {
-			_ = f.fetch(ctx, p.Address)
+			ok[i] = f.fetch(ctx, p.Address) == nil
 			continue
 		}
 		group.Go(func() error {
-			_ = f.fetch(ctx, p.Address)
+			ok[i] = f.fetch(ctx, p.Address) == nil
 			return nil
 		})
 	}
 	_ = group.Wait()
-	slices.Sort(addresses)
-	return addresses
+	s.answered = make(map[string]bool, len(peers))
+	for i, p := range peers {
+		s.answered[p.Address] = ok[i]
+	}
 }
--- a/config/follower_test.go
+++ b/config/follower_test.go
@@ -138,6 +138,7 @@
 		other := f.start("10.0.0.2:1", true)
 		settleFleet(time.Minute)
 		assert.Assert(t, !fresh.Ready() && !other.Ready())
+		assert.Assert(t, f.fetches.Load() <= 4, "%d questions: a fleet that starts at once asks each peer once", f.fetches.Load())
 		fresh.view.set(false)
 		settleFleet(5 * time.Second)
 		assertAll(t, f, 1)
