--- a/config/fakes_test.go
+++ b/config/fakes_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"hash/crc32"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -177,7 +178,7 @@
 	n := &node{view: &logView{memLog: f.log}, done: make(chan struct{})}
 	n.view.set(logDown)
 	n.Follower = NewFollower(FollowerConfig{
-		Log: n.view, Self: address, Retention: f.retention, Seed: uint64(len(address)),
+		Log: n.view, Self: address, Retention: f.retention, Seed: uint64(crc32.ChecksumIEEE([]byte(address))),
 		Peers: func() []Peer { return f.peers(address) },
 		Dial:  func(to string) peerv1connect.ConfigServiceClient { return client{f, to} },
 	})
--- a/config/follow_log.go
+++ b/config/follow_log.go
@@ -21,9 +21,18 @@
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval = firstLogRetry
 	b.MaxInterval = lastLogRetry
+	b.RandomizationFactor = 0
 	return b
 }
 
+// jitter spreads a wait over half to one and a half of it, by the follower's own
+// seed. Without it, instances that lost the log together ask again together.
+func (f *Follower) jitter(d time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return d/2 + time.Duration(f.rand.Int64N(int64(d)))
+}
+
 // followLog reads the log to its end and then waits for each new record.
 func (f *Follower) followLog(ctx context.Context) error {
 	retry := newLogBackoff()
@@ -41,7 +50,7 @@
 			f.scope.Counter("log_gaps").Inc(1)
 			replay = nil
 		case err != nil:
-			pause(ctx, retry.NextBackOff())
+			pause(ctx, f.jitter(retry.NextBackOff()))
 		default:
 			retry.Reset()
 		}
--- a/config/follower.go
+++ b/config/follower.go
@@ -41,8 +41,8 @@
 	// Logger and Metrics may be nil.
 	Logger  *zap.Logger
 	Metrics *observe.Metrics
-	// Seed makes the choice among peers that hold the same version differ from
-	// instance to instance.
+	// Seed makes waits, and the choice among peers that hold the same version,
+	// differ from instance to instance.
 	Seed uint64
 }
 
@@ -76,6 +76,7 @@
 	nextID      uint64
 
 	wake chan struct{}
+	// rand is guarded by mu.
 	rand *rand.Rand
 }
 
