--- a/config/fakes_test.go
+++ b/config/fakes_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"hash/crc32"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -163,6 +164,10 @@
 	retention time.Duration
 	mu        sync.Mutex
 	nodes     map[string]*node
+	// fetches counts questions between peers.
+	fetches atomic.Int64
+	// ghost is a peer that everybody knows and nobody reaches.
+	ghost atomic.Pointer[Peer]
 }
 
 func newFleet(retention time.Duration) *fleet {
@@ -173,7 +178,7 @@
 	n := &node{view: &logView{memLog: f.log}, done: make(chan struct{})}
 	n.view.set(logDown)
 	n.Follower = NewFollower(FollowerConfig{
-		Log: n.view, Self: address, Retention: f.retention, Seed: uint64(len(address)),
+		Log: n.view, Self: address, Retention: f.retention, Seed: uint64(crc32.ChecksumIEEE([]byte(address))),
 		Peers: func() []Peer { return f.peers(address) },
 		Dial:  func(to string) peerv1connect.ConfigServiceClient { return client{f, to} },
 	})
@@ -224,6 +229,9 @@
 		return nil
 	}
 	var out []Peer
+	if ghost := f.ghost.Load(); ghost != nil {
+		out = append(out, *ghost)
+	}
 	for address, n := range f.nodes {
 		if address != self && !n.cut.Load() {
 			out = append(out, Peer{Address: address, Version: n.version()})
@@ -246,6 +254,7 @@
 }
 
 func (c client) Fetch(ctx context.Context, req *connect.Request[peerv1.FetchRequest]) (*connect.Response[peerv1.FetchResponse], error) {
+	c.fleet.fetches.Add(1)
 	c.fleet.mu.Lock()
 	n := c.fleet.nodes[c.to]
 	c.fleet.mu.Unlock()
--- a/config/follow_peers.go
+++ b/config/follow_peers.go
@@ -44,7 +44,7 @@
 func (f *Follower) followPeers(ctx context.Context) error {
 	tick := time.NewTicker(peerInterval)
 	defer tick.Stop()
-	var round startRound
+	var fresh start
 	for {
 		select {
 		case <-ctx.Done():
@@ -60,17 +60,27 @@
 			f.fetchHigher(ctx)
 			f.becomeReady()
 		case f.askPeersToStart():
-			f.startFromPeers(ctx, &round)
+			f.startFromPeers(ctx, &fresh)
 		}
 	}
 }
 
-// noticePeers takes the versions that membership knows. It wakes nobody: a peer
-// that cannot be reached would be asked again without a pause.
+// noticePeers takes the versions that membership knows, and forgets failed claims
+// of peers that it no longer names. It wakes nobody: a peer that cannot be reached
+// would be asked again without a pause.
 func (f *Follower) noticePeers() {
+	listed := make(map[string]bool)
 	for _, p := range f.peers() {
+		listed[p.Address] = true
 		f.note(p.Address, p.Version)
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for address, n := range f.notices {
+		if n.failed() && !listed[address] {
+			delete(f.notices, address)
+		}
+	}
 }
 
 func (f *Follower) peers() []Peer {
@@ -88,12 +98,12 @@
 		return
 	}
 	_ = f.fetch(ctx, address)
-	// Whatever came of it, the notice is used up: a peer that is gone or cannot
-	// prove its claim must not keep a fresh instance from becoming ready.
-	// Membership names the peer again while it is alive.
 	f.mu.Lock()
-	delete(f.notices, address)
-	f.mu.Unlock()
+	defer f.mu.Unlock()
+	if n, ok := f.notices[address]; ok && n.version > f.held.version() {
+		n.retry = time.Now().Add(noticeRetry)
+		f.notices[address] = n
+	}
 }
 
 // chooseNotice drops notices of versions that arrived meanwhile and picks one of
@@ -108,6 +118,7 @@
 		switch {
 		case n.version <= f.held.version():
 			delete(f.notices, address)
+		case now.Before(n.retry):
 		case n.version > best:
 			best, first, addresses = n.version, n.heard, []string{address}
 		case n.version == best:
@@ -178,55 +189,70 @@
 	return f.held.version()
 }
 
-// startRound remembers which peers a fresh instance knows, and since when.
-type startRound struct {
+// start is what a fresh instance remembers while it asks its peers.
+type start struct {
 	addresses []string
 	since     time.Time
+	// answered holds the peers that have answered. They are asked again only when
+	// membership knows them at a higher version: if a whole fleet starts while the
+	// log is down, everybody asking everybody twice a second would fill the links.
+	answered map[string]bool
 }
 
 // stable tells whether the same peers, at least one, have been known for
 // peersSettle.
-func (r *startRound) stable(addresses []string, now time.Time) bool {
-	if !slices.Equal(addresses, r.addresses) {
-		r.addresses, r.since = addresses, now
+func (s *start) stable(addresses []string, now time.Time) bool {
+	if !slices.Equal(addresses, s.addresses) {
+		s.addresses, s.since = addresses, now
 	}
-	return len(addresses) > 0 && now.Sub(r.since) >= peersSettle
+	return len(addresses) > 0 && now.Sub(s.since) >= peersSettle
 }
 
 // startFromPeers asks every known peer. The instance becomes ready once it has
-// asked the same peers for a while: membership fills its list while the instance
-// starts, and the first peer that it names may be the one that is behind.
-func (f *Follower) startFromPeers(ctx context.Context, round *startRound) {
-	stable := round.stable(f.askAll(ctx), time.Now())
-	if stable && ctx.Err() == nil && f.heldVersion() > 0 {
+// known and asked the same peers for a while: membership fills its list while the
+// instance starts, and the first peer that it names may be the one that is behind.
+func (f *Follower) startFromPeers(ctx context.Context, s *start) {
+	peers := f.peers()
+	f.askAll(ctx, peers, s)
+	addresses := make([]string, len(peers))
+	for i, p := range peers {
+		addresses[i] = p.Address
+	}
+	slices.Sort(addresses)
+	if s.stable(addresses, time.Now()) && ctx.Err() == nil && f.heldVersion() > 0 {
 		f.deliver()
 		f.log.Info("configuration ready", zap.String("source", "peers"))
 	}
 }
 
-// askAll fetches from every known peer and returns their addresses in order. The
-// peer with the highest version is asked first, so that the others have nothing
-// to send.
-func (f *Follower) askAll(ctx context.Context) []string {
-	peers := f.peers()
+// askAll fetches from the peers that have not answered yet or are known to hold
+// more. The one with the highest version is asked first, so that the others have
+// nothing to send.
+func (f *Follower) askAll(ctx context.Context, peers []Peer, s *start) {
+	peers = slices.Clone(peers)
 	slices.SortFunc(peers, func(a, b Peer) int {
 		return cmp.Or(cmp.Compare(b.Version, a.Version), cmp.Compare(a.Address, b.Address))
 	})
-	addresses := make([]string, 0, len(peers))
+	ok := make([]bool, len(peers))
 	var group errgroup.Group
 	group.SetLimit(fetchParallel)
 	for i, p := range peers {
-		addresses = append(addresses, p.Address)
+		ok[i] = s.answered[p.Address] && p.Version <= f.heldVersion()
+		if ok[i] {
+			continue
+		}
 		if i == 0 {
-			_ = f.fetch(ctx, p.Address)
+			ok[i] = f.fetch(ctx, p.Address) == nil
 			continue
 		}
 		group.Go(func() error {
-			_ = f.fetch(ctx, p.Address)
+			ok[i] = f.fetch(ctx, p.Address) == nil
 			return nil
 		})
 	}
 	_ = group.Wait()
-	slices.Sort(addresses)
-	return addresses
+	s.answered = make(map[string]bool, len(peers))
+	for i, p := range peers {
+		s.answered[p.Address] = ok[i]
+	}
 }
--- a/config/follower.go
+++ b/config/follower.go
@@ -41,8 +41,8 @@
 	// Logger and Metrics may be nil.
 	Logger  *zap.Logger
 	Metrics *observe.Metrics
-	// Seed makes the choice among peers that hold the same version differ from
-	// instance to instance.
+	// Seed makes waits, and the choice among peers that hold the same version,
+	// differ from instance to instance.
 	Seed uint64
 }
 
@@ -76,6 +76,7 @@
 	nextID      uint64
 
 	wake chan struct{}
+	// rand is guarded by mu.
 	rand *rand.Rand
 }
 
@@ -100,11 +101,18 @@
 	return h.index.Version()
 }
 
+// notice is a version that a peer was said to hold.
 type notice struct {
 	version uint64
 	heard   time.Time
+	// retry is set when the peer did not pass the version on, to the time from which
+	// it is asked again. Until then others are asked for what they hold: the peer may
+	// be gone, and a claim that nobody proves must not stop a fresh instance.
+	retry time.Time
 }
 
+func (n notice) failed() bool { return !n.retry.IsZero() }
+
 // NewFollower returns a follower that holds nothing until Run.
 func NewFollower(cfg FollowerConfig) *Follower {
 	f := &Follower{
