Group scheduler: bounded preference, bounded tries, tests by pattern

Cause: an organisation with five times its rate of interactive requests took the share of others' deferrable ones; a decision tried every suspended key in vain; a small request waited behind memory that had come free. Change: interactive requests put an organisation at most PreferenceLead engine-seconds ahead; deferrable waits are also judged by the equal share; suspended keys stand in a list and are resumed as places come free; parked requests are tried again only after a change.

--- /dev/null
+++ b/decision/group/bars_test.go
@@ -0,0 +1,89 @@
+package group
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func (s site) named(name string, useNaive bool) measures {
+	for _, pat := range patterns {
+		if pat.name == name {
+			return s.run(pat, 7, Config{}, useNaive)
+		}
+	}
+	panic("no pattern " + name)
+}
+
+// atSites runs a check at the sizes of both users.
+func atSites(t *testing.T, check func(t *testing.T, s site)) {
+	for _, s := range []site{pisar, giltScribe, dezurstva, leafDesk} {
+		t.Run(s.name, func(t *testing.T) {
+			t.Parallel()
+			check(t, s)
+		})
+	}
+}
+
+// All organisations together send more than the service can answer. Without a
+// bound in time every request waits, and at three times the capacity hardly one
+// answer comes within its target; without reserved decode slots prefills are paid
+// for whose results expire.
+func TestOverloadKeepsGoodput(t *testing.T) {
+	atSites(t, func(t *testing.T, s site) {
+		full, over, thrice := s.named("at capacity", false), s.named("overload 1.5", false), s.named("overload 3", false)
+		assert.Assert(t, thrice.goodput >= 0.9*full.goodput, "%s: %.1f of %.1f", s.name, thrice.goodput, full.goodput)
+		assert.Assert(t, thrice.goodput > s.named("overload 3", true).goodput)
+		assert.Equal(t, over.wasted+thrice.wasted, 0.0)
+		assert.Assert(t, min(over.worst, thrice.worst) >= 0.95, "%s: %.3f %.3f", s.name, over.worst, thrice.worst)
+		assert.Equal(t, over.refusedFree+thrice.refusedFree, 0)
+	})
+}
+
+// One organisation, or one key of it, sends several times its rate. With one queue
+// for all, the others' requests wait behind its requests and are refused or late
+// although they keep to their rate.
+func TestHotCallerHarmsItselfAlone(t *testing.T) {
+	atSites(t, func(t *testing.T, s site) {
+		hot, key := s.named("hot caller", false), s.named("hot key", false)
+		assert.Assert(t, min(hot.worst, key.worst) >= 0.95, "%s: %.3f %.3f", s.name, hot.worst, key.worst)
+		assert.Assert(t, hot.refused <= 0.02, "%s: %.3f refused", s.name, hot.refused)
+		assert.Assert(t, key.worstKey >= 0.97, "%s: %.3f of a quiet key", s.name, key.worstKey)
+		assert.Equal(t, hot.refusedFree+key.refusedFree, 0)
+	})
+}
+
+// One upstream of each role takes three times as long as the others. Filled like
+// them, it answers slowly whatever it is given, and callers see a part of all
+// streams crawl.
+func TestSlowUpstreamGetsLess(t *testing.T) {
+	atSites(t, func(t *testing.T, s site) {
+		ours, plain := s.named("slow upstream", false), s.named("slow upstream", true)
+		assert.Assert(t, ours.goodPart >= 0.95 && ours.goodPart > plain.goodPart, "%s: %.3f", s.name, ours.goodPart)
+		assert.Equal(t, ours.refusedFree, 0)
+	})
+}
+
+// Long prompts with long answers need much memory for long. Taken as they come,
+// they hold it all and short requests are refused; passed over for whatever fits,
+// they never start.
+func TestLongAndShortRequestsShare(t *testing.T) {
+	atSites(t, func(t *testing.T, s site) {
+		mixed, flood := s.named("long among short", false), s.named("flood of long", false)
+		assert.Assert(t, min(mixed.shortServed, flood.shortServed) >= 0.97, "%s: %.3f %.3f", s.name, mixed.shortServed, flood.shortServed)
+		assert.Assert(t, mixed.longServed >= 0.9, "%s: %.3f", s.name, mixed.longServed)
+		assert.Equal(t, mixed.refusedFree+flood.refusedFree, 0)
+	})
+}
+
+// Transfers use nine tenths of the links. Started as prefills end, some wait in
+// line until their result has expired, and the prefill is paid for in vain.
+func TestNarrowLinksWasteNoPrefill(t *testing.T) {
+	for _, s := range []site{pisar, giltScribe} {
+		ours := s.named("narrow links", false)
+		assert.Equal(t, ours.wasted, 0.0)
+		assert.Assert(t, s.named("narrow links", true).wasted > 0)
+		assert.Assert(t, ours.goodput >= s.named("narrow links", true).goodput)
+		assert.Equal(t, ours.refusedFree, 0)
+	}
+}
--- a/decision/group/capacity.go
+++ b/decision/group/capacity.go
@@ -52,7 +52,10 @@
 
 // shareOf is the larger of the parts of slots and memory that a request holds.
 func (g *Group) shareOf(u *upstream, pieces int) float64 {
-	share := 1 / float64(max(1, u.spec.Slots))
+	if u.spec.Slots == 0 {
+		return startEngineShare
+	}
+	share := 1 / float64(u.spec.Slots)
 	if u.spec.Pieces > 0 {
 		share = max(share, float64(pieces)/float64(u.spec.Pieces))
 	}
--- a/decision/group/config.go
+++ b/decision/group/config.go
@@ -30,6 +30,9 @@
 	// DeferrableShare is the part of the engine time for deferrable requests while
 	// interactive ones wait.
 	DeferrableShare float64
+	// PreferenceLead is how many engine-seconds an organisation's interactive
+	// requests may put it ahead of one whose deferrable requests wait.
+	PreferenceLead float64
 	// Start are the estimates used before outcomes are known.
 	Start StartEstimates
 }
@@ -88,7 +91,7 @@
 	maxParked = 8
 	// maxMisses bounds the requests that one decision tries in vain; the rest is
 	// tried after parkedRetry.
-	maxMisses = 16
+	maxMisses = 4
 	// maxResumed is how many keys that were passed over get another turn when a
 	// grant is released: what one release frees seldom serves more.
 	maxResumed = 4
@@ -122,6 +125,7 @@
 	setDefault(&c.KVExpiry, DefaultKVExpiry)
 	setDefault(&c.KVBytesPerToken, DefaultKVBytesPerToken)
 	setDefault(&c.DeferrableShare, queue.DeferrableShare)
+	setDefault(&c.PreferenceLead, queue.PreferenceLead)
 	setDefault(&c.Start.BetweenTokens, defaultStart.BetweenTokens)
 	setDefault(&c.Start.OutputRatio, defaultStart.OutputRatio)
 	setDefault(&c.Start.OutputTokens, defaultStart.OutputTokens)
--- a/decision/group/dispatch.go
+++ b/decision/group/dispatch.go
@@ -67,6 +67,8 @@
 		w := it.Value
 		if r := g.place(now, w); r != nil {
 			g.grant(now, w, r)
+			// Where this one fitted, one that was passed over may fit too.
+			g.queue.Resume()
 			continue
 		}
 		g.park(now, it)
--- a/decision/group/group.go
+++ b/decision/group/group.go
@@ -26,9 +26,10 @@
 	parked []*waiter
 	grants map[uint64]*held
 	// shares is what each organisation with grants holds, in engines.
-	shares map[string]*share
-	nextID uint64
-	uses   uint64
+	shares  map[string]*share
+	engines float64
+	nextID  uint64
+	uses    uint64
 
 	cache    *prefill.Index
 	estimate *estimates
@@ -38,7 +39,11 @@
 	// triesSpent is set when a decision ended before the queue was served as far
 	// as there are places.
 	triesSpent bool
-	out        []Decision
+	// changed is set when places may have come free since triedParked, the last
+	// try of parked requests.
+	changed     bool
+	triedParked time.Time
+	out         []Decision
 }
 
 // waiter is a request without a grant.
@@ -88,7 +93,7 @@
 		cfg:      cfg,
 		byName:   make(map[string]*upstream),
 		byIndex:  make(map[int]*upstream),
-		queue:    queue.New[*waiter](cfg.DeferrableShare),
+		queue:    queue.New[*waiter](cfg.DeferrableShare, cfg.PreferenceLead),
 		grants:   make(map[uint64]*held),
 		shares:   make(map[string]*share),
 		nextID:   cfg.FirstGrantID,
@@ -115,6 +120,7 @@
 		}
 	}
 	g.forgetGone()
+	g.changed = true
 	return g.dispatch(now)
 }
 
@@ -153,6 +159,7 @@
 	to := g.byName[h.Decode]
 	if to == nil {
 		to = g.upstream(Upstream{Name: h.Decode})
+		to.spec.Name = h.Decode
 		to.gone = true
 	}
 	// The prefill is taken as done: a prefill lasts far less than a takeover.
--- a/decision/group/parked.go
+++ b/decision/group/parked.go
@@ -23,7 +23,14 @@
 }
 
 // retryParked tries requests that were taken from the queue but did not fit.
+// Without a change since the last try that can only help when a link came free
+// with time.
 func (g *Group) retryParked(now time.Time) {
+	if !g.changed && now.Before(g.triedParked.Add(parkedRetry)) {
+		return
+	}
+	g.changed = false
+	g.triedParked = now
 	for i := 0; i < len(g.parked); {
 		w := g.parked[i]
 		claimed := w.claim
--- a/decision/group/release.go
+++ b/decision/group/release.go
@@ -1,6 +1,10 @@
 package group
 
-import "time"
+import (
+	"time"
+
+	"github.com/cairnworks/cairnworks/decision/placement"
+)
 
 // PrefillDone frees the prefill place of a grant whose decode goes on. A driver
 // that never calls it has its prefill places freed at their estimated end.
@@ -39,9 +43,10 @@
 	if u := g.byName[out.FailedUpstream]; u != nil && out.Kind == OutcomeUpstreamCrashed {
 		g.cache.Reset(u.index)
 	}
-	if h.to.gone {
+	if h.to.gone || (h.from != nil && h.from.gone) {
 		g.forgetGone()
 	}
+	g.changed = true
 	g.resume()
 	return g.dispatch(now)
 }
@@ -51,6 +56,7 @@
 		return
 	}
 	h.prefilling = false
+	g.changed = true
 	h.from.account.Free(now, 0)
 }
 
@@ -94,6 +100,10 @@
 	}
 	if out.OutputTokens > 1 && out.Decode > 0 {
 		between := out.Decode / time.Duration(out.OutputTokens-1)
-		h.to.account.Observe(h.granted, h.runningAtGrant, now, between, g.cfg.BetweenTokens)
+		h.to.account.Observe(now, placement.Answer{
+			Granted: h.granted, RunningAtGrant: h.runningAtGrant,
+			BetweenTokens: between, Target: g.cfg.BetweenTokens,
+			GroupSlow: g.estimate.step() > g.cfg.BetweenTokens,
+		})
 	}
 }
--- a/decision/group/share.go
+++ b/decision/group/share.go
@@ -1,9 +1,17 @@
 package group
 
+import (
+	"time"
+
+	"github.com/cairnworks/cairnworks/request"
+)
+
 // share is what one organisation holds.
 type share struct {
 	grants  int
 	engines float64
+	// interactive is the part of engines for interactive requests.
+	interactive float64
 }
 
 func (g *Group) addShare(h *held) {
@@ -14,12 +22,20 @@
 	}
 	s.grants++
 	s.engines += h.engineShare
+	g.engines += h.engineShare
+	if h.class == request.Interactive {
+		s.interactive += h.engineShare
+	}
 }
 
 func (g *Group) dropShare(h *held) {
 	s := g.shares[h.Organisation]
 	s.grants--
 	s.engines -= h.engineShare
+	g.engines -= h.engineShare
+	if h.class == request.Interactive {
+		s.interactive -= h.engineShare
+	}
 	if s.grants == 0 {
 		delete(g.shares, h.Organisation)
 	}
@@ -40,3 +56,25 @@
 	}
 	return held+g.engineShare(w) <= float64(usableCount(g.sinks))/float64(organisations)
 }
+
+// fairWait is how long a deferrable request waits when its organisation gets an
+// equal share of the engines in use: what queues before it in its organisation, at
+// the part of the share that its interactive requests leave.
+func (g *Group) fairWait(w *waiter) time.Duration {
+	own := 0.0
+	organisations := len(g.shares)
+	if s := g.shares[w.Organisation]; s != nil {
+		own = s.interactive
+	} else {
+		organisations++
+	}
+	rate := g.engines/float64(organisations) - own
+	if rate <= 0 {
+		return forever
+	}
+	ahead := g.queue.OrganisationCost(request.Deferrable, w.Organisation) + w.cost
+	return min(forever, seconds(ahead/rate))
+}
+
+// forever stands for a wait without end in estimates.
+const forever = time.Hour
--- a/decision/group/submit.go
+++ b/decision/group/submit.go
@@ -132,13 +132,14 @@
 		ahead += min(p.cost, w.cost)
 	}
 	share := g.cfg.DeferrableShare
+	interval := g.interval(now)
 	if w.Class == request.Deferrable {
 		ahead += g.queue.Cost(request.Interactive)
-		ahead /= max(share, 1-g.estimate.interactiveLoad(now, g.interval(now)))
-	} else {
-		ahead += min(g.queue.Cost(request.Deferrable), ahead*share/(1-share))
+		ahead /= max(share, 1-g.estimate.interactiveLoad(now, interval))
+		return min(g.estimate.drainTime(ahead, interval), g.fairWait(w))
 	}
-	return g.estimate.drainTime(ahead, g.interval(now))
+	ahead += min(g.queue.Cost(request.Deferrable), ahead*share/(1-share))
+	return g.estimate.drainTime(ahead, interval)
 }
 
 func (g *Group) queued() int {
--- a/decision/group/upstream.go
+++ b/decision/group/upstream.go
@@ -50,7 +50,11 @@
 }
 
 func (u *upstream) hold(h *held) {
-	u.account.Hold(h.Pieces)
+	if h.adopted {
+		u.account.Adopt(h.Pieces)
+	} else {
+		u.account.Hold(h.Pieces)
+	}
 	u.holds = append(u.holds, h)
 }
 
@@ -84,6 +88,7 @@
 	if u == nil {
 		return
 	}
+	g.changed = true
 	u.leaving = load.Leaving
 	u.account.Slots = believed(u.spec.Slots, load.Slots)
 	u.account.Pieces = believed(u.spec.Pieces, load.Pieces)
@@ -100,6 +105,7 @@
 // SetHealth sets the weight of an upstream: 0 takes it out, 1 is full.
 func (g *Group) SetHealth(now time.Time, name string, weight float64) {
 	if u := g.byName[name]; u != nil {
+		g.changed = true
 		u.health = min(max(weight, 0), 1)
 	}
 }
--- a/decision/placement/limit.go
+++ b/decision/placement/limit.go
@@ -12,6 +12,24 @@
 	tolerance = 1.05
 )
 
+// lowestPart is the part of the slots that is kept when the whole group is slower
+// than the target. Then fewer requests an upstream do not bring the target back,
+// and cutting on would only refuse more.
+const lowestPart = 0.25
+
+// Answer is what a finished answer shows of its decode upstream.
+type Answer struct {
+	// Granted is when the request got its place, RunningAtGrant the size of the
+	// batch that it joined.
+	Granted        time.Time
+	RunningAtGrant int
+	// BetweenTokens is its mean time between tokens.
+	BetweenTokens time.Duration
+	Target        time.Duration
+	// GroupSlow tells that the mean of the whole group misses the target too.
+	GroupSlow bool
+}
+
 // Limit is the number of requests that a decode upstream is given at once. It
 // starts at the slots, is cut in proportion when answers are slower than the
 // target, and grows by one for each full round of answers within it (additive
@@ -28,14 +46,18 @@
 	return min(slots, max(1, int(float64(slots)-l.below)))
 }
 
-func (l *Limit) observe(slots, running int, granted time.Time, atGrant int, now time.Time, took, target time.Duration) {
-	if took <= 0 || !granted.After(l.cutAt) {
+func (l *Limit) observe(slots, running int, now time.Time, a Answer) {
+	if a.BetweenTokens <= 0 || !a.Granted.After(l.cutAt) {
 		return
 	}
 	limit := float64(l.allowed(slots))
-	if float64(took) > float64(target)*tolerance {
-		cut := max(deepestCut, float64(target)/float64(took))
-		l.set(slots, min(limit, float64(max(1, atGrant)))*cut)
+	if float64(a.BetweenTokens) > float64(a.Target)*tolerance {
+		cut := max(deepestCut, float64(a.Target)/float64(a.BetweenTokens))
+		cutTo := min(limit, float64(max(1, a.RunningAtGrant))) * cut
+		if a.GroupSlow {
+			cutTo = max(cutTo, min(limit, lowestPart*float64(slots)))
+		}
+		l.set(slots, cutTo)
 		l.cutAt = now
 		return
 	}
--- a/decision/placement/placement.go
+++ b/decision/placement/placement.go
@@ -72,6 +72,15 @@
 	u.pieces += pieces
 }
 
+// Adopt counts a grant that another scheduler gave. Reports have shown it as
+// foreign load until now; counted twice, it would keep a place empty until the
+// next report.
+func (u *Upstream) Adopt(pieces int) {
+	u.foreign.Requests = max(0, u.foreign.Requests-1)
+	u.foreign.Pieces = max(0, u.foreign.Pieces-pieces)
+	u.Hold(pieces)
+}
+
 // Free gives a grant's place back. The release is remembered for as long as a
 // lagging report may still count it.
 func (u *Upstream) Free(now time.Time, pieces int) {
@@ -114,7 +123,7 @@
 	u.recentRelease = append(u.recentRelease[:0], u.recentRelease[old:]...)
 }
 
-// Observe feeds the limit with an answer's mean time between tokens.
-func (u *Upstream) Observe(granted time.Time, runningAtGrant int, now time.Time, betweenTokens, target time.Duration) {
-	u.limit.observe(u.Slots, u.running+1, granted, runningAtGrant, now, betweenTokens, target)
+// Observe feeds the limit with an answer.
+func (u *Upstream) Observe(now time.Time, a Answer) {
+	u.limit.observe(u.Slots, u.running+1, now, a)
 }
--- a/decision/queue/flow.go
+++ b/decision/queue/flow.go
@@ -27,9 +27,9 @@
 	active   indexedHeap[*flow[T]]
 	idle     indexedHeap[*flow[T]]
 
-	// Leaves only. A suspended leaf is passed over.
+	// Leaves only. A leaf with a place in the list of suspended ones is passed over.
 	items     list.List
-	suspended bool
+	suspended *list.Element
 }
 
 func newFlow[T any](name string, parent *flow[T], weight float64) *flow[T] {
@@ -89,17 +89,9 @@
 	}
 }
 
-// suspend takes a leaf out of turn, or brings it back.
-func (f *flow[T]) suspend(suspended bool) {
-	f.suspended = suspended
-	for n := f; n != nil; n = n.parent {
-		n.refresh()
-	}
-}
-
 // ready reports whether an item below can be served.
 func (f *flow[T]) ready() bool {
-	return f.active.len() > 0 || (f.items.Len() > 0 && !f.suspended)
+	return f.active.len() > 0 || (f.items.Len() > 0 && f.suspended == nil)
 }
 
 // refresh moves the flow to the heap of its parent where it belongs.
@@ -154,14 +146,18 @@
 func (f *flow[T]) next() *flow[T] {
 	n := f
 	for n.active.len() > 0 {
-		c := n.active.min()
-		n.virtual = max(n.virtual, c.tag)
-		n.forgetIdle()
-		n = c
+		n = n.advanceTo(n.active.min())
 	}
 	return n
 }
 
+// advanceTo moves the virtual time to the start tag of the child served next.
+func (f *flow[T]) advanceTo(c *flow[T]) *flow[T] {
+	f.virtual = max(f.virtual, c.tag)
+	f.forgetIdle()
+	return c
+}
+
 // forgetIdle drops empty children that owe nothing, so that memory follows the
 // organisations in use and not all that ever came.
 func (f *flow[T]) forgetIdle() {
--- a/decision/queue/query.go
+++ b/decision/queue/query.go
@@ -15,6 +15,15 @@
 // Cost is the engine time in seconds of all items of a class.
 func (q *Queue[T]) Cost(class request.Class) float64 { return q.class(class).cost }
 
+// OrganisationCost is the engine time in seconds of an organisation's items of a
+// class.
+func (q *Queue[T]) OrganisationCost(class request.Class, organisation string) float64 {
+	if org := q.class(class).children[organisation]; org != nil {
+		return org.cost
+	}
+	return 0
+}
+
 // NextExpiry is the earliest latest start; zero if the queue is empty.
 func (q *Queue[T]) NextExpiry() time.Time {
 	if q.expiry.len() == 0 {
--- a/decision/queue/queue.go
+++ b/decision/queue/queue.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/list"
-	"slices"
 	"time"
 
 	"github.com/cairnworks/cairnworks/request"
@@ -14,6 +13,13 @@
 // interactive ones little; docs/LOAD.md has the sweep.
 const DeferrableShare = 0.1
 
+// PreferenceLead is how many engine-seconds an organisation with interactive
+// requests may be served beyond one whose deferrable requests wait. It lets a
+// burst of lookups go first (three seconds of ten engines), and keeps an
+// organisation that sends several times its rate as interactive from taking the
+// share of others whose requests are deferrable; docs/LOAD.md has the sweep.
+const PreferenceLead = 30.0
+
 // Item is one waiting request.
 type Item[T any] struct {
 	// ID is unique in the queue.
@@ -35,20 +41,22 @@
 
 // Queue holds waiting items. It is not safe for concurrent use.
 type Queue[T any] struct {
+	lead        float64
 	root        *flow[T]
 	interactive *flow[T]
 	deferrable  *flow[T]
 	byID        map[string]*Item[T]
 	expiry      indexedHeap[*Item[T]]
 	orders      uint64
-	suspended   []*flow[T]
+	suspended   list.List
 }
 
-// New returns an empty queue; deferrableShare is between 0 and 1, see
-// DeferrableShare.
-func New[T any](deferrableShare float64) *Queue[T] {
+// New returns an empty queue; see DeferrableShare, between 0 and 1, and
+// PreferenceLead, in engine-seconds.
+func New[T any](deferrableShare, preferenceLead float64) *Queue[T] {
 	root := newFlow[T]("", nil, 1)
 	q := &Queue[T]{
+		lead:        preferenceLead,
 		root:        root,
 		interactive: newFlow("interactive", root, 1-deferrableShare),
 		deferrable:  newFlow("deferrable", root, deferrableShare),
@@ -92,7 +100,7 @@
 	if !q.Ready() {
 		return nil
 	}
-	leaf := q.root.next()
+	leaf := q.nextClass().next()
 	it := leaf.items.Front().Value.(*Item[T])
 	leaf.charge(it.Cost)
 	q.chargeOther(it.Class, it.Organisation, it.Cost)
@@ -100,6 +108,20 @@
 	return it
 }
 
+// nextClass is the root, which picks the class by its share, or the deferrable
+// class when the next interactive request's organisation is too far ahead.
+func (q *Queue[T]) nextClass() *flow[T] {
+	if q.interactive.active.len() == 0 || q.deferrable.active.len() == 0 {
+		return q.root
+	}
+	first := q.interactive.active.min()
+	account := q.deferrable.children[first.name]
+	if account == nil || account.tag-q.deferrable.active.min().tag <= q.lead {
+		return q.root
+	}
+	return q.root.advanceTo(q.deferrable)
+}
+
 // chargeOther carries the charge of an interactive request over to its
 // organisation's place among the deferrable ones, while any of those wait. An
 // organisation's drafts then make up for what its lookups took, and equal shares
@@ -137,7 +159,7 @@
 
 func (q *Queue[T]) take(it *Item[T]) {
 	leaf := it.leaf
-	if leaf.suspended && leaf.items.Front() == it.elem {
+	if leaf.suspended != nil && leaf.items.Front() == it.elem {
 		q.resume(leaf)
 	}
 	leaf.items.Remove(it.elem)
@@ -161,25 +183,27 @@
 	it.leaf.charge(-it.Cost)
 	q.chargeOther(it.Class, it.Organisation, -it.Cost)
 	it.elem = it.leaf.items.PushFront(it)
-	it.leaf.suspended = true
+	it.leaf.suspended = q.suspended.PushBack(it.leaf)
 	it.leaf.add(it.Cost, it.order)
-	q.suspended = append(q.suspended, it.leaf)
 	q.byID[it.ID] = it
 	q.expiry.push(it)
 }
 
 // Resume ends the longest suspension and reports whether there was one.
 func (q *Queue[T]) Resume() bool {
-	if len(q.suspended) == 0 {
+	if q.suspended.Len() == 0 {
 		return false
 	}
-	q.resume(q.suspended[0])
+	q.resume(q.suspended.Front().Value.(*flow[T]))
 	return true
 }
 
 func (q *Queue[T]) resume(leaf *flow[T]) {
-	q.suspended = slices.DeleteFunc(q.suspended, func(f *flow[T]) bool { return f == leaf })
-	leaf.suspend(false)
+	q.suspended.Remove(leaf.suspended)
+	leaf.suspended = nil
+	for n := leaf; n != nil; n = n.parent {
+		n.refresh()
+	}
 }
 
 // Settle corrects the charge of an item taken earlier by more engine-seconds,
