--- a/decision/group/group.go
+++ b/decision/group/group.go
@@ -26,11 +26,13 @@
 	parked []*waiter
 	grants map[uint64]*held
 	// shares is what each organisation with grants holds, in engines.
-	shares map[string]*share
-	nextID uint64
-	uses   uint64
+	shares  map[string]*share
+	engines float64
+	nextID  uint64
+	uses    uint64
 
 	cache    *prefill.Index
+	trust    *prefill.Trust
 	estimate *estimates
 	// tellsPrefill is set once the driver has told the end of a prefill; from then
 	// on prefill places are kept until it does.
@@ -38,7 +40,11 @@
 	// triesSpent is set when a decision ended before the queue was served as far
 	// as there are places.
 	triesSpent bool
-	out        []Decision
+	// changed is set when places may have come free since triedParked, the last
+	// try of parked requests.
+	changed     bool
+	triedParked time.Time
+	out         []Decision
 }
 
 // waiter is a request without a grant.
@@ -67,6 +73,7 @@
 	cost    float64
 	// engineShare is the part of the decode upstream that the request takes.
 	engineShare float64
+	prompt      int
 	uncached    int
 	maxTokens   int
 	// prefillEstimate and firstToken were expected at the grant.
@@ -76,6 +83,7 @@
 	expectedEnd     time.Time
 	// runningAtGrant is the size of the decode batch that it joined.
 	runningAtGrant int
+	transfer       time.Duration
 	prefix         []uint64
 
 	from, to *upstream
@@ -88,11 +96,12 @@
 		cfg:      cfg,
 		byName:   make(map[string]*upstream),
 		byIndex:  make(map[int]*upstream),
-		queue:    queue.New[*waiter](cfg.DeferrableShare),
+		queue:    queue.New[*waiter](cfg.DeferrableShare, cfg.PreferenceLead),
 		grants:   make(map[uint64]*held),
 		shares:   make(map[string]*share),
 		nextID:   cfg.FirstGrantID,
 		cache:    prefill.NewIndex(),
+		trust:    prefill.NewTrust(),
 		estimate: newEstimates(cfg),
 	}
 }
@@ -115,6 +124,7 @@
 		}
 	}
 	g.forgetGone()
+	g.changed = true
 	return g.dispatch(now)
 }
 
@@ -153,6 +163,7 @@
 	to := g.byName[h.Decode]
 	if to == nil {
 		to = g.upstream(Upstream{Name: h.Decode})
+		to.spec.Name = h.Decode
 		to.gone = true
 	}
 	// The prefill is taken as done: a prefill lasts far less than a takeover.
--- a/decision/group/parked.go
+++ b/decision/group/parked.go
@@ -12,7 +12,7 @@
 // over until something is released.
 func (g *Group) park(now time.Time, it *queue.Item[*waiter]) {
 	w := it.Value
-	if len(g.parked) < maxParked {
+	if len(g.parked) < g.cfg.tune.maxParked {
 		short := g.claim(now, w)
 		if !short || w.claim != nil {
 			g.parked = append(g.parked, w)
@@ -23,7 +23,14 @@
 }
 
 // retryParked tries requests that were taken from the queue but did not fit.
+// Without a change since the last try that can only help when a link came free
+// with time.
 func (g *Group) retryParked(now time.Time) {
+	if !g.changed && now.Before(g.triedParked.Add(parkedRetry)) {
+		return
+	}
+	g.changed = false
+	g.triedParked = now
 	for i := 0; i < len(g.parked); {
 		w := g.parked[i]
 		claimed := w.claim
@@ -62,7 +69,7 @@
 
 // resume gives keys that were passed over another turn.
 func (g *Group) resume() {
-	for range maxResumed {
+	for range g.cfg.tune.maxResumed {
 		if !g.queue.Resume() {
 			return
 		}
@@ -85,7 +92,7 @@
 	if g.fitsMemory(now, w) {
 		return false
 	}
-	if now.Before(w.claimAfter) || g.claims() >= max(1, len(g.sinks)/2) || !g.mayClaim(w) {
+	if g.cfg.tune.noClaims || now.Before(w.claimAfter) || g.claims() >= max(1, len(g.sinks)/2) || !g.mayClaim(w) {
 		return true
 	}
 	w.claimAfter = now.Add(claimRetry)
--- a/decision/group/release.go
+++ b/decision/group/release.go
@@ -1,6 +1,11 @@
 package group
 
-import "time"
+import (
+	"time"
+
+	"github.com/cairnworks/cairnworks/decision/placement"
+	"github.com/cairnworks/cairnworks/decision/transfer"
+)
 
 // PrefillDone frees the prefill place of a grant whose decode goes on. A driver
 // that never calls it has its prefill places freed at their estimated end.
@@ -12,6 +17,10 @@
 	}
 	g.freePrefill(now, h)
 	g.estimate.prefillHeld(now.Sub(h.granted))
+	// The transfer starts now, not when the prefill was expected to end; a booking
+	// left there would keep others off a link that is idle.
+	h.unbook()
+	h.book(transfer.Earliest(&h.from.link, &h.to.link, now, h.transfer))
 	for _, hash := range h.prefix {
 		g.cache.Store(now, h.from.index, hash)
 	}
@@ -29,19 +38,17 @@
 	g.freePrefill(now, h)
 	h.to.unhold(now, h)
 	g.dropShare(h)
-	h.to.link.Cancel(h.ID)
-	if h.from != nil {
-		h.from.link.Cancel(h.ID)
-	}
+	h.unbook()
 	if !h.adopted {
 		g.learn(now, h, out)
 	}
 	if u := g.byName[out.FailedUpstream]; u != nil && out.Kind == OutcomeUpstreamCrashed {
 		g.cache.Reset(u.index)
 	}
-	if h.to.gone {
+	if h.to.gone || (h.from != nil && h.from.gone) {
 		g.forgetGone()
 	}
+	g.changed = true
 	g.resume()
 	return g.dispatch(now)
 }
@@ -51,6 +58,7 @@
 		return
 	}
 	h.prefilling = false
+	g.changed = true
 	h.from.account.Free(now, 0)
 }
 
@@ -86,14 +94,32 @@
 	}
 	g.estimate.answered(h, out)
 	if h.from != nil && out.Prefill > 0 {
-		h.from.speed.Learn(g.estimate.speed.Estimate(h.uncached), out.Prefill)
-		g.estimate.speed.Learn(h.uncached, out.Prefill)
+		g.learnPrefill(h, out.Prefill)
 		if !g.tellsPrefill {
 			g.estimate.prefillHeld(out.Prefill)
 		}
 	}
 	if out.OutputTokens > 1 && out.Decode > 0 {
 		between := out.Decode / time.Duration(out.OutputTokens-1)
-		h.to.account.Observe(h.granted, h.runningAtGrant, now, between, g.cfg.BetweenTokens)
+		h.to.account.Observe(now, placement.Answer{
+			Granted: h.granted, RunningAtGrant: h.runningAtGrant,
+			BetweenTokens: between, Target: g.cfg.BetweenTokens,
+			Policy:    g.cfg.tune.limit,
+			GroupSlow: g.estimate.step() > g.cfg.BetweenTokens,
+		})
+	}
+}
+
+// learnPrefill learns the speed from prompts without believed cached tokens, and
+// from the others how far beliefs hold. Learnt from all, wrong beliefs would pass
+// for slow engines.
+func (g *Group) learnPrefill(h *held, took time.Duration) {
+	without := g.estimate.speed.Estimate(h.prompt)
+	if h.uncached == h.prompt {
+		h.from.speed.Learn(without, took)
+		g.estimate.speed.Learn(h.prompt, took)
+		return
 	}
+	with := g.estimate.speed.Estimate(h.uncached)
+	g.trust.Learn(h.from.speed.Estimate(without), h.from.speed.Estimate(with), took)
 }
--- a/decision/group/submit.go
+++ b/decision/group/submit.go
@@ -72,7 +72,7 @@
 func (g *Group) latestStart(w *waiter) time.Time {
 	bound := g.bound(w)
 	need := g.estimate.needed(w)
-	most := time.Duration((1 - waitPart) * float64(bound.Sub(w.submitted)))
+	most := time.Duration((1 - g.cfg.tune.waitPart) * float64(bound.Sub(w.submitted)))
 	return bound.Add(-max(0, min(need, most)))
 }
 
@@ -132,13 +132,14 @@
 		ahead += min(p.cost, w.cost)
 	}
 	share := g.cfg.DeferrableShare
+	interval := g.interval(now)
 	if w.Class == request.Deferrable {
 		ahead += g.queue.Cost(request.Interactive)
-		ahead /= max(share, 1-g.estimate.interactiveLoad(now, g.interval(now)))
-	} else {
-		ahead += min(g.queue.Cost(request.Deferrable), ahead*share/(1-share))
+		ahead /= max(share, 1-g.estimate.interactiveLoad(now, interval))
+		return min(g.estimate.drainTime(ahead, interval), g.fairWait(w))
 	}
-	return g.estimate.drainTime(ahead, g.interval(now))
+	ahead += min(g.queue.Cost(request.Deferrable), ahead*share/(1-share))
+	return g.estimate.drainTime(ahead, interval)
 }
 
 func (g *Group) queued() int {
