A transfer never waits out its KV cache

Cause: the instance slept until the scheduler's planned transfer time whatever the cache's life; with an overestimated prefill the plan lay past it, up to 140 s. Change: at most half of the life is waited, the other half is for the transfer.

--- a/route/attempt.go
+++ b/route/attempt.go
@@ -99,7 +99,7 @@
 }
 
 func (a *modelAttempt) transfer(ctx context.Context, engine port.Engine, source string, result port.PrefillResult) error {
-	if err := sleepUntil(ctx, a.grant.TransferAfter); err != nil {
+	if err := sleepUntil(ctx, transferStart(time.Now(), a.grant.TransferAfter, result.Expires)); err != nil {
 		return verdict.Fail(verdict.MayHaveRun, verdict.ReasonCancelled, err, "cancelled before the transfer")
 	}
 	ctx, stop := context.WithTimeout(ctx, importTimeout)
@@ -115,6 +115,17 @@
 	return nil
 }
 
+// transferStart is when a transfer begins: when the link is planned to be free,
+// but with half of the KV cache's life left for the transfer itself. Plans rest on
+// estimates; waiting for one past the cache's life wastes the whole prefill, while
+// a transfer that starts early only shares the link.
+func transferStart(now, planned time.Time, life time.Duration) time.Time {
+	if latest := now.Add(life / 2); planned.After(latest) {
+		return latest
+	}
+	return planned
+}
+
 // decode forwards the answer. A broken stream is resumed once on the same engine,
 // which still holds its memory, before the attempt is given up. An engine that
 // fell silent is not asked again: it would be silent for as long a second time.
--- a/route/frames_test.go
+++ b/route/frames_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -42,3 +43,12 @@
 	assert.Equal(t, verdict.From(err).Reason, verdict.ReasonTruncated)
 	assert.Assert(t, errors.Is(err, io.ErrUnexpectedEOF))
 }
+
+// The scheduler overestimates a prefill and plans its transfer for later than the
+// KV cache lives. An instance that waits for the plan loses the prefill, and its
+// caller waits for nothing; the load tool saw nine prefills in ten wasted so.
+func TestATransferNeverWaitsOutItsCache(t *testing.T) {
+	now := time.Unix(0, 0)
+	assert.Equal(t, transferStart(now, now.Add(140*time.Second), 800*time.Millisecond), now.Add(400*time.Millisecond))
+	assert.Equal(t, transferStart(now, now.Add(100*time.Millisecond), 800*time.Millisecond), now.Add(100*time.Millisecond))
+}
