One measure of a prompt for the door and the engines' protocol

Cause: the same hashing stood in the door and in the engines' messages, and examples stated links of 2.5 GB/s, on which a prompt of 20,000 tokens outlives its cache. Measured: tests of the packages pass.

--- a/caller/parse.go
+++ b/caller/parse.go
@@ -8,8 +8,6 @@
 	"net/http"
 	"strings"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/cairnworks/cairnworks/verdict"
 )
 
@@ -19,11 +17,9 @@
 	defaultMaxBody = 1 << 20
 	// defaultMaxTokens is the output bound when a caller gives none.
 	defaultMaxTokens = 256
-	// prefixBlockWords is the length in words of a block of the prompt whose hash
-	// stands for its KV cache. Engines of the kind served cache in blocks of 16 to
-	// 64 tokens; a coarser block keeps a 30,000-token prompt under 500 hashes.
-	prefixBlockWords = 64
-	// maxPrefixHashes bounds the hashes sent with a request.
+	// maxPrefixHashes bounds the hashes sent with a reservation to the first 4,096
+	// words. A shared prefix is longer only among prompts whose prefill dwarfs what
+	// is saved beyond, and each hash costs ten bytes of the control traffic.
 	maxPrefixHashes = 64
 )
 
@@ -147,19 +143,3 @@
 	err := json.Unmarshal(content, &text)
 	return text, err
 }
-
-// measurePrompt estimates a prompt's length in tokens by its words, and hashes
-// its leading blocks. Engines report the true length; the estimate only has to
-// be good enough to place the request.
-func measurePrompt(prompt string) (tokens int, prefixes []uint64, fingerprint uint64) {
-	digest := xxhash.New()
-	for word := range strings.FieldsSeq(prompt) {
-		tokens++
-		_, _ = digest.WriteString(word)
-		_, _ = digest.WriteString(" ")
-		if tokens%prefixBlockWords == 0 && len(prefixes) < maxPrefixHashes {
-			prefixes = append(prefixes, digest.Sum64())
-		}
-	}
-	return tokens, prefixes, digest.Sum64()
-}
--- a/instance/embedded/embedded.go
+++ b/instance/embedded/embedded.go
@@ -100,7 +100,7 @@
 	for i := range upstreams {
 		if upstreams[i].Role == object.RoleDecode {
 			upstreams[i].Pieces = 400
-			upstreams[i].LinkBytesPerSecond = 2_500_000_000
+			upstreams[i].LinkBytesPerSecond = 25_000_000_000
 		}
 	}
 	return upstreams, err
--- a/stand/engine.go
+++ b/stand/engine.go
@@ -50,7 +50,7 @@
 	LinkBytesPerSecond int64
 	// ResumeTTL is how long a stream without a connection is held; 30 s.
 	ResumeTTL time.Duration
-	// CacheBlocks bounds the prefix cache, in blocks of wire.PrefixBlockWords
+	// CacheBlocks bounds the prefix cache, in blocks of port.PrefixBlockWords
 	// tokens; 8192, which is some twenty prompts of the longest kind.
 	CacheBlocks int
 	// EventLag delays cache events; 500 ms. Every EventLossEvery-th is lost; 16.
--- a/stand/prefill.go
+++ b/stand/prefill.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/cairnworks/cairnworks/port"
 	"github.com/cairnworks/cairnworks/port/httpport/wire"
 )
 
@@ -122,7 +123,7 @@
 		Model: req.Model, Tokens: tokens, Generated: len(req.Generated), Bytes: int64(tokens) * e.cfg.KVBytesPerToken,
 		PromptHash: PromptHash(req.Prompt), Sample: sample(req.Prompt),
 	}}
-	hashes := wire.PrefixHashes(req.Prompt)
+	hashes := port.MeasurePrompt(req.Prompt).Prefixes
 	e.mu.Lock()
 	if !e.take(kv.pieces) {
 		e.mu.Unlock()
@@ -133,7 +134,7 @@
 	runs.Prefills++
 	runs.PromptHash = kv.kv.PromptHash
 	e.stats.PrefillTokens += tokens
-	cached := e.prefixes.match(hashes) * wire.PrefixBlockWords
+	cached := e.prefixes.match(hashes) * port.PrefixBlockWords
 	epoch := e.epoch
 	e.mu.Unlock()
 
