A new scheduler listens before it grants; a drain closes connections with their answers

Cause: a scheduler that took over granted before it had read the engines' lists, and could give a used slot away.

--- a/caller/server.go
+++ b/caller/server.go
@@ -39,8 +39,8 @@
 	Config
 	mux *http.ServeMux
 	// open counts requests that have not been answered yet; a drain waits for it.
-	open     atomic.Int64
-	draining atomic.Bool
+	open    atomic.Int64
+	closing atomic.Bool
 }
 
 // NewServer returns the callers' handler.
@@ -60,8 +60,10 @@
 // Open returns the number of requests being answered.
 func (s *Server) Open() int64 { return s.open.Load() }
 
-// StopAccepting refuses new requests; open ones go on.
-func (s *Server) StopAccepting() { s.draining.Store(true) }
+// CloseConnections ends each connection with its next answer. Closing an idle
+// connection instead would race with a request that its caller is just sending,
+// and that request would be lost.
+func (s *Server) CloseConnections() { s.closing.Store(true) }
 
 // exchange is one HTTP request with what the door has found out about it.
 type exchange struct {
@@ -95,9 +97,8 @@
 }
 
 func (s *Server) serve(x *exchange, endpoint func(*exchange) error) error {
-	if s.draining.Load() {
+	if s.closing.Load() {
 		x.w.Header().Set("Connection", "close")
-		return verdict.Refuse(verdict.ReasonDraining, time.Second, "this instance is being replaced")
 	}
 	if err := s.authenticate(x); err != nil {
 		return err
--- a/e2e/takeover_test.go
+++ b/e2e/takeover_test.go
@@ -74,7 +74,7 @@
 	for _, end := range []syscall.Signal{syscall.SIGKILL, syscall.SIGSTOP} {
 		t.Run(end.String(), func(t *testing.T) {
 			t.Parallel()
-			f := newFleet(t, fleetConfig{instances: 3, prefill: 1, decode: 1, plain: 1, slots: 4, tokenTime: 20 * time.Millisecond})
+			f := newFleet(t, fleetConfig{instances: 3, prefill: 1, decode: 1, plain: 1, slots: 4, tokenTime: 20 * time.Millisecond, engineArgs: []string{"--slots", "4"}})
 			gone := f.scheduler()
 			const requests, maxTokens = 10, 60
 			answers := make([]answer, requests)
@@ -92,6 +92,9 @@
 				assert.Equal(t, answers[k].wrong(prompt(3, k), maxTokens), "", "request %d", k)
 			}
 			eventually(t, "engines hold nothing", func() bool { return f.held() == 0 })
+			var stats stand.EngineStats
+			f.stats("decode-0", &stats)
+			assert.Equal(t, stats.SlotRefusals, 0, "slots were given away twice")
 		})
 	}
 }
--- a/instance/drain.go
+++ b/instance/drain.go
@@ -57,11 +57,10 @@
 	}
 	i.log.Info("draining", zap.Int64("open", i.door.Open()))
 	i.members.SetDraining(true)
-	// Connections opened from now on close after their request, so that callers
-	// move to other instances by themselves.
-	i.listeners.callers.server.SetKeepAlivesEnabled(false)
+	i.door.CloseConnections()
 	i.handOver(ctx)
 	sleep(ctx, time.Duration(i.settings.DrainGraceSeconds)*time.Second)
+	// What is idle now has been idle since the balancer stopped sending here.
 	if err := i.listeners.callers.server.Shutdown(ctx); err != nil {
 		i.log.Warn("drain cut short", zap.Int64("open", i.door.Open()), zap.Error(err))
 	}
--- a/scheduler/actor.go
+++ b/scheduler/actor.go
@@ -55,6 +55,7 @@
 	crashes   *quarantine.Ledger
 	processes map[string]string
 	health    *upstreamHealth
+	warmup    warmup
 	timer     *time.Timer
 	plain     bool
 }
@@ -80,7 +81,11 @@
 	case configureMsg:
 		a.configure(now, msg)
 	case reserveMsg:
-		a.reserve(now, msg)
+		if a.warmup.over(now) {
+			a.reserve(now, msg)
+		} else {
+			a.warmup.parked = append(a.warmup.parked, msg)
+		}
 	case withdrawMsg:
 		a.withdraw(now, msg.key)
 	case prefillDoneMsg:
@@ -96,6 +101,7 @@
 	case reportMsg:
 		a.report(now, msg)
 	case unreachableMsg:
+		a.warmup.heard(msg.upstream)
 		a.metrics.Scope.Tagged(map[string]string{"upstream": msg.upstream}).Counter("upstream_unreachable").Inc(1)
 	case cacheMsg:
 		a.cache(now, msg)
@@ -113,6 +119,9 @@
 
 // advance handles what is due and sets the timer for what comes next.
 func (a *serviceActor) advance(ctx actor.Context, now time.Time) {
+	for _, msg := range a.warmup.take(now) {
+		a.reserve(now, msg)
+	}
 	a.expire(now)
 	a.carryHealth(now)
 	a.sampleBalance(now)
@@ -134,6 +143,7 @@
 	clear(a.addrs)
 	a.plain = msg.service.Kind == object.KindPlain
 	a.health.configure(msg.upstreams)
+	a.warmup.begin(now, msg.upstreams)
 	for _, u := range msg.upstreams {
 		a.addrs[u.Name] = u.Address
 		ups = append(ups, group.Upstream{
@@ -160,6 +170,7 @@
 }
 
 func (a *serviceActor) withdraw(now time.Time, key attemptKey) {
+	a.warmup.drop(key)
 	if _, ok := a.waiting[key]; ok {
 		delete(a.waiting, key)
 		a.apply(now, a.group.Withdraw(now, key.String()))
@@ -259,4 +270,7 @@
 	for _, msg := range a.waiting {
 		msg.answer <- reply{refusal: refusal}
 	}
+	for _, msg := range a.warmup.parked {
+		msg.answer <- reply{refusal: refusal}
+	}
 }
--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -59,6 +59,7 @@
 		Pieces: msg.load.Pieces, Queued: msg.load.Queued, Leaving: msg.load.Leaving,
 	})
 	a.processes[msg.upstream] = msg.load.Start
+	a.warmup.heard(msg.upstream)
 	if !a.home() {
 		return
 	}
--- a/verdict/reason.go
+++ b/verdict/reason.go
@@ -14,7 +14,6 @@
 	ReasonUnauthenticated   Reason = "unauthenticated"
 	ReasonKeyWithdrawn      Reason = "key_withdrawn"
 	ReasonForbidden         Reason = "forbidden"
-	ReasonDraining          Reason = "draining"
 	ReasonNoConfiguration   Reason = "no_configuration"
 	ReasonMethodNotAllowed  Reason = "method_not_allowed"
 	ReasonIdempotencyNeeded Reason = "idempotency_key_invalid"
