At-most-once guard: calls without a whole answer, owners cut off from the log

Cause: a call that may have run left its ticket open, so that resends heard in_progress for ten minutes, every shutdown waited its full five seconds and the ticket was never freed; an owner that lives but cannot reach the log had every claim of its partition refused. Change: route.Guard gains Unanswered, which PlainRunner calls; a call that ran with its answer broken off is recorded as ran. A call is said to be in progress for one minute at most on other instances. Claims and records go to the second owner when the first cannot reach the log; a reply from an index that may be stale is used only if nobody has a better one.

--- a/once/claims.go
+++ b/once/claims.go
@@ -88,6 +88,7 @@
 	if holder.Body != rec.Body {
 		reply.state = stateKeyReused
 	}
+	reply.stale = reply.state == stateClaimed && (p.readErr != nil || p.failing.Load())
 	return reply, true
 }
 
@@ -154,7 +155,7 @@
 		return
 	}
 	if p.commit.bytes+len(entry.Data) > maxQueuedBytes {
-		p.meters.dropped.Inc(1)
+		p.meters.queueFull.Inc(1)
 		msg.done <- errQueueFull
 		return
 	}
--- a/once/codec.go
+++ b/once/codec.go
@@ -32,16 +32,24 @@
 }
 
 func outcomeRecord(intent protocol.Record, answer route.RecordedAnswer) *oncev1.Record {
-	outcome := &oncev1.Outcome{Status: int32(answer.Status), ContentType: answer.ContentType, Body: answer.Body}
 	if len(answer.Body) > MaxAnswerBytes {
-		outcome = &oncev1.Outcome{BodyDropped: true}
+		return ranRecord(intent)
 	}
+	outcome := &oncev1.Outcome{Status: int32(answer.Status), ContentType: answer.ContentType, Body: answer.Body}
 	return &oncev1.Record{
 		Key: intent.Key[:], IntentId: intent.ID[:], BodyHash: intent.Body[:],
 		Kind: &oncev1.Record_Outcome{Outcome: outcome},
 	}
 }
 
+// ranRecord is the outcome of a call that ran and whose answer is not known.
+func ranRecord(intent protocol.Record) *oncev1.Record {
+	return &oncev1.Record{
+		Key: intent.Key[:], IntentId: intent.ID[:], BodyHash: intent.Body[:],
+		Kind: &oncev1.Record_Outcome{Outcome: &oncev1.Outcome{BodyDropped: true}},
+	}
+}
+
 func voidRecord(intent protocol.Record) *oncev1.Record {
 	return &oncev1.Record{
 		Key: intent.Key[:], IntentId: intent.ID[:],
--- a/once/config.go
+++ b/once/config.go
@@ -34,9 +34,10 @@
 	// DefaultMaxKeys is how many keys a partition remembers: 48 MB at 241 bytes each,
 	// 3.2 million keys in the window over all partitions.
 	DefaultMaxKeys = 200_000
-	// DefaultMaxRun is the longest that a call is said to be in progress. Later
-	// its outcome is called unknown even if its instance lives.
-	DefaultMaxRun = 10 * time.Minute
+	// DefaultMaxRun is the longest that a call is said to be in progress; a call is
+	// given up after 30 s. Later its outcome is called unknown even if its instance
+	// lives.
+	DefaultMaxRun = time.Minute
 )
 
 // retentionMargin is what the log must retain beyond the window: time for a
--- a/once/guard.go
+++ b/once/guard.go
@@ -83,7 +83,7 @@
 	return ticket
 }
 
-// closeTicket ends a ticket. Finish and Abandon each need an open one, so that a
+// closeTicket ends a ticket. Whatever is said of a call needs an open one, so that a
 // call whose outcome was recorded is never voided, or the other way round.
 func (s *Service) closeTicket(ticket *route.Ticket) (protocol.Record, bool) {
 	id := ticketID{ticket.Stream, ticket.Offset}
@@ -141,6 +141,24 @@
 	return nil
 }
 
+// Unanswered implements route.Guard. A call that may have run gets no record: its
+// intent alone keeps resends from running it again.
+func (s *Service) Unanswered(ctx context.Context, ticket *route.Ticket, ran verdict.Ran) error {
+	intent, ok := s.closeTicket(ticket)
+	if !ok {
+		return verdict.Fail(ran, verdict.ReasonInternal, errNoTicket, "ticket is not open")
+	}
+	if ran != verdict.HasRun {
+		s.deactivate(intent.ID)
+		return nil
+	}
+	done := s.appendLater(partitionOf(intent.Key), intent, ranRecord(intent))
+	if err := await(ctx, done); err != nil {
+		return verdict.Fail(ran, verdict.ReasonLogUnavailable, err, "that the call ran is not recorded yet")
+	}
+	return nil
+}
+
 // appendLater appends an outcome or a void of an intent and ends the intent's
 // being active once the record stands in the log. The channel tells how it went.
 func (s *Service) appendLater(number int, intent protocol.Record, record *oncev1.Record) <-chan error {
--- a/once/handler.go
+++ b/once/handler.go
@@ -15,13 +15,16 @@
 
 var errBadPartition = errors.New("once: record does not belong to the partition")
 
+// maxMessageBytes bounds a message between instances: a recorded answer and its frame.
+const maxMessageBytes = 2 * MaxAnswerBytes
+
 // handler serves other instances.
 type handler struct{ service *Service }
 
 // Handler returns the path and the handler of the service for other instances. It
 // belongs on the listener for peers only.
 func (s *Service) Handler() (string, http.Handler) {
-	return oncev1connect.NewOnceServiceHandler(handler{service: s})
+	return oncev1connect.NewOnceServiceHandler(handler{service: s}, connect.WithReadMaxBytes(maxMessageBytes))
 }
 
 // Claim implements the service.
@@ -54,7 +57,7 @@
 	if err != nil && !errors.Is(err, context.DeadlineExceeded) {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
-	return connect.NewResponse(&oncev1.AppendResponse{Appended: err == nil}), nil
+	return connect.NewResponse(&oncev1.AppendResponse{Appended: err == nil, LogFailing: h.service.logFailing(number)}), nil
 }
 
 // checkRecord refuses records that no instance of this version sends: one in the
@@ -85,6 +88,7 @@
 		Offset:       reply.offset,
 		RetryAfterMs: uint32(reply.retryAfter.Milliseconds()),
 		NotAppended:  reply.notAppended,
+		Stale:        reply.stale,
 	}
 	if reply.state == stateClaimed || reply.state == stateDone || reply.state == stateKeyReused {
 		resp.Holder = intentRecord(protocol.Record{
@@ -102,6 +106,7 @@
 	reply := claimReply{
 		offset:      resp.Offset,
 		notAppended: resp.NotAppended,
+		stale:       resp.Stale,
 		retryAfter:  time.Duration(resp.RetryAfterMs) * time.Millisecond,
 	}
 	known := false
--- a/once/local.go
+++ b/once/local.go
@@ -52,3 +52,9 @@
 		return errNotRunning
 	}
 }
+
+// logFailing reports whether the log refuses this instance's appends of a partition.
+func (s *Service) logFailing(number int) bool {
+	p := s.partition(number)
+	return p != nil && p.failing.Load()
+}
--- a/once/messages.go
+++ b/once/messages.go
@@ -47,7 +47,10 @@
 	holder protocol.Holder
 	// notAppended tells that the asked intent certainly does not stand in the log.
 	notAppended bool
-	retryAfter  time.Duration
+	// stale tells that the log could not be read lately, so that the holder's
+	// outcome may have been recorded since.
+	stale      bool
+	retryAfter time.Duration
 }
 
 // claimRequest asks a partition about a key.
--- a/once/meters.go
+++ b/once/meters.go
@@ -8,9 +8,9 @@
 	appendsRefused, appendsLost tally.Counter
 	readErrors, undecodable     tally.Counter
 	gaps, retentionShort        tally.Counter
-	// dropped counts outcomes and voids that found the queue full.
-	dropped tally.Counter
-	keys    tally.Gauge
+	// queueFull counts outcomes and voids that found the queue full.
+	queueFull tally.Counter
+	keys      tally.Gauge
 }
 
 func newMeters(scope tally.Scope, stream string) meters {
@@ -23,7 +23,7 @@
 		undecodable:    scope.Counter("undecodable_records"),
 		gaps:           scope.Counter("gaps"),
 		retentionShort: scope.Counter("records_dropped_within_window"),
-		dropped:        scope.Counter("records_dropped_queue_full"),
+		queueFull:      scope.Counter("records_refused_queue_full"),
 		keys:           scope.Tagged(map[string]string{"stream": stream}).Gauge("keys"),
 	}
 }
--- a/once/owner_test.go
+++ b/once/owner_test.go
@@ -118,6 +118,19 @@
 	})
 }
 
+// sameStreamKey returns another key of booking's partition.
+func sameStreamKey(t *testing.T) string {
+	for i := range 1000 {
+		call := booking
+		call.IdempotencyKey = fmt.Sprint("key-", i)
+		if partitionOf(keyOf(call)) == partitionOf(keyOf(booking)) {
+			return call.IdempotencyKey
+		}
+	}
+	t.Fatal("no key")
+	return ""
+}
+
 // The owner of a partition dies, is paused, or its answers are lost after it took
 // the intent; or nobody else can be reached. The booking goes on through the next
 // instance and runs once; the resend gets its answer wherever it arrives.
@@ -145,6 +158,20 @@
 	}
 }
 
+// The owner lives and cannot reach the log; others can. Were it the only one to be
+// asked, every booking of the partition would be refused while it lives.
+func TestOwnerIsCutOffFromTheLog(t *testing.T) {
+	inPeerFleet(t, func(t *testing.T, f *fleet, s map[string]*Service, order []string) {
+		ticket := claims(t, s[order[2]], booking)
+		f.links[order[0]].Cut(true)
+		assert.NilError(t, s[order[2]].Finish(t.Context(), ticket, booked))
+		replays(t, s[order[1]], booking, booked)
+		fresh := booking
+		fresh.IdempotencyKey = sameStreamKey(t)
+		claims(t, s[order[2]], fresh)
+	})
+}
+
 // The owner takes an intent and its answer is lost; the next instances cannot reach
 // the log. The caller is told "not run", so its resend must be able to run.
 func TestLostIntentOfAnOwnerIsVoided(t *testing.T) {
--- a/once/partition.go
+++ b/once/partition.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -33,6 +34,8 @@
 	// them with a goroutine that never ends.
 	gate   sync.RWMutex
 	closed bool
+	// failing tells that the last append failed.
+	failing atomic.Bool
 	// used is when the partition was last asked for; the service guards it.
 	used time.Time
 
--- a/once/peers.go
+++ b/once/peers.go
@@ -24,6 +24,9 @@
 	ownersAsked = 2
 	// suspectTime is how long an instance that did not answer is passed over.
 	suspectTime = 2 * time.Second
+	// maxClients bounds the clients kept, of which every restarted instance leaves
+	// one behind.
+	maxClients = 1024
 )
 
 // peers picks the owners of partitions and keeps their clients. Nothing depends
@@ -50,24 +53,26 @@
 	}
 }
 
-// route returns whom to ask about a partition, in order, this instance last at the
-// latest.
-func (p *peers) route(partition int) []request.Holder {
+// owners returns whom to ask about a partition, in order, and whether this instance
+// is the next to serve it.
+func (p *peers) owners(partition int) (ask []request.Holder, self bool) {
 	if p.dial == nil {
-		return []request.Holder{p.self}
+		return nil, true
 	}
-	var route []request.Holder
-	// Members are compared by name: what they tell of this instance's address or
-	// incarnation may be old.
 	for _, m := range rank(p.members(), partition) {
-		if m.Instance == p.self.Instance || len(route) == ownersAsked {
-			break
+		// Members are compared by name: what they tell of this instance's address or
+		// incarnation may be old.
+		if m.Instance == p.self.Instance {
+			return ask, true
 		}
 		if !p.suspected(m) {
-			route = append(route, m)
+			ask = append(ask, m)
+		}
+		if len(ask) == ownersAsked {
+			break
 		}
 	}
-	return append(route, p.self)
+	return ask, len(ask) == 0
 }
 
 // owner reports whether this instance ranks first for a partition.
@@ -82,13 +87,22 @@
 // rank orders members by rendezvous hashing: when one leaves, only its partitions
 // move.
 func rank(members []request.Holder, partition int) []request.Holder {
-	ranked := slices.Clone(members)
-	weight := func(m request.Holder) uint64 {
-		return xxhash.Sum64String(streamName(partition) + "/" + m.Instance)
+	type weighed struct {
+		request.Holder
+		weight uint64
 	}
-	slices.SortFunc(ranked, func(a, b request.Holder) int {
-		return cmp.Or(cmp.Compare(weight(b), weight(a)), cmp.Compare(a.Instance, b.Instance), cmp.Compare(b.Incarnation, a.Incarnation))
+	prefix := streamName(partition) + "/"
+	list := make([]weighed, len(members))
+	for i, m := range members {
+		list[i] = weighed{m, xxhash.Sum64String(prefix + m.Instance)}
+	}
+	slices.SortFunc(list, func(a, b weighed) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.Instance, b.Instance), cmp.Compare(b.Incarnation, a.Incarnation))
 	})
+	ranked := make([]request.Holder, len(list))
+	for i, m := range list {
+		ranked[i] = m.Holder
+	}
 	return ranked
 }
 
@@ -116,6 +130,9 @@
 	defer p.mu.Unlock()
 	client, ok := p.clients[m]
 	if !ok {
+		if len(p.clients) >= maxClients {
+			clear(p.clients)
+		}
 		httpClient, baseURL := p.dial(m)
 		client = oncev1connect.NewOnceServiceClient(httpClient, baseURL)
 		p.clients[m] = client
--- a/once/remote.go
+++ b/once/remote.go
@@ -30,40 +30,60 @@
 
 var errNotYet = errors.New("once: record waits for the log")
 
-// claimAt asks the owner of a partition about an intent, then the next owner, then
-// this instance itself. Asking several about the same intent is harmless: its copies
-// in the log count once, and each reads the same decision.
+// claimAt asks the owner of a partition about an intent, then the next owner, and
+// this instance itself if neither answers. Asking several about the same intent is
+// harmless: its copies in the log count once, and each reads the same decision.
+//
+// A reply without a decision is kept for when nobody has a better one: of a key that
+// is known to be taken it must not be said that the log is all that fails.
+//
+// An owner that cannot reach the log is no reason to serve the partition here: were
+// the log down for all, every instance would turn to it.
 func (s *Service) claimAt(ctx context.Context, number int, req claimRequest) (claimReply, error) {
+	owners, self := s.peers.owners(number)
 	mayBeInLog := false
-	ask := func(m request.Holder) (claimReply, error) {
-		for {
-			reply, err := s.claimThere(ctx, m, number, req)
-			if err != nil || reply.state != statePending {
-				return reply, err
-			}
-			mayBeInLog = true
-		}
-	}
-	for _, m := range s.peers.route(number) {
-		if m.Instance == s.cfg.Self.Instance {
-			break
-		}
-		reply, err := ask(m)
-		if err == nil {
-			reply.notAppended = reply.notAppended && !mayBeInLog
+	var undecided *claimReply
+	for _, m := range owners {
+		reply, err := s.askOwner(ctx, m, number, req)
+		mayBeInLog = mayBeInLog || !reply.notAppended
+		reply.notAppended = !mayBeInLog
+		switch {
+		case ctx.Err() != nil:
+			return reply, ctx.Err()
+		case err != nil:
+			s.peers.suspect(m)
+		case reply.state != stateUnavailable && !reply.stale:
 			return reply, nil
+		case undecided == nil || reply.stale:
+			undecided = &reply
 		}
-		mayBeInLog = true
-		if ctx.Err() != nil {
-			return claimReply{retryAfter: logRetryAfter}, ctx.Err()
-		}
-		s.peers.suspect(m)
+	}
+	if undecided != nil && !self {
+		undecided.notAppended = !mayBeInLog
+		return *undecided, nil
 	}
 	reply, err := s.claimHere(ctx, number, req)
 	reply.notAppended = reply.notAppended && !mayBeInLog
+	if undecided != nil && reply.state == stateUnavailable {
+		undecided.notAppended = reply.notAppended
+		return *undecided, nil
+	}
 	return reply, err
 }
 
+// askOwner asks one owner until the log has decided.
+func (s *Service) askOwner(ctx context.Context, m request.Holder, number int, req claimRequest) (claimReply, error) {
+	asked := false
+	for {
+		reply, err := s.claimThere(ctx, m, number, req)
+		reply.notAppended = reply.notAppended && !asked
+		if err != nil || reply.state != statePending {
+			return reply, err
+		}
+		asked = true
+	}
+}
+
 func (s *Service) claimThere(ctx context.Context, m request.Holder, number int, req claimRequest) (claimReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, claimTryTimeout)
 	defer cancel()
@@ -96,31 +116,35 @@
 }
 
 func (s *Service) appendRound(running context.Context, number int, record *oncev1.Record) error {
-	for _, m := range s.peers.route(number) {
-		if m.Instance == s.cfg.Self.Instance {
-			break
-		}
-		appended, err := s.appendThere(running, m, number, record)
-		if err != nil {
+	owners, self := s.peers.owners(number)
+	taken := false
+	for _, m := range owners {
+		resp, err := s.appendThere(running, m, number, record)
+		switch {
+		case err != nil:
 			s.peers.suspect(m)
-			continue
-		}
-		if !appended {
+		case resp.Appended:
+			return nil
+		case !resp.LogFailing:
 			return errNotYet
+		default:
+			taken = true
 		}
-		return nil
+	}
+	if taken && !self {
+		return errNotYet
 	}
 	return s.appendHere(running, number, record)
 }
 
-func (s *Service) appendThere(ctx context.Context, m request.Holder, number int, record *oncev1.Record) (bool, error) {
+func (s *Service) appendThere(ctx context.Context, m request.Holder, number int, record *oncev1.Record) (*oncev1.AppendResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, appendTryTimeout)
 	defer cancel()
 	resp, err := s.peers.client(m).Append(ctx, connect.NewRequest(&oncev1.AppendRequest{Partition: uint32(number), Record: record}))
 	if err != nil {
-		return false, err
+		return nil, err
 	}
-	return resp.Msg.Appended, nil
+	return resp.Msg, nil
 }
 
 // context returns the context of the running service, or nil.
--- a/once/resolve.go
+++ b/once/resolve.go
@@ -34,7 +34,7 @@
 		if errors.Is(err, context.Canceled) {
 			return nil, verdict.Refuse(verdict.ReasonCancelled, 0, "the caller went away before the call was begun")
 		}
-		v := verdict.Refuse(verdict.ReasonLogUnavailable, max(reply.retryAfter, logRetryAfter), "the log did not decide in time")
+		v := verdict.Refuse(verdict.ReasonLogUnavailable, max(reply.retryAfter, logRetryAfter), "the log did not decide in time; ask again with the same key")
 		v.Cause = err
 		return nil, v
 	}
@@ -53,15 +53,17 @@
 		"a call with this key was begun and its outcome is not known; it will not be run again")
 }
 
+// inProgress reports whether the call of an intent may still be running or its
+// outcome be on its way to the log. Another instance's intents are judged by its
+// being alive and by their age, its own by what it knows.
 func (s *Service) inProgress(holder protocol.Holder) bool {
-	age := s.cfg.Clock().Sub(time.UnixMilli(holder.ClaimedMS))
-	if age > s.cfg.MaxRun {
-		return false
-	}
 	self := s.cfg.Self
 	if holder.Owner.Instance == self.Instance && holder.Owner.Incarnation == self.Incarnation {
 		return s.isActive(holder.ID)
 	}
+	if s.cfg.Clock().Sub(time.UnixMilli(holder.ClaimedMS)) > s.cfg.MaxRun {
+		return false
+	}
 	for _, m := range s.cfg.Members() {
 		if m.Instance == holder.Owner.Instance && m.Incarnation == holder.Owner.Incarnation {
 			return true
@@ -74,7 +76,7 @@
 func (s *Service) recordedAnswer(ctx context.Context, number int, holder protocol.Holder) (*route.RecordedAnswer, error) {
 	if holder.AnswerDropped {
 		return nil, verdict.Fail(verdict.HasRun, verdict.ReasonAnswerNotKept, nil,
-			"the call ran; its answer was larger than %d bytes and was not kept", MaxAnswerBytes)
+			"the call ran; its answer was lost or larger than %d bytes", MaxAnswerBytes)
 	}
 	answer, err := s.readAnswer(ctx, number, holder)
 	if errors.Is(err, errAnswerGone) {
--- a/once/service_test.go
+++ b/once/service_test.go
@@ -186,6 +186,23 @@
 	})
 }
 
+// The desk's answer breaks off, or its connection breaks before any answer. The
+// caller's resend is told what is known, and does not wait for a call that ended.
+func TestCallWithoutWholeAnswer(t *testing.T) {
+	for ran, reason := range map[verdict.Ran]verdict.Reason{
+		verdict.MayHaveRun: verdict.ReasonOutcomeUnknown, verdict.HasRun: verdict.ReasonAnswerNotKept,
+	} {
+		inFleet(t, func(t *testing.T, f *fleet) {
+			a, _ := f.start("a")
+			b, _ := f.start("b")
+			assert.NilError(t, a.Unanswered(t.Context(), claims(t, a, booking), ran))
+			refused(t, a, booking, reason, ran)
+			time.Sleep(DefaultMaxRun + time.Second)
+			refused(t, b, booking, reason, ran)
+		})
+	}
+}
+
 // A client reuses its idempotency key for another booking. Answering with the
 // first booking's answer would lose the second one unnoticed.
 func TestKeyReusedWithAnotherBody(t *testing.T) {
@@ -244,9 +261,10 @@
 			assert.Assert(t, v.RetryAfter > 0)
 			assert.Assert(t, time.Since(began) < DefaultClaimTimeout)
 			refused(t, a, booking, verdict.ReasonInProgress, verdict.MayHaveRun)
-			time.Sleep(time.Minute / 10)
+			time.Sleep(time.Second / 2)
 		}
-		time.Sleep(54 * time.Minute)
+		time.Sleep(59 * time.Minute)
+		refused(t, a, booking, verdict.ReasonInProgress, verdict.MayHaveRun)
 		f.log.SetDown(false)
 		time.Sleep(appendBackoffMax + readBackoffMax)
 		replays(t, a, booking, booked)
--- a/route/plain.go
+++ b/route/plain.go
@@ -86,8 +86,7 @@
 	return answer, err
 }
 
-// settle records what became of a guarded call. A call that may have run gets no
-// record: its intent alone keeps every resend from running it again.
+// settle records what became of a guarded call.
 func (p *PlainRunner) settle(ctx context.Context, ticket *Ticket, answer PlainAnswer, err error) {
 	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), finishTimeout)
 	defer stop()
@@ -97,6 +96,8 @@
 		recordErr = p.Guard.Finish(ctx, ticket, RecordedAnswer{Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body})
 	case verdict.From(err).Ran == verdict.NotRun:
 		recordErr = p.Guard.Abandon(ctx, ticket)
+	default:
+		recordErr = p.Guard.Unanswered(ctx, ticket, verdict.From(err).Ran)
 	}
 	if recordErr != nil {
 		p.Log.Warn("outcome not recorded", zap.String("request", ticket.Call.RequestID), zap.Error(recordErr))
--- a/route/stages.go
+++ b/route/stages.go
@@ -104,6 +104,9 @@
 	Finish(ctx context.Context, ticket *Ticket, answer RecordedAnswer) error
 	// Abandon records that the call certainly did not run, so that a resend may run it.
 	Abandon(ctx context.Context, ticket *Ticket) error
+	// Unanswered ends a ticket whose call got no whole answer though it may have run
+	// (verdict.MayHaveRun) or has run (verdict.HasRun). Resends are told so.
+	Unanswered(ctx context.Context, ticket *Ticket, ran verdict.Ran) error
 }
 
 // GuardedCall identifies a call that runs at most once.
