--- a/once/bench_test.go
+++ b/once/bench_test.go
@@ -167,3 +167,15 @@
 		p.stop()
 	}
 }
+
+// BenchmarkRank400 is what each call and each second's look at 16 partitions costs an
+// instance among 400.
+func BenchmarkRank400(b *testing.B) {
+	members := make([]request.Holder, 400)
+	for i := range members {
+		members[i].Instance = fmt.Sprintf("instance-%d", i)
+	}
+	for b.Loop() {
+		rank(members, 3)
+	}
+}
--- a/once/peers.go
+++ b/once/peers.go
@@ -1,7 +1,6 @@
 package once
 
 import (
-	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -22,6 +21,8 @@
 	// list of members still names a dead owner, its successor gathers the appends,
 	// and not every instance of the fleet on its own.
 	ownersAsked = 2
+	// maxRanked leaves two more to ask when the first two did not answer lately.
+	maxRanked = ownersAsked + 2
 	// suspectTime is how long an instance that did not answer is passed over.
 	suspectTime = 2 * time.Second
 	// maxClients bounds the clients kept, of which every restarted instance leaves
@@ -84,24 +85,25 @@
 	return len(ranked) > 0 && ranked[0].Instance == p.self.Instance
 }
 
-// rank orders members by rendezvous hashing: when one leaves, only its partitions
-// move.
+// rank returns the members that rank highest for a partition by rendezvous hashing,
+// at most maxRanked of them: when one leaves, only its partitions move.
 func rank(members []request.Holder, partition int) []request.Holder {
-	type weighed struct {
-		request.Holder
-		weight uint64
-	}
 	prefix := streamName(partition) + "/"
-	list := make([]weighed, len(members))
-	for i, m := range members {
-		list[i] = weighed{m, xxhash.Sum64String(prefix + m.Instance)}
-	}
-	slices.SortFunc(list, func(a, b weighed) int {
-		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.Instance, b.Instance), cmp.Compare(b.Incarnation, a.Incarnation))
-	})
-	ranked := make([]request.Holder, len(list))
-	for i, m := range list {
-		ranked[i] = m.Holder
+	ranked := make([]request.Holder, 0, maxRanked+1)
+	weights := make([]uint64, 0, maxRanked+1)
+	for _, m := range members {
+		weight := xxhash.Sum64String(prefix + m.Instance)
+		at := len(ranked)
+		for at > 0 && weight > weights[at-1] {
+			at--
+		}
+		if at == maxRanked {
+			continue
+		}
+		ranked = slices.Insert(ranked, at, m)
+		weights = slices.Insert(weights, at, weight)
+		ranked = ranked[:min(len(ranked), maxRanked)]
+		weights = weights[:len(ranked)]
 	}
 	return ranked
 }
