Group scheduler: advice counts what was sent away before; a new scheduler learns first

Cause: after a burst all refused callers were told to come back at the same time and were refused again; a new scheduler of a small service refused on its start values alone. Change: each organisation's refused work queues in the advice it gets, at half the capacity; no refusal by an estimate before twenty outcomes, only the latest start bounds the wait until then.

--- a/decision/group/bars_test.go
+++ b/decision/group/bars_test.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -81,3 +82,36 @@
 		assert.Equal(t, ours.refusedFree, 0)
 	}
 }
+
+// A burst is over after two seconds. Refused callers are told when to come back; if
+// that is too early they are refused again and again, and give up on a service that
+// has long been free.
+func TestAdviceHoldsAfterABurst(t *testing.T) {
+	atSites(t, func(t *testing.T, s site) {
+		p := s.pool(Config{}, linkRate)
+		var again []*job
+		p.onRefusal = func(j *job) {
+			if strings.HasPrefix(j.req.ID, "again") {
+				return
+			}
+			next := &job{req: j.req, output: j.output, call: j.call, jitter: j.jitter}
+			next.req.ID = "again-" + j.req.ID
+			next.req.Arrived = p.now.Add(j.retryAfter)
+			next.req.Deadline = next.req.Arrived.Add(j.req.Deadline.Sub(j.req.Arrived))
+			again = append(again, next)
+			p.submit(next)
+		}
+		for _, j := range s.jobs(pattern{rate: burst}, 7) {
+			p.submit(j)
+		}
+		p.run()
+		answered := 0
+		for _, j := range again {
+			if !j.done.IsZero() {
+				answered++
+			}
+		}
+		t.Logf("%d of %d answered when they came back", answered, len(again))
+		assert.Assert(t, answered*10 >= len(again)*9, "%s: %d of %d", s.name, answered, len(again))
+	})
+}
--- a/decision/group/config.go
+++ b/decision/group/config.go
@@ -119,9 +119,6 @@
 	// noUpstreamRetry is the advice when no upstream is usable: health probes and
 	// changes of configuration take effect within seconds.
 	noUpstreamRetry = 2 * time.Second
-	// minRetry is the shortest advice: under it a caller would come back before
-	// anything can have changed.
-	minRetry = 100 * time.Millisecond
 	// prefillGrace is by how much a prefill place is kept beyond its estimate when
 	// the driver does not tell the end of prefills.
 	prefillGrace = 1.25
--- a/decision/group/dispatch.go
+++ b/decision/group/dispatch.go
@@ -97,7 +97,7 @@
 }
 
 func (g *Group) refuseLate(now time.Time, w *waiter) {
-	g.refuse(w, verdict.Refuse(verdict.ReasonQueueTimeout, advice(g.wait(now, w)),
+	g.refuse(w, verdict.Refuse(verdict.ReasonQueueTimeout, g.advice(now, w),
 		"no place came free within %s", now.Sub(w.submitted).Round(time.Millisecond)))
 }
 
--- a/decision/group/estimate.go
+++ b/decision/group/estimate.go
@@ -19,6 +19,8 @@
 	deviations = 2.0
 	// startDeviation is a guess at that spread before outcomes are known.
 	startDeviation = 50 * time.Millisecond
+	// learntOutcomes is how many outcomes replace the start values by learnRate.
+	learntOutcomes = 20
 	// loadWindow is the time over which the load by interactive requests is
 	// averaged, a few decodes long.
 	loadWindow = 10 * time.Second
@@ -42,6 +44,7 @@
 	prefillTime  float64
 	meanCost     float64
 	transferTime float64
+	outcomes     int
 	// interactive is the engine time granted to interactive requests, decayed over
 	// loadWindow.
 	interactive   float64
@@ -76,6 +79,11 @@
 	startEngineShare = 0.05
 )
 
+// learnt reports whether the estimates rest on outcomes. A new scheduler of a small
+// service would otherwise refuse requests on the start values alone, though its
+// places may come free in time; until then only the latest start bounds the wait.
+func (e *estimates) learnt() bool { return e.outcomes >= learntOutcomes }
+
 func learnInto(mean *float64, observed float64) { *mean += learnRate * (observed - *mean) }
 
 // cost is the engine time in seconds that a request is expected to use: its
@@ -138,6 +146,7 @@
 
 // released notes how long a grant was held and what it cost.
 func (e *estimates) released(took time.Duration, cost float64) {
+	e.outcomes++
 	learnInto(&e.hold, took.Seconds())
 	learnInto(&e.meanCost, max(cost, 1e-6))
 }
--- a/decision/group/group.go
+++ b/decision/group/group.go
@@ -28,8 +28,11 @@
 	// shares is what each organisation with grants holds, in engines.
 	shares  map[string]*share
 	engines float64
-	nextID  uint64
-	uses    uint64
+	// returning is what was refused of late, by organisation.
+	returning    map[string]returns
+	returnsLimit int
+	nextID       uint64
+	uses         uint64
 
 	cache    *prefill.Index
 	trust    *prefill.Trust
@@ -93,16 +96,18 @@
 func New(cfg Config) *Group {
 	cfg = cfg.withDefaults()
 	return &Group{
-		cfg:      cfg,
-		byName:   make(map[string]*upstream),
-		byIndex:  make(map[int]*upstream),
-		queue:    queue.New[*waiter](cfg.DeferrableShare, cfg.PreferenceLead),
-		grants:   make(map[uint64]*held),
-		shares:   make(map[string]*share),
-		nextID:   cfg.FirstGrantID,
-		cache:    prefill.NewIndex(),
-		trust:    prefill.NewTrust(),
-		estimate: newEstimates(cfg),
+		cfg:     cfg,
+		byName:  make(map[string]*upstream),
+		byIndex: make(map[int]*upstream),
+		queue:   queue.New[*waiter](cfg.DeferrableShare, cfg.PreferenceLead),
+		grants:  make(map[uint64]*held),
+		shares:  make(map[string]*share),
+
+		returning: make(map[string]returns),
+		nextID:    cfg.FirstGrantID,
+		cache:     prefill.NewIndex(),
+		trust:     prefill.NewTrust(),
+		estimate:  newEstimates(cfg),
 	}
 }
 
--- a/decision/group/load_test.go
+++ b/decision/group/load_test.go
@@ -232,17 +232,21 @@
 	panic("no pattern " + name)
 }
 
-// run drives one decider through one load.
-func (s site) run(pat pattern, seed uint64, cfg Config, useNaive bool) measures {
-	ups := s.upstreams(cmp.Or(pat.link, linkRate))
+// pool is the site's fake engines, driven by a group.
+func (s site) pool(cfg Config, linkRate int64) *pool {
 	cfg.Kind, cfg.PrefixBlockTokens = s.kind, prefixBlock
 	g := New(cfg)
-	g.SetUpstreams(epoch, ups)
-	var d decider = g
+	g.SetUpstreams(epoch, s.upstreams(linkRate))
+	return newPool(g, s.upstreams(linkRate))
+}
+
+// run drives one decider through one load.
+func (s site) run(pat pattern, seed uint64, cfg Config, useNaive bool) measures {
+	p := s.pool(cfg, cmp.Or(pat.link, linkRate))
+	g := p.decider.(*Group)
 	if useNaive {
-		d = newNaive(s.kind, ups)
+		p.decider = newNaive(s.kind, s.upstreams(0))
 	}
-	p := newPool(d, ups)
 	if pat.slow > 0 {
 		p.engines["sink-0"].slow = pat.slow
 		if e := p.engines["prefill-0"]; e != nil {
--- a/decision/group/pool_test.go
+++ b/decision/group/pool_test.go
@@ -38,6 +38,7 @@
 	inRate     bool
 	grant      *Grant
 	refused    bool
+	retryAfter time.Duration
 	failed     bool
 	firstToken time.Time
 	done       time.Time
@@ -165,6 +166,7 @@
 		j := p.jobs[d.RequestID]
 		if d.Refusal != nil {
 			j.refused = true
+			j.retryAfter = d.Refusal.RetryAfter
 			if p.onRefusal != nil {
 				p.onRefusal(j)
 			}
--- a/decision/group/submit.go
+++ b/decision/group/submit.go
@@ -52,6 +52,12 @@
 	if req.Class != request.Deferrable {
 		req.Class = request.Interactive
 	}
+	if req.Arrived.IsZero() {
+		req.Arrived = now
+	}
+	if req.Deadline.IsZero() {
+		req.Deadline = req.Arrived.Add(g.cfg.FirstToken)
+	}
 	w := &waiter{Request: req, submitted: now}
 	w.cost = g.estimate.cost(w, g.engineShare(w))
 	w.latest = g.latestStart(w)
@@ -86,18 +92,15 @@
 	}
 	wait := g.wait(now, w)
 	if !now.Before(g.bound(w)) {
-		return verdict.Refuse(verdict.ReasonDeadlineUnmeetable, advice(wait), "the deadline has passed")
+		return verdict.Refuse(verdict.ReasonDeadlineUnmeetable, g.advice(now, w), "the deadline has passed")
 	}
-	if now.Add(wait).After(w.latest) {
-		return verdict.Refuse(verdict.ReasonDeadlineUnmeetable, advice(wait),
+	if g.estimate.learnt() && now.Add(wait).After(w.latest) {
+		return verdict.Refuse(verdict.ReasonDeadlineUnmeetable, g.advice(now, w),
 			"expected wait of %s is too long for the deadline", wait.Round(time.Millisecond))
 	}
 	return nil
 }
 
-// advice is when to come back: when what waits now will have been served.
-func advice(wait time.Duration) time.Duration { return max(minRetry, wait) }
-
 func (g *Group) anyUsable() bool {
 	return anyUsable(g.sinks) && (g.cfg.Kind == object.KindPlain || anyUsable(g.entries))
 }
