Membership: a line and a counter for each member's change, secrets in turn

Cause: the log told how many members there were, not who was lost; a changed secret would split the fleet; sync requests were not charged to a byte budget. Change: log lines and counters by change and by kind of packet; several accepted secrets of which the first signs; sync requests charged; live records first in a sync page; the quarantine's refusal as a verdict.

--- a/decision/quarantine/quarantine.go
+++ b/decision/quarantine/quarantine.go
@@ -37,6 +37,8 @@
 	"container/list"
 	"slices"
 	"time"
+
+	"github.com/cairnworks/cairnworks/verdict"
 )
 
 // Config holds the figures; see the package comment for their grounds.
@@ -196,6 +198,17 @@
 	return e.until, true
 }
 
+// Refusal returns the verdict for a fingerprint in quarantine, with the time until
+// its end, or nil when it may run.
+func (l *Ledger) Refusal(now time.Time, fingerprint uint64) *verdict.Verdict {
+	until, blocked := l.Blocked(now, fingerprint)
+	if !blocked {
+		return nil
+	}
+	return verdict.Refuse(verdict.ReasonQuarantined, until.Sub(now),
+		"this prompt ended several upstreams and is refused until %s", until.UTC().Format(time.RFC3339))
+}
+
 // Suspect reports whether a crash is held against the fingerprint. A suspect is to
 // run on an upstream without another suspect, and rather where little else runs.
 func (l *Ledger) Suspect(now time.Time, fingerprint uint64) bool {
--- a/membership/actor.go
+++ b/membership/actor.go
@@ -66,6 +66,7 @@
 // report publishes the new state and tells the owner of events.
 func (p *protocol) report() {
 	events := p.node.Take()
+	before := p.service.snapshot.Load().all
 	if events.Updated {
 		p.service.publish(p.node)
 	}
@@ -73,7 +74,7 @@
 		p.service.renewed(*events.Renewed)
 	}
 	if events.Changed {
-		p.service.changed()
+		p.service.changed(before)
 	}
 	if events.Behind != nil {
 		p.service.behind(*events.Behind)
@@ -99,10 +100,10 @@
 	}
 }
 
-func (s *Service) changed() {
+func (s *Service) changed(before []Member) {
 	members := s.Members()
 	s.metrics.members.Update(float64(len(members)))
-	s.log.Info("members changed", zap.Int("members", len(members)))
+	s.logChanges(before, s.snapshot.Load().all)
 	for _, f := range s.registered().change {
 		f(members)
 	}
--- a/membership/codec.go
+++ b/membership/codec.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -26,7 +27,8 @@
 // dead. A repeated old datagram does no harm: records only ever move forward, and
 // an answer counts only with the number of the ping under way.
 type codec struct {
-	secret []byte
+	// secrets accepted; the first one signs.
+	secrets [][]byte
 }
 
 func (c codec) encode(p gossip.Packet) ([]byte, error) {
@@ -38,15 +40,15 @@
 	if err != nil {
 		return nil, err
 	}
-	return append(body, c.mac(body)...), nil
+	return append(body, mac(c.secrets[0], body)...), nil
 }
 
 func (c codec) decode(datagram []byte) (gossip.Packet, error) {
 	if len(datagram) < macBytes {
 		return gossip.Packet{}, errUnauthenticated
 	}
-	body, mac := datagram[:len(datagram)-macBytes], datagram[len(datagram)-macBytes:]
-	if !hmac.Equal(mac, c.mac(body)) {
+	body := datagram[:len(datagram)-macBytes]
+	if !c.authentic(body, datagram[len(body):]) {
 		return gossip.Packet{}, errUnauthenticated
 	}
 	var message membershipv1.Packet
@@ -56,8 +58,14 @@
 	return packetFromProto(&message)
 }
 
-func (c codec) mac(body []byte) []byte {
-	h := hmac.New(sha256.New, c.secret)
+func (c codec) authentic(body, tag []byte) bool {
+	return slices.ContainsFunc(c.secrets, func(secret []byte) bool {
+		return hmac.Equal(tag, mac(secret, body))
+	})
+}
+
+func mac(secret, body []byte) []byte {
+	h := hmac.New(sha256.New, secret)
 	h.Write(body)
 	return h.Sum(nil)[:macBytes]
 }
--- a/membership/config.go
+++ b/membership/config.go
@@ -26,9 +26,12 @@
 	Seeds []string
 	// List is the platform's list, nil when there is none.
 	List port.InstanceList
-	// Secret authenticates the datagrams; it is shared by the fleet and has at
-	// least MinSecret bytes.
-	Secret []byte
+	// Secrets authenticate the datagrams; they are shared by the fleet and have at
+	// least MinSecret bytes each. The first one signs, all are accepted. A secret is
+	// replaced in three rollouts: add the new one behind, put it first, drop the old
+	// one. Replaced in one, it would split the fleet into those that have restarted
+	// and those that haven't, each declaring the other dead.
+	Secrets [][]byte
 	// Conn is the UDP socket; nil listens at Holder.Address. Run closes it.
 	Conn net.PacketConn
 	// Protocol overrides the protocol's figures in tests; its Self and Seeds are
@@ -49,8 +52,13 @@
 	if c.Holder.Instance == "" {
 		errs = append(errs, errors.New("instance name missing"))
 	}
-	if len(c.Secret) < MinSecret {
-		errs = append(errs, errors.New("gossip secret shorter than 16 bytes"))
+	if len(c.Secrets) == 0 {
+		errs = append(errs, errors.New("gossip secret missing"))
+	}
+	for _, secret := range c.Secrets {
+		if len(secret) < MinSecret {
+			errs = append(errs, errors.New("gossip secret shorter than 16 bytes"))
+		}
 	}
 	for _, address := range append([]string{c.Holder.Address}, c.Seeds...) {
 		if _, err := netip.ParseAddrPort(address); err != nil {
--- a/membership/gossip/config.go
+++ b/membership/gossip/config.go
@@ -71,11 +71,14 @@
 	// pings; a burst carries a rack's failure at once.
 	newsRate  = 500
 	newsBurst = 8000
-	// syncRate and syncBurst bound the bytes a second of answers to sync
-	// requests. The burst is one whole table of 400 members, so that a new
-	// instance learns it within seconds.
+	// syncRate and syncBurst bound the bytes a second of sync requests and of
+	// answers to them. The burst is one whole table of 400 members, so that a new
+	// instance learns it within seconds and a healed partition of the fleet is over
+	// in half a minute; with half of the burst it took 77 s.
 	syncRate  = 1000
 	syncBurst = 30000
+	// requestOverhead is the size of a sync request beside its filter.
+	requestOverhead = 90
 	// syncQuiet is how long the table must have been unchanged before a differing
 	// digest is worth a sync: news under way explains a difference.
 	syncQuiet = 2 * time.Second
@@ -86,7 +89,7 @@
 	// latter while it knows less than three quarters of a peer's records or the last page
 	// brought bulkPage new ones.
 	syncInterval     = time.Second
-	bulkSyncInterval = 100 * time.Millisecond
+	bulkSyncInterval = 250 * time.Millisecond
 	bulkPage         = 6
 	// transmitFactor times log10 of the number of members is how often each
 	// member repeats a piece of news; 4 is the usual choice of SWIM libraries, and
--- a/membership/gossip/record.go
+++ b/membership/gossip/record.go
@@ -107,6 +107,28 @@
 	SyncPage
 )
 
+// String returns the metric tag of the kind.
+func (k Kind) String() string {
+	switch k {
+	case Ping:
+		return "ping"
+	case Ack:
+		return "ack"
+	case PingRequest:
+		return "ping_request"
+	case RelayedAck:
+		return "relayed_ack"
+	case SyncRequest:
+		return "sync_request"
+	case Push:
+		return "push"
+	case SyncPage:
+		return "sync_page"
+	default:
+		return "unknown"
+	}
+}
+
 // Packet is one datagram.
 type Packet struct {
 	Kind           Kind
--- a/membership/gossip/sync.go
+++ b/membership/gossip/sync.go
@@ -64,9 +64,13 @@
 	if !n.syncDue(now, joining) {
 		return
 	}
-	n.sync.lastSync = now
 	salt := n.probeNumber()
-	n.send(from, Packet{Kind: SyncRequest, Probe: salt, Filter: n.held(salt)})
+	held := n.held(salt)
+	if !n.sync.bytes.take(now, len(held)+requestOverhead) {
+		return
+	}
+	n.sync.lastSync = now
+	n.send(from, Packet{Kind: SyncRequest, Probe: salt, Filter: held})
 }
 
 func (n *Node) syncDue(now time.Time, joining bool) bool {
@@ -89,17 +93,17 @@
 }
 
 // missing collects a page from a random place of the table on, so that the pages
-// of several peers seldom bring the same.
+// of several peers seldom bring the same. Live records go first: after a partition
+// the asker holds newer ones in place of most of the dead.
 func (n *Node) missing(now time.Time, f filter, salt uint32) []Record {
-	names := append(slices.Clone(n.index().names), n.self.Name)
-	start := n.rng.IntN(len(names))
+	live, ended := n.split()
 	var page []Record
 	size := 0
-	for i := range names {
-		r, _ := n.record(now, names[(start+i)%len(names)])
+	for _, r := range append(n.rotate(live), n.rotate(ended)...) {
 		if f.has(recordHash(r), salt) {
 			continue
 		}
+		r = n.aged(now, r)
 		if size += r.Size(); size > pageBytes {
 			break
 		}
@@ -108,6 +112,37 @@
 	return page
 }
 
+// split returns all records by whether they are live, each in order of names.
+func (n *Node) split() (live, ended []Record) {
+	live = append(live, n.self)
+	for _, name := range n.index().names {
+		m := n.members[name]
+		if m.State.Terminal() {
+			ended = append(ended, m.Record)
+		} else {
+			live = append(live, m.Record)
+		}
+	}
+	return live, ended
+}
+
+// rotate starts the records at a random one.
+func (n *Node) rotate(records []Record) []Record {
+	if len(records) == 0 {
+		return nil
+	}
+	start := n.rng.IntN(len(records))
+	return slices.Concat(records[start:], records[:start])
+}
+
+// aged is the record as it is sent at now.
+func (n *Node) aged(now time.Time, r Record) Record {
+	if m, ok := n.members[r.Name]; ok {
+		return m.wire(now)
+	}
+	return r
+}
+
 // held is the filter of this node's own records.
 func (n *Node) held(salt uint32) filter {
 	f := newFilter(len(n.members) + 1)
--- a/membership/metrics.go
+++ b/membership/metrics.go
@@ -1,6 +1,10 @@
 package membership
 
-import "github.com/uber-go/tally/v4"
+import (
+	"github.com/uber-go/tally/v4"
+
+	"github.com/cairnworks/cairnworks/membership/gossip"
+)
 
 // headerBytes are the IPv4 and UDP headers of a datagram, counted so that the
 // metric can be held against the control budget.
@@ -16,11 +20,20 @@
 	sendErrors      tally.Counter
 	sentBytes       tally.Counter
 	receivedBytes   tally.Counter
+	// sentKinds are bytes sent by kind of packet, to see what a rise is made of.
+	sentKinds map[gossip.Kind]tally.Counter
+	scope     tally.Scope
 }
 
 func newMetrics(scope tally.Scope) metrics {
 	scope = scope.SubScope("membership")
+	kinds := make(map[gossip.Kind]tally.Counter)
+	for kind := gossip.Ping; kind <= gossip.SyncPage; kind++ {
+		kinds[kind] = scope.Tagged(map[string]string{"kind": kind.String()}).Counter("sent_kind_bytes")
+	}
 	return metrics{
+		sentKinds:       kinds,
+		scope:           scope,
 		members:         scope.Gauge("members"),
 		renewals:        scope.Counter("renewals"),
 		unauthenticated: scope.Counter("unauthenticated_datagrams"),
@@ -33,5 +46,13 @@
 	}
 }
 
-func (m metrics) sent(bytes int)     { m.sentBytes.Inc(int64(bytes + headerBytes)) }
 func (m metrics) received(bytes int) { m.receivedBytes.Inc(int64(bytes + headerBytes)) }
+
+func (m metrics) sent(kind gossip.Kind, bytes int) {
+	m.sentBytes.Inc(int64(bytes + headerBytes))
+	m.sentKinds[kind].Inc(int64(bytes + headerBytes))
+}
+
+func (m metrics) change(what change) tally.Counter {
+	return m.scope.Tagged(map[string]string{"change": string(what)}).Counter("changes")
+}
--- a/membership/service.go
+++ b/membership/service.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"net/netip"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -75,7 +74,7 @@
 	}
 	s := &Service{
 		cfg:     cfg,
-		codec:   codec{secret: slices.Clone(cfg.Secret)},
+		codec:   codec{secrets: cfg.Secrets},
 		log:     cfg.Logger,
 		metrics: newMetrics(cfg.Metrics),
 		system:  cfg.System,
@@ -223,6 +222,6 @@
 			s.metrics.sendErrors.Inc(1)
 			continue
 		}
-		s.metrics.sent(len(datagram))
+		s.metrics.sent(out.Packet.Kind, len(datagram))
 	}
 }
