--- a/membership/gossip/config.go
+++ b/membership/gossip/config.go
@@ -52,6 +52,12 @@
 	// reconnectInterval is how often an address that is not a live member (a
 	// seed, a listed instance, a dead member) is pinged. It heals partitions.
 	reconnectInterval = time.Second
+	// calmAfter is the time without a loss after which such pings come every
+	// calmInterval only. Most of the dead then are replaced instances that never
+	// return; together the members still try the other side of a partition about
+	// once a second at 9 members, and one contact is enough.
+	calmAfter    = 2 * time.Minute
+	calmInterval = 10 * time.Second
 	// behindInterval is how often the owner is told again that a peer holds a
 	// higher configuration, in case its fetch failed.
 	behindInterval = time.Second
--- a/membership/gossip/merge.go
+++ b/membership/gossip/merge.go
@@ -90,6 +90,9 @@
 	if !ownerSees(old, r) {
 		return internal
 	}
+	if r.State.Terminal() {
+		n.lastLoss = now
+	}
 	n.events.Changed = true
 	return visible
 }
--- a/membership/gossip/node.go
+++ b/membership/gossip/node.go
@@ -21,6 +21,7 @@
 	nextProbe    uint32
 	nextRound    time.Time
 	nextContact  time.Time
+	lastLoss     time.Time
 	rotation     []string
 	news         news
 	table        table
@@ -80,6 +81,7 @@
 		nextProbe:   rng.Uint32(),
 		nextRound:   now.Add(time.Duration(rng.Int64N(int64(cfg.ProbeInterval)))),
 		nextContact: now,
+		lastLoss:    now,
 		lastTick:    now,
 	}
 	n.news = newNews(now)
--- a/membership/gossip/probe.go
+++ b/membership/gossip/probe.go
@@ -210,7 +210,7 @@
 	if now.Before(n.nextContact) {
 		return
 	}
-	n.nextContact = now.Add(reconnectInterval)
+	n.nextContact = now.Add(n.contactInterval(now))
 	candidates := n.strangers()
 	if len(candidates) == 0 {
 		return
@@ -225,6 +225,13 @@
 	n.send(address, Packet{Kind: Ping, Probe: n.probeNumber(), Records: told})
 }
 
+func (n *Node) contactInterval(now time.Time) time.Duration {
+	if n.liveCount() == 0 || now.Sub(n.lastLoss) < calmAfter {
+		return reconnectInterval
+	}
+	return calmInterval
+}
+
 // strangers are the addresses worth a ping that no live member has.
 func (n *Node) strangers() []string {
 	candidates := slices.Concat(n.cfg.Seeds, n.hints)
--- a/membership/gossip_test.go
+++ b/membership/gossip_test.go
@@ -168,16 +168,16 @@
 	}
 }
 
-// The two halves of a fleet lose each other for a minute and find each other
+// The two halves of a fleet lose each other for some minutes and find each other
 // again. Each half goes on alone; if they didn't speak to members they hold dead,
 // they would stay apart for ever.
 func TestPartitionHeals(t *testing.T) {
-	for _, count := range []int{9, 40} {
+	for count, apart := range map[int]time.Duration{9: 10 * time.Minute, 40: time.Minute} {
 		w := formed(t, 5, count)
 		watchReturns(t, w)
 		half := w.nodes[count/2].name
 		w.side = func(s *simNode) int { return strings.Compare(s.name, half) | 1 }
-		w.run(time.Minute)
+		w.run(apart)
 		assert.Equal(t, w.membersSeen(w.nodes[0]), count/2)
 		assert.Equal(t, w.membersSeen(w.nodes[count-1]), count-count/2)
 		w.side = nil
