Membership: further accepted secrets beside the one that signs

Cause: a list of secrets changed the configuration's shape for its users. Change: Secret signs, AlsoAccepted are accepted as well. Measured: the loopback test passes with two secrets in turn.

--- a/membership/config.go
+++ b/membership/config.go
@@ -26,12 +26,15 @@
 	Seeds []string
 	// List is the platform's list, nil when there is none.
 	List port.InstanceList
-	// Secrets authenticate the datagrams; they are shared by the fleet and have at
-	// least MinSecret bytes each. The first one signs, all are accepted. A secret is
-	// replaced in three rollouts: add the new one behind, put it first, drop the old
-	// one. Replaced in one, it would split the fleet into those that have restarted
-	// and those that haven't, each declaring the other dead.
-	Secrets [][]byte
+	// Secret authenticates the datagrams; it is shared by the fleet and has at
+	// least MinSecret bytes.
+	Secret []byte
+	// AlsoAccepted are further secrets that received datagrams may carry. A secret
+	// is replaced in three rollouts: accept the new one, sign with it and accept the
+	// old one, drop the old one. Replaced in one, it would split the fleet into
+	// those that have restarted and those that haven't, each declaring the other
+	// dead.
+	AlsoAccepted [][]byte
 	// Conn is the UDP socket; nil listens at Holder.Address. Run closes it.
 	Conn net.PacketConn
 	// Protocol overrides the protocol's figures in tests; its Self and Seeds are
@@ -52,10 +55,7 @@
 	if c.Holder.Instance == "" {
 		errs = append(errs, errors.New("instance name missing"))
 	}
-	if len(c.Secrets) == 0 {
-		errs = append(errs, errors.New("gossip secret missing"))
-	}
-	for _, secret := range c.Secrets {
+	for _, secret := range c.secrets() {
 		if len(secret) < MinSecret {
 			errs = append(errs, errors.New("gossip secret shorter than 16 bytes"))
 		}
@@ -67,3 +67,8 @@
 	}
 	return errors.Join(errs...)
 }
+
+// secrets returns all that are accepted, the one that signs first.
+func (c Config) secrets() [][]byte {
+	return append([][]byte{c.Secret}, c.AlsoAccepted...)
+}
--- a/membership/service.go
+++ b/membership/service.go
@@ -74,7 +74,7 @@
 	}
 	s := &Service{
 		cfg:     cfg,
-		codec:   codec{secrets: cfg.Secrets},
+		codec:   codec{secrets: cfg.secrets()},
 		log:     cfg.Logger,
 		metrics: newMetrics(cfg.Metrics),
 		system:  cfg.System,
--- a/membership/udp_test.go
+++ b/membership/udp_test.go
@@ -30,15 +30,16 @@
 	stop  func()
 }
 
-func start(t *testing.T, name string, secrets [][]byte, seeds ...string) running {
+func start(t *testing.T, name string, secret, also []byte, seeds ...string) running {
 	t.Helper()
 	scope := tally.NewTestScope("", nil)
 	s, err := membership.New(membership.Config{
-		Holder:     request.Holder{Instance: name, Address: "127.0.0.1:0"},
-		DataCentre: "split-a",
-		Seeds:      seeds,
-		Secrets:    secrets,
-		Metrics:    scope,
+		Holder:       request.Holder{Instance: name, Address: "127.0.0.1:0"},
+		DataCentre:   "split-a",
+		Seeds:        seeds,
+		Secret:       secret,
+		AlsoAccepted: [][]byte{also},
+		Metrics:      scope,
 	})
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -68,13 +69,13 @@
 // of an instance with another secret, change nothing and are counted.
 func TestInstancesFindOneAnotherOverUDP(t *testing.T) {
 	defer goleak.VerifyNone(t)
-	first := start(t, "a", [][]byte{oldSecret, newSecret})
+	first := start(t, "a", oldSecret, newSecret)
 	defer first.stop()
 	seed := first.Self().Address
-	second := start(t, "b", [][]byte{newSecret, oldSecret}, seed)
+	second := start(t, "b", newSecret, oldSecret, seed)
 	defer second.stop()
-	third := start(t, "c", [][]byte{oldSecret, newSecret}, seed)
-	stranger := start(t, "d", [][]byte{foreign}, seed)
+	third := start(t, "c", oldSecret, newSecret, seed)
+	stranger := start(t, "d", foreign, foreign, seed)
 	defer stranger.stop()
 
 	everyoneSees := func(count int, all ...running) func() bool {
