--- a/membership/config.go
+++ b/membership/config.go
@@ -29,6 +29,12 @@
 	// Secret authenticates the datagrams; it is shared by the fleet and has at
 	// least MinSecret bytes.
 	Secret []byte
+	// AlsoAccepted are further secrets that received datagrams may carry. A secret
+	// is replaced in three rollouts: accept the new one, sign with it and accept the
+	// old one, drop the old one. Replaced in one, it would split the fleet into
+	// those that have restarted and those that haven't, each declaring the other
+	// dead.
+	AlsoAccepted [][]byte
 	// Conn is the UDP socket; nil listens at Holder.Address. Run closes it.
 	Conn net.PacketConn
 	// Protocol overrides the protocol's figures in tests; its Self and Seeds are
@@ -49,8 +55,10 @@
 	if c.Holder.Instance == "" {
 		errs = append(errs, errors.New("instance name missing"))
 	}
-	if len(c.Secret) < MinSecret {
-		errs = append(errs, errors.New("gossip secret shorter than 16 bytes"))
+	for _, secret := range c.secrets() {
+		if len(secret) < MinSecret {
+			errs = append(errs, errors.New("gossip secret shorter than 16 bytes"))
+		}
 	}
 	for _, address := range append([]string{c.Holder.Address}, c.Seeds...) {
 		if _, err := netip.ParseAddrPort(address); err != nil {
@@ -59,3 +67,8 @@
 	}
 	return errors.Join(errs...)
 }
+
+// secrets returns all that are accepted, the one that signs first.
+func (c Config) secrets() [][]byte {
+	return append([][]byte{c.Secret}, c.AlsoAccepted...)
+}
