Half of a busy instance's memory was compressors between instances

Cause: connect compresses by default; each call under way between instances held most of a megabyte of compressor state for messages of some hundred bytes. Found by heap profiles (now at the operators' /debug/pprof): 69 of 111 MB in compress/flate at the busiest instance, 12 MB in four actor registries. Ruled out: prompts and bodies in flight, 2 MB. Change: no compression between instances but for whole configurations; one actor system.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -7,6 +7,7 @@
 	"context"
 	"time"
 
+	"github.com/asynkron/protoactor-go/actor"
 	"github.com/samber/oops"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
@@ -34,6 +35,9 @@
 	metrics  *observe.Metrics
 	started  time.Time
 
+	// actors runs the concurrent parts. They share one system, since each holds
+	// about 4 MB for its registry.
+	actors   *actor.ActorSystem
 	members  *membership.Service
 	follower *config.Follower
 	sched    *scheduler.Server
@@ -65,7 +69,7 @@
 func New(s settings.Settings, log *zap.Logger, level zap.AtomicLevel) (*Instance, error) {
 	i := &Instance{
 		settings: s, log: log.With(zap.String("instance", s.Instance)), level: level,
-		metrics: observe.NewMetrics(), open: newOpenRequests(), started: time.Now(), drain: newDrainState(),
+		metrics: observe.NewMetrics(), open: newOpenRequests(), actors: observe.NewActorSystem(), started: time.Now(), drain: newDrainState(),
 	}
 	secret, err := readSecret(s.Peers.SecretFile)
 	if err != nil {
@@ -152,6 +156,7 @@
 
 func (i *Instance) close() {
 	i.sched.Close()
+	i.actors.Shutdown()
 	i.peers.Close()
 	_ = i.metrics.Close()
 	i.log.Info("stopped", zap.Duration("ran", time.Since(i.started)))
--- a/instance/join.go
+++ b/instance/join.go
@@ -33,7 +33,7 @@
 			Instance: i.settings.Instance, Incarnation: uint64(time.Now().UnixMilli()), Address: i.Addresses().Peers,
 		},
 		DataCentre: i.settings.DataCentre, OperatorAddress: i.Addresses().Operators,
-		Seeds: i.settings.Peers.Seeds, List: i.platform.list, Secret: []byte(secret),
+		Seeds: i.settings.Peers.Seeds, List: i.platform.list, Secret: []byte(secret), System: i.actors,
 		Logger: i.log, Metrics: i.metrics.Scope,
 	})
 	if err != nil {
--- a/instance/operators.go
+++ b/instance/operators.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"connectrpc.com/connect"
@@ -28,10 +29,18 @@
 		Token: token, Logger: i.log, Metrics: i.metrics.Handler,
 		Status: sources, Instances: sources, Upstreams: sources, Queues: sources, Objects: i.follower,
 		Drainer: i, Level: i.level, Publisher: config.NewPublisher(i.platform.log),
-		Mounts: []func(*http.ServeMux){i.guard.AddQueries, i.orders.AddQueries, i.addOrderCommands},
+		Mounts: []func(*http.ServeMux){i.guard.AddQueries, i.orders.AddQueries, i.addOrderCommands, addProfiles},
 	}), nil
 }
 
+// addProfiles adds the runtime's profiles, for those who look into an instance's
+// memory or processor time.
+func addProfiles(mux *http.ServeMux) {
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
+}
+
 func (i *Instance) addOrderCommands(mux *http.ServeMux) {
 	i.orders.AddCommands(mux, func(name string) (object.Upstream, bool) {
 		index := i.index()
--- a/instance/path.go
+++ b/instance/path.go
@@ -7,6 +7,7 @@
 	"github.com/cairnworks/cairnworks/caller"
 	"github.com/cairnworks/cairnworks/decision/retry"
 	"github.com/cairnworks/cairnworks/gen/cairnworks/peer/v1/peerv1connect"
+	"github.com/cairnworks/cairnworks/peer"
 	"github.com/cairnworks/cairnworks/route"
 	"github.com/cairnworks/cairnworks/scheduler"
 )
@@ -15,7 +16,7 @@
 func (i *Instance) buildPath() error {
 	i.sched = scheduler.NewServer(scheduler.Config{
 		Self: i.self(), Catalogue: i.catalogue, Home: i.schedulerHome, Dead: i.givenUp,
-		Engines: i.engines, Log: i.log, Metrics: i.metrics,
+		Engines: i.engines, System: i.actors, Log: i.log, Metrics: i.metrics,
 	})
 	i.placer = scheduler.NewClient(scheduler.ClientConfig{
 		Self: i.self, DataCentre: i.settings.DataCentre, Home: i.schedulerHome, Dial: i.dialScheduler,
@@ -46,13 +47,13 @@
 	if address == i.self().Address {
 		return i.sched
 	}
-	return peerv1connect.NewSchedulerServiceClient(i.peers, i.peers.URL(address))
+	return peerv1connect.NewSchedulerServiceClient(i.peers, i.peers.URL(address), peer.ClientOptions())
 }
 
 // peerHandler serves every service that instances offer one another.
 func (i *Instance) peerHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(peerv1connect.NewSchedulerServiceHandler(i.sched))
+	mux.Handle(peerv1connect.NewSchedulerServiceHandler(i.sched, peer.HandlerOptions()))
 	mux.Handle(i.follower.Handler())
 	i.mountStages(mux)
 	return mux
--- a/instance/stages.go
+++ b/instance/stages.go
@@ -10,6 +10,7 @@
 	"github.com/cairnworks/cairnworks/object"
 	"github.com/cairnworks/cairnworks/once"
 	"github.com/cairnworks/cairnworks/order"
+	"github.com/cairnworks/cairnworks/peer"
 	"github.com/cairnworks/cairnworks/rate"
 	"github.com/cairnworks/cairnworks/request"
 )
@@ -26,7 +27,7 @@
 		return err
 	}
 	i.guard, err = once.New(once.Config{
-		Self: i.self(), Log: i.platform.log, Members: i.liveHolders, Dial: i.dialOnce, Logger: i.log, Metrics: i.metrics,
+		Self: i.self(), Log: i.platform.log, Members: i.liveHolders, Dial: i.dialOnce, System: i.actors, Logger: i.log, Metrics: i.metrics,
 		LogRetention: i.logRetention(),
 		Window:       i.logRetention() / 2,
 	})
@@ -53,7 +54,7 @@
 }
 
 func (i *Instance) dialRate(address string) peerv1connect.RateServiceClient {
-	return peerv1connect.NewRateServiceClient(i.peers, i.peers.URL(address))
+	return peerv1connect.NewRateServiceClient(i.peers, i.peers.URL(address), peer.ClientOptions())
 }
 
 func (i *Instance) dialOnce(holder request.Holder) (connect.HTTPClient, string) {
@@ -66,7 +67,7 @@
 
 // mountStages adds the stages' services to the peers' address.
 func (i *Instance) mountStages(mux *http.ServeMux) {
-	mux.Handle(peerv1connect.NewRateServiceHandler(i.rate.Handler()))
+	mux.Handle(peerv1connect.NewRateServiceHandler(i.rate.Handler(), peer.HandlerOptions()))
 	mux.Handle(i.guard.Handler())
 }
 
--- a/once/config.go
+++ b/once/config.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/asynkron/protoactor-go/actor"
 	"go.uber.org/zap"
 
 	"github.com/cairnworks/cairnworks/observe"
@@ -54,7 +55,9 @@
 	Members func() []request.Holder
 	// Dial returns how to reach the service of another instance. Without it the
 	// instance serves every partition itself.
-	Dial    Dialer
+	Dial Dialer
+	// System runs the partitions' actors. Without it the service has one of its own.
+	System  *actor.ActorSystem
 	Logger  *zap.Logger
 	Metrics *observe.Metrics
 	// Clock defaults to time.Now.
--- a/once/handler.go
+++ b/once/handler.go
@@ -11,6 +11,7 @@
 	oncev1 "github.com/cairnworks/cairnworks/gen/cairnworks/once/v1"
 	"github.com/cairnworks/cairnworks/gen/cairnworks/once/v1/oncev1connect"
 	"github.com/cairnworks/cairnworks/once/protocol"
+	"github.com/cairnworks/cairnworks/peer"
 )
 
 var errBadPartition = errors.New("once: record does not belong to the partition")
@@ -24,7 +25,7 @@
 // Handler returns the path and the handler of the service for other instances. It
 // belongs on the listener for peers only.
 func (s *Service) Handler() (string, http.Handler) {
-	return oncev1connect.NewOnceServiceHandler(handler{service: s}, connect.WithReadMaxBytes(maxMessageBytes))
+	return oncev1connect.NewOnceServiceHandler(handler{service: s}, connect.WithReadMaxBytes(maxMessageBytes), peer.HandlerOptions())
 }
 
 // Claim implements the service.
--- a/once/peers.go
+++ b/once/peers.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cairnworks/cairnworks/gen/cairnworks/once/v1/oncev1connect"
+	"github.com/cairnworks/cairnworks/peer"
 	"github.com/cairnworks/cairnworks/request"
 )
 
@@ -136,7 +137,7 @@
 			clear(p.clients)
 		}
 		httpClient, baseURL := p.dial(m)
-		client = oncev1connect.NewOnceServiceClient(httpClient, baseURL)
+		client = oncev1connect.NewOnceServiceClient(httpClient, baseURL, peer.ClientOptions())
 		p.clients[m] = client
 	}
 	return client
--- a/once/service.go
+++ b/once/service.go
@@ -40,9 +40,10 @@
 
 // Service is the at-most-once guard of one instance; it implements route.Guard.
 type Service struct {
-	cfg    Config
-	system *actor.ActorSystem
-	scope  tally.Scope
+	cfg       Config
+	system    *actor.ActorSystem
+	ownSystem bool
+	scope     tally.Scope
 
 	mu         sync.Mutex
 	running    context.Context
@@ -76,13 +77,18 @@
 	if cfg.Metrics != nil {
 		scope = cfg.Metrics.Scope
 	}
+	ownSystem := cfg.System == nil
+	if ownSystem {
+		cfg.System = observe.NewActorSystem()
+	}
 	return &Service{
-		cfg:    cfg,
-		system: observe.NewActorSystem(),
-		scope:  scope.SubScope("once"),
-		open:   make(map[ticketID]protocol.Record),
-		active: make(map[protocol.IntentID]struct{}),
-		peers:  newPeers(cfg),
+		cfg:       cfg,
+		system:    cfg.System,
+		ownSystem: ownSystem,
+		scope:     scope.SubScope("once"),
+		open:      make(map[ticketID]protocol.Record),
+		active:    make(map[protocol.IntentID]struct{}),
+		peers:     newPeers(cfg),
 	}, nil
 }
 
@@ -212,5 +218,7 @@
 		p.stop()
 	}
 	s.background.Wait()
-	s.system.Shutdown()
+	if s.ownSystem {
+		s.system.Shutdown()
+	}
 }
--- a/scheduler/server.go
+++ b/scheduler/server.go
@@ -37,6 +37,8 @@
 	// Dead reports whether the fleet has given up this run of an instance.
 	Dead    func(request.Holder) bool
 	Engines port.EngineDialer
+	// System runs the actors. Its owner shuts it down.
+	System  *actor.ActorSystem
 	Log     *zap.Logger
 	Metrics *observe.Metrics
 }
@@ -65,7 +67,7 @@
 
 // NewServer returns a server without any running service.
 func NewServer(cfg Config) *Server {
-	return &Server{cfg: cfg, system: observe.NewActorSystem(), services: make(map[string]*running)}
+	return &Server{cfg: cfg, system: cfg.System, services: make(map[string]*running)}
 }
 
 // Close stops every service's actor. Waiting reservations are refused.
@@ -75,7 +77,6 @@
 	for name, r := range s.services {
 		s.stopService(name, r)
 	}
-	s.system.Shutdown()
 }
 
 func (s *Server) stopService(name string, r *running) {
--- a/scheduler/server_test.go
+++ b/scheduler/server_test.go
@@ -70,6 +70,7 @@
 func newTestServer(t *testing.T, decode *listedEngine) *Server {
 	t.Helper()
 	metrics := observe.NewMetrics()
+	system := observe.NewActorSystem()
 	self := request.Holder{Instance: "a", Incarnation: 1}
 	s := NewServer(Config{
 		Self: self, Catalogue: func() Catalogue { return fixedSet{} },
@@ -81,10 +82,11 @@
 			}
 			return &listedEngine{}
 		},
-		Log: zap.NewNop(), Metrics: metrics,
+		System: system, Log: zap.NewNop(), Metrics: metrics,
 	})
 	t.Cleanup(func() {
 		s.Close()
+		system.Shutdown()
 		_ = metrics.Close()
 	})
 	return s
