--- a/decision/group/config.go
+++ b/decision/group/config.go
@@ -25,8 +25,7 @@
 	KVExpiry time.Duration
 	// KVBytesPerToken is the size of a prompt token's KV cache on a link.
 	KVBytesPerToken int64
-	// PrefixBlockTokens is the length of the blocks of Request.PrefixHashes; 0
-	// means that the hashes divide a prompt evenly.
+	// PrefixBlockTokens is the length of the blocks of Request.PrefixHashes.
 	PrefixBlockTokens int
 	// DeferrableShare is the part of the engine time for deferrable requests while
 	// interactive ones wait.
@@ -79,6 +78,9 @@
 	// DefaultKVBytesPerToken is the KV cache of a token in a model of 80 layers
 	// with 8 key-value heads of 128 values in 8 bits: 80*8*128*2 bytes.
 	DefaultKVBytesPerToken = 163840
+	// DefaultPrefixBlockTokens is the length of the blocks that callers' instances
+	// hash.
+	DefaultPrefixBlockTokens = 64
 )
 
 // defaultStart: tokens come a little faster than the target on a healthy engine;
@@ -136,6 +138,7 @@
 	setDefault(&c.BetweenTokens, DefaultBetweenTokens)
 	setDefault(&c.KVExpiry, DefaultKVExpiry)
 	setDefault(&c.KVBytesPerToken, DefaultKVBytesPerToken)
+	setDefault(&c.PrefixBlockTokens, DefaultPrefixBlockTokens)
 	setDefault(&c.DeferrableShare, queue.DeferrableShare)
 	setDefault(&c.PreferenceLead, queue.PreferenceLead)
 	setDefault(&c.tune.kvSafePart, kvSafePart)
