Group scheduler: claims apart from held memory, untold prefills in a list

Cause: claimed memory hid foreign load of the same size, and a plain service looked through all its grants for prefills at each decision. Change: claims are counted apart; only grants whose prefill end is not told are looked through.

--- a/decision/group/dispatch.go
+++ b/decision/group/dispatch.go
@@ -22,10 +22,8 @@
 		next = earliest(next, now.Add(parkedRetry))
 	}
 	if !g.tellsPrefill && g.queued()+len(g.parked) > 0 {
-		for _, h := range g.grants {
-			if h.prefilling {
-				next = earliest(next, h.prefillBy())
-			}
+		for _, h := range g.untold {
+			next = earliest(next, h.prefillBy())
 		}
 	}
 	return decisions, next
--- a/decision/group/group.go
+++ b/decision/group/group.go
@@ -40,6 +40,8 @@
 	// tellsPrefill is set once the driver has told the end of a prefill; from then
 	// on prefill places are kept until it does.
 	tellsPrefill bool
+	// untold are grants whose prefill place comes free by the estimate.
+	untold []*held
 	// triesSpent is set when a decision ended before the queue was served as far
 	// as there are places.
 	triesSpent bool
--- a/decision/group/place.go
+++ b/decision/group/place.go
@@ -185,6 +185,9 @@
 	h.prefilling = true
 	h.firstToken = r.transferAt.Sub(h.granted) + r.transfer + g.estimate.step()
 	g.estimate.booked(r.transfer)
+	if !g.tellsPrefill {
+		g.untold = append(g.untold, h)
+	}
 	r.from.account.Hold(0)
 	r.from.lastUse = g.uses
 	h.transfer = r.transfer
--- a/decision/group/pool_test.go
+++ b/decision/group/pool_test.go
@@ -396,36 +396,3 @@
 func (p *pool) release(j *job, out Outcome) {
 	p.after(hop, func() { p.deliver(p.decider.Release(p.now, j.grant.ID, out)) })
 }
-
-// naive is first come, first served, round robin, without reservation or refusal.
-type naive struct {
-	kind    object.Kind
-	entries []string
-	next    int
-	ids     uint64
-}
-
-func newNaive(kind object.Kind, ups []Upstream) *naive {
-	n := &naive{kind: kind}
-	for _, u := range ups {
-		if u.Role != object.RoleDecode {
-			n.entries = append(n.entries, u.Name)
-		}
-	}
-	return n
-}
-
-func (n *naive) Submit(now time.Time, req Request) []Decision {
-	n.ids++
-	entry := n.entries[n.next%len(n.entries)]
-	n.next++
-	grant := &Grant{ID: n.ids, RequestID: req.ID, Prefill: entry, TransferAfter: now}
-	if n.kind == object.KindPlain {
-		grant.Prefill, grant.Decode = "", entry
-	}
-	return []Decision{{RequestID: req.ID, Grant: grant}}
-}
-
-func (n *naive) PrefillDone(time.Time, uint64) []Decision      { return nil }
-func (n *naive) Release(time.Time, uint64, Outcome) []Decision { return nil }
-func (n *naive) Advance(time.Time) ([]Decision, time.Time)     { return nil, time.Time{} }
--- a/decision/group/release.go
+++ b/decision/group/release.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cairnworks/cairnworks/decision/placement"
@@ -69,13 +70,15 @@
 
 func (g *Group) freeUntoldPrefills(now time.Time) {
 	if g.tellsPrefill {
+		g.untold = nil
 		return
 	}
-	for _, h := range g.grants {
+	g.untold = slices.DeleteFunc(g.untold, func(h *held) bool {
 		if h.prefilling && !h.prefillBy().After(now) {
 			g.freePrefill(now, h)
 		}
-	}
+		return !h.prefilling
+	})
 }
 
 // learn feeds the estimates and settles the organisation's charge by what the
--- a/decision/group/status.go
+++ b/decision/group/status.go
@@ -25,22 +25,9 @@
 		status.Upstreams = append(status.Upstreams, UpstreamStatus{
 			Name: u.spec.Name, Role: u.spec.Role,
 			Running: used.Requests, Slots: u.account.Slots,
-			PiecesUsed: used.Pieces - u.claimPieces(g), Pieces: u.account.Pieces,
+			PiecesUsed: used.Pieces, Pieces: u.account.Pieces,
 			Health: u.health, Leaving: u.spec.Leaving || u.leaving,
 		})
 	}
 	return status
 }
-
-// claimPieces is the memory counted for parked requests, which hold none yet.
-func (u *upstream) claimPieces(g *Group) int {
-	if !u.claimed {
-		return 0
-	}
-	for _, w := range g.parked {
-		if w.claim == u {
-			return w.claimPieces
-		}
-	}
-	return 0
-}
--- a/decision/placement/placement.go
+++ b/decision/placement/placement.go
@@ -36,6 +36,7 @@
 
 	running int
 	pieces  int
+	claimed int
 	limit   Limit
 
 	foreign       Usage
@@ -93,10 +94,10 @@
 // Claim holds pieces alone, ahead of a grant that does not fit yet, so that the
 // pieces that others free gather for it. Without it a large request waits for
 // ever behind small ones that take each piece as it comes free.
-func (u *Upstream) Claim(pieces int) { u.pieces += pieces }
+func (u *Upstream) Claim(pieces int) { u.claimed += pieces }
 
 // Unclaim gives a claim back.
-func (u *Upstream) Unclaim(pieces int) { u.pieces -= pieces }
+func (u *Upstream) Unclaim(pieces int) { u.claimed -= pieces }
 
 // Report takes in an upstream's own count. More than was granted is believed to
 // be another scheduler's work: filling those places would make the upstream
--- a/decision/placement/query.go
+++ b/decision/placement/query.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Used is what grants, claims and believed foreign requests hold.
+// Used is what grants and believed foreign requests hold.
 func (u *Upstream) Used(now time.Time) Usage {
 	used := Usage{Requests: u.running, Pieces: u.pieces}
 	if now.Before(u.foreignUntil) {
@@ -25,7 +25,9 @@
 }
 
 // FreePieces is the memory that can be added; negative while a claim gathers.
-func (u *Upstream) FreePieces(now time.Time) int { return u.Pieces - u.Used(now).Pieces }
+func (u *Upstream) FreePieces(now time.Time) int {
+	return u.Pieces - u.claimed - u.Used(now).Pieces
+}
 
 // Fits reports whether a request with so many pieces can be added now.
 func (u *Upstream) Fits(now time.Time, pieces int) bool {
