Queue's doc comment: cost of a long prompt from the start estimates

Cause: the figure for a prompt of 32,000 tokens was a guess. Change: worked out: 3.2 s of prefill and 8 s of a decode engine against 0.55 s. Measured: nothing; arithmetic.

--- a/decision/queue/doc.go
+++ b/decision/queue/doc.go
@@ -11,9 +11,9 @@
 // level is start-time fair queueing. Deficit round robin was weighed: it is
 // constant-time only with a quantum of at least the largest request, and then an
 // organisation of small requests sends a whole quantum in a row (a prompt of
-// 32,000 tokens is worth some thirty summaries), so that the others wait several
-// times the first-token target for their turn; a smaller quantum scans all
-// organisations for one decision. Start tags cost the logarithm of the number of
+// 32,000 tokens with its answer costs some twenty summaries), so that the others
+// wait several times the first-token target for their turn; a smaller quantum
+// scans all organisations for one decision. Start tags cost the logarithm of the number of
 // organisations and are fair to within one request.
 //
 // Cost is in seconds of one engine. An item is charged its estimate when it is
