Prefill upstreams with several places: learnt speed alone gives the duration

Cause: the expected duration was multiplied by the prefills that run beside it, though the learnt speed of the upstream holds that slowdown already; with many places a transfer was booked seconds too late. Change: the number that run only weighs in the choice of the upstream. No test has engines with several prefill places.

--- a/decision/group/place.go
+++ b/decision/group/place.go
@@ -78,8 +78,6 @@
 		r.uncached = prefill.Uncached(w.PromptTokens, hashes, matched, g.cfg.PrefixBlockTokens)
 		expected := g.trust.Expected(w.PromptTokens, r.uncached)
 		r.prefill = u.speed.Estimate(g.estimate.speed.Estimate(expected))
-		// Several prefills on one upstream share its processors.
-		r.prefill *= time.Duration(u.account.Used(now).Requests + 1)
 		if u.spec.DataCentre != w.DataCentre {
 			r.prefill += prefill.Hop
 		}
@@ -87,7 +85,9 @@
 		ready := now.Add(r.prefill)
 		length := transfer.Duration(&u.link, &transfer.Link{}, g.kvBytes(w))
 		end := transfer.Earliest(&u.link, &transfer.Link{}, ready, length).Add(length).Sub(now)
-		end = time.Duration(float64(end) / u.health)
+		// Several prefills on one upstream share its processors. How much that slows
+		// them is in the learnt speed; here it keeps affinity from heaping them up.
+		end = time.Duration(float64(end) * float64(u.account.Used(now).Requests+1) / u.health)
 		if best.from == nil || end < bestEnd || (end == bestEnd && u.lastUse < best.from.lastUse) {
 			best, bestEnd = r, end
 		}
