--- a/rate/config.go
+++ b/rate/config.go
@@ -22,7 +22,7 @@
 	tickEvery = 200 * time.Millisecond
 	// homePoll and idlePoll are the long polls of the log for an instance that holds
 	// shards and for one that does not. Each read to the end proves the right to spend.
-	homePoll = time.Second
+	homePoll = 600 * time.Millisecond
 	idlePoll = 2 * time.Second
 	// readTimeout bounds a read beyond its long poll.
 	readTimeout = time.Second
@@ -63,7 +63,9 @@
 	// the instance.
 	Self request.Holder
 	Log  port.Log
-	// Members returns the runs that are alive and not draining, this one included.
+	// Members returns the runs that are alive and not draining, this one included. A run
+	// that is missing from it loses its shards to others, so Run should begin once the
+	// list is complete.
 	Members func() []request.Holder
 	// Limit returns an organisation's limit in force, false if it has none.
 	Limit func(organisation string) (object.Limit, bool)
--- a/rate/doc.go
+++ b/rate/doc.go
@@ -22,6 +22,6 @@
 // up to all of them to one. With rate/n on each instance an even organisation at a
 // tenth of its rate would be refused there; here every instance draws on every share.
 //
-// Commands that change state are in admit.go, settle.go, drain.go and handler.go;
+// Commands that change state are in admit.go, settle.go, drain.go, vouch.go and handler.go;
 // queries in status.go.
 package rate
--- a/rate/handler.go
+++ b/rate/handler.go
@@ -54,8 +54,12 @@
 // Extend implements peerv1connect.RateServiceHandler.
 func (h handler) Extend(ctx context.Context, req *connect.Request[peerv1.ExtendRequest]) (*connect.Response[peerv1.ExtendResponse], error) {
 	m := req.Msg
-	ok, answered := ask(ctx, h.s, func(reply chan bool) any {
-		return extend{member: fromWire(m.GetMember()), shard: m.GetShard(), term: lease.Term(m.GetTerm()), reply: reply}
+	terms := make([]termRef, 0, len(m.GetTerms()))
+	for _, t := range m.GetTerms() {
+		terms = append(terms, termRef{shard: t.GetShard(), term: lease.Term(t.GetTerm())})
+	}
+	ok, answered := ask(ctx, h.s, func(reply chan []bool) any {
+		return extend{member: fromWire(m.GetMember()), terms: terms, reply: reply}
 	})
 	if !answered {
 		return nil, errStopped()
--- a/rate/home.go
+++ b/rate/home.go
@@ -53,11 +53,13 @@
 	case tick:
 		h.tick(m)
 	case extend:
-		m.reply <- h.node.Extend(m.member, m.shard, m.term)
+		m.reply <- h.extend(m)
 	case fence:
 		m.reply <- h.node.Fence(m.member, m.shard, m.term)
 	case extended:
-		h.node.Extended(m.ask)
+		for _, ask := range m.asks {
+			h.node.Extended(ask)
+		}
 	case fenced:
 		h.apply(h.node.Fenced(h.s.now(), m.ask))
 	case handOver:
@@ -98,6 +100,14 @@
 	held.buckets.Refund(h.s.now(), m.key, m.charge, m.tokens, m.overdraft)
 }
 
+func (h *home) extend(m extend) []bool {
+	answers := make([]bool, len(m.terms))
+	for i, t := range m.terms {
+		answers[i] = h.node.Extend(m.member, t.shard, t.term)
+	}
+	return answers
+}
+
 func (h *home) handOver(m handOver) bool {
 	if m.spending {
 		h.offered[m.shard] = offeredLevels{term: m.term, levels: m.levels, filling: m.filling}
@@ -149,9 +159,7 @@
 	if len(e.Append) > 0 {
 		h.s.append(e.Append)
 	}
-	for _, ask := range e.Extends {
-		h.s.askExtend(ask)
-	}
+	h.s.askExtend(e.Extends)
 	for _, ask := range e.Fences {
 		h.s.askFence(ask)
 	}
--- a/rate/lease/timing.go
+++ b/rate/lease/timing.go
@@ -42,8 +42,8 @@
 
 // DefaultTiming returns the periods used in the fleet.
 //
-// T is 3 s: three times the log's long poll of 1 s, so that one slow read does not
-// end a right, and short enough that a dead home's third of a rate is back within
+// T is 3 s: five times the log's long poll of 0.6 s, so that a slow read does not end
+// a right, and short enough that a dead home's third of a rate is back within
 // seconds. L is 12 h: longer than a night without operators; the price is paid only
 // where a home and a majority of its fence set end together, at new addresses,
 // before the home could name another set.
@@ -55,7 +55,7 @@
 		LeaseWait:    lease + lease/driftMargin,
 		Outage:       outage,
 		OutageWait:   outage + outage/driftMargin,
-		ExtendAfter:  1400 * time.Millisecond,
+		ExtendAfter:  1500 * time.Millisecond,
 		Resend:       time.Second,
 		AppendRetry:  5 * time.Second,
 		Restate:      5 * time.Minute,
--- a/rate/lease/walk_test.go
+++ b/rate/lease/walk_test.go
@@ -124,6 +124,7 @@
 // Larger fleets than can be searched whole go through random faults. In every window
 // the organisation may have used at most its rate and burst.
 func TestSpendStaysBounded(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(60) {
 		s := scope{nodes: 2 + int(seed%4), claims: 12, crashes: 4, expires: 3}
 		excess, two := walk(s, ledgerOfSpend{}, seed, 600)
--- a/rate/message.go
+++ b/rate/message.go
@@ -52,9 +52,13 @@
 
 type extend struct {
 	member request.Holder
-	shard  uint32
-	term   lease.Term
-	reply  chan bool
+	terms  []termRef
+	reply  chan []bool
+}
+
+type termRef struct {
+	shard uint32
+	term  lease.Term
 }
 
 type fence struct {
@@ -64,7 +68,7 @@
 	reply  chan bool
 }
 
-type extended struct{ ask lease.Ask }
+type extended struct{ asks []lease.Ask }
 
 type fenced struct{ ask lease.Ask }
 
--- a/rate/peer.go
+++ b/rate/peer.go
@@ -12,16 +12,34 @@
 	"github.com/cairnworks/cairnworks/request"
 )
 
-func (s *Service) askExtend(a lease.Ask) {
-	s.count.extends.Inc(1)
-	s.inBackground(peerTimeout, func(ctx context.Context) {
-		res, err := s.client(a.Member).Extend(ctx, connect.NewRequest(&peerv1.ExtendRequest{
-			Shard: a.Shard, Term: uint64(a.Term), Holder: toWire(s.cfg.Self), Member: toWire(a.Member),
-		}))
-		if err == nil && res.Msg.GetExtended() {
-			s.tell(extended{ask: a})
+// askExtend asks each member once for all terms that name it.
+func (s *Service) askExtend(asks []lease.Ask) {
+	byMember := make(map[request.Holder][]lease.Ask)
+	for _, a := range asks {
+		byMember[a.Member] = append(byMember[a.Member], a)
+	}
+	for member, asks := range byMember {
+		s.count.extends.Inc(1)
+		s.inBackground(peerTimeout, func(ctx context.Context) { s.extendAt(ctx, member, asks) })
+	}
+}
+
+func (s *Service) extendAt(ctx context.Context, member request.Holder, asks []lease.Ask) {
+	req := &peerv1.ExtendRequest{Holder: toWire(s.cfg.Self), Member: toWire(member)}
+	for _, a := range asks {
+		req.Terms = append(req.Terms, &peerv1.TermRef{Shard: a.Shard, Term: uint64(a.Term)})
+	}
+	res, err := s.client(member).Extend(ctx, connect.NewRequest(req))
+	if err != nil {
+		return
+	}
+	var granted []lease.Ask
+	for i, ok := range res.Msg.GetExtended() {
+		if ok && i < len(asks) {
+			granted = append(granted, asks[i])
 		}
-	})
+	}
+	s.tell(extended{asks: granted})
 }
 
 func (s *Service) askFence(a lease.Ask) {
