--- a/rate/config.go
+++ b/rate/config.go
@@ -53,6 +53,8 @@
 	maxGather = time.Second
 	// refundTimeout bounds a refund; a lost one costs tokens and creates none.
 	refundTimeout = time.Second
+	// gaugeEvery is how often gauges are brought up to date.
+	gaugeEvery = time.Second
 	// pruneEvery is how often unused buckets are dropped.
 	pruneEvery = time.Minute
 )
--- a/rate/home.go
+++ b/rate/home.go
@@ -22,6 +22,7 @@
 	held    map[uint32]*heldShard
 	offered map[uint32]offeredLevels
 	pruned  time.Duration
+	gauged  time.Duration
 }
 
 // heldShard is a shard that this instance spends from.
@@ -121,6 +122,10 @@
 	now := h.s.now()
 	h.apply(h.node.Tick(now, h.viewer.of(m.members, h.s.draining.Load())))
 	h.publish()
+	if now >= h.gauged+gaugeEvery {
+		h.gauged = now
+		h.gauge(now)
+	}
 	if now >= h.pruned+pruneEvery {
 		h.pruned = now
 		for _, held := range h.held {
--- a/rate/lease/explorer_test.go
+++ b/rate/lease/explorer_test.go
@@ -15,23 +15,16 @@
 	"github.com/cairnworks/cairnworks/request"
 )
 
-// broken switches one safeguard off, outside the code under test.
-type broken struct {
-	// noWait lets a successor begin without waiting out the old holder's right.
-	noWait bool
-	// noFence lets a member acknowledge Extend after it acknowledged Fence.
-	noFence bool
-	// lateRead counts a read from its end instead of its beginning.
-	lateRead bool
-	// lateExtend counts an acknowledgement from its arrival.
-	lateExtend bool
-	// anyRun lets a restarted member acknowledge for its earlier run.
-	anyRun bool
-	// noDrift waits exactly T although clocks differ.
-	noDrift bool
-	// noOutageEnd lets extensions go on without end.
-	noOutageEnd bool
-}
+// Safeguards that a scope may switch off, outside the code under test.
+const (
+	noWait      = "successor does not wait"
+	noFence     = "member extends what it fenced"
+	lateRead    = "read counted from its end"
+	lateExtend  = "extension counted from its acknowledgement"
+	anyRun      = "restarted member extends"
+	noDrift     = "no margin for clock drift"
+	noOutageEnd = "extensions never end"
+)
 
 // scope bounds an exploration.
 //
@@ -48,7 +41,8 @@
 	claims, crashes, lags, reads int
 	// expires is how many records the log may drop from its beginning.
 	expires int
-	broken  broken
+	// broken names the safeguard that is off.
+	broken string
 	// seed orders the steps of a search.
 	seed uint64
 }
@@ -95,16 +89,16 @@
 	started []startedAt
 }
 
-func coarseTiming(b broken) Timing {
+func coarseTiming(broken string) Timing {
 	t := Timing{Lease: 2, LeaseWait: 3, Outage: 4, OutageWait: 5, ExtendAfter: 1, Restate: 1 << 40}
-	switch {
-	case b.noWait:
+	switch broken {
+	case noWait:
 		t.LeaseWait = 0
-	case b.noDrift:
+	case noDrift:
 		t.LeaseWait = t.Lease
-	case b.noOutageEnd:
+	case noOutageEnd:
 		t.Outage = 8
-	case b.lateExtend:
+	case lateExtend:
 		// A short outage would hide this fault.
 		t.Outage, t.OutageWait = 8, 9
 	}
@@ -333,7 +327,7 @@
 
 // forget drops messages about extensions that have lapsed: they change nothing.
 func (w *world) forget(s scope) {
-	if s.broken.lateExtend {
+	if s.broken == lateExtend {
 		return
 	}
 	oldest := time.Duration(w.tick - slices.Max(w.lag))
@@ -411,20 +405,16 @@
 	c := w.clone()
 	r := &c.reads[i]
 	if r.begun == 0 {
-		if s.delayed && w.readsLeft == 0 {
-			return
-		}
-		if s.delayed {
-			c.readsLeft--
-		}
 		*r = flyingRead{begun: c.now(i), end: len(c.log)}
 		if s.delayed {
-			yield(c)
+			if c.readsLeft--; c.readsLeft >= 0 {
+				yield(c)
+			}
 			return
 		}
 	}
 	t0 := r.begun
-	if s.broken.lateRead {
+	if s.broken == lateRead {
 		t0 = c.now(i)
 	}
 	n := c.own(i)
@@ -453,14 +443,11 @@
 	n := c.own(m.to)
 	switch m.kind {
 	case "extend":
-		if s.broken.anyRun {
+		if s.broken == anyRun {
 			m.ask.Member = n.self
 		}
-		ok := n.Extend(m.ask.Member, 0, m.ask.Term)
-		if s.broken.noFence && SameRun(m.ask.Member, n.self) {
-			ok = true
-		}
-		if ok {
+		ignore := s.broken == noFence && SameRun(m.ask.Member, n.self)
+		if n.Extend(m.ask.Member, 0, m.ask.Term) || ignore {
 			m.ask.Member = w.wires[j].ask.Member
 			c.reply(s, wire{kind: "extended", to: c.index(m.from), from: m.from, ask: m.ask})
 		}
@@ -491,7 +478,7 @@
 	case !SameRun(n.self, m.from):
 	case m.kind == "fenced":
 		w.apply(m.to, n.Fenced(w.now(m.to), m.ask))
-	case s.broken.lateExtend:
+	case s.broken == lateExtend:
 		m.ask.SentAt = w.now(m.to)
 		n.Extended(m.ask)
 	default:
@@ -570,16 +557,16 @@
 // otherwise the safeguard is not needed or the search does not see its failure.
 func TestEachSafeguardIsNeeded(t *testing.T) {
 	t.Parallel()
-	for name, s := range map[string]scope{
-		"successor does not wait":        {nodes: 2, claims: 1, broken: broken{noWait: true}, seed: 9},
-		"member extends what it fenced":  {nodes: 2, claims: 1, broken: broken{noFence: true}, seed: 6},
-		"read counted from its end":      {nodes: 2, claims: 1, reads: 3, delayed: true, broken: broken{lateRead: true}, seed: 3},
-		"extension counted from its ack": {nodes: 2, claims: 1, reads: 2, delayed: true, broken: broken{lateExtend: true}, seed: 11},
-		"restarted member extends":       {nodes: 3, passive: true, claims: 1, crashes: 1, broken: broken{anyRun: true}, seed: 8},
-		"no margin for clock drift":      {nodes: 2, claims: 1, lags: 1, broken: broken{noDrift: true}, seed: 9},
-		"extensions never end":           {nodes: 3, passive: true, claims: 1, broken: broken{noOutageEnd: true}, seed: 9},
+	for _, s := range []scope{
+		{nodes: 2, claims: 1, broken: noWait, seed: 9},
+		{nodes: 2, claims: 1, broken: noFence, seed: 6},
+		{nodes: 2, claims: 1, reads: 3, delayed: true, broken: lateRead, seed: 3},
+		{nodes: 2, claims: 1, reads: 2, delayed: true, broken: lateExtend, seed: 11},
+		{nodes: 3, passive: true, claims: 1, crashes: 1, broken: anyRun, seed: 8},
+		{nodes: 2, claims: 1, lags: 1, broken: noDrift, seed: 9},
+		{nodes: 3, passive: true, claims: 1, broken: noOutageEnd, seed: 9},
 	} {
-		t.Run(name, func(t *testing.T) {
+		t.Run(s.broken, func(t *testing.T) {
 			t.Parallel()
 			states, bad := explore(s, 400_000)
 			assert.Assert(t, bad != nil, "no fault in %d states", states)
--- a/rate/lease/node.go
+++ b/rate/lease/node.go
@@ -148,6 +148,15 @@
 	return ends
 }
 
+// LogAge returns the time since the last read to the log's end began, or zero before
+// the first one.
+func (n *Node) LogAge(now time.Duration) time.Duration {
+	if !n.hasRead {
+		return 0
+	}
+	return now - n.lastRead
+}
+
 // Phase is how far a held term has come.
 type Phase string
 
@@ -184,7 +193,7 @@
 		}
 		s := HeldStatus{
 			Shard: uint32(shard), Term: t.Term, Phase: n.phase(t, now),
-			Since: now - t.confirmed, LogAge: now - n.lastRead,
+			Since: now - t.confirmed, LogAge: n.LogAge(now),
 		}
 		if s.Phase == PhaseWaiting {
 			s.Open = t.openBefore()
--- a/rate/service.go
+++ b/rate/service.go
@@ -45,6 +45,9 @@
 	started, stopped                    tally.Counter
 	refunds, refundsDropped             tally.Counter
 	extends, fences, appends, readFails tally.Counter
+	// held counts this instance's shards by phase; logAge is in seconds.
+	held   map[lease.Phase]tally.Gauge
+	logAge tally.Gauge
 }
 
 func newCounters(m *observe.Metrics) counters {
@@ -52,7 +55,13 @@
 	if m != nil {
 		scope = m.Scope.SubScope("rate")
 	}
+	held := make(map[lease.Phase]tally.Gauge)
+	for _, phase := range []lease.Phase{lease.PhaseWaiting, lease.PhaseSpending, lease.PhaseExtended, lease.PhaseLapsed} {
+		held[phase] = scope.Tagged(map[string]string{"phase": string(phase)}).Gauge("shards_held")
+	}
 	return counters{
+		held:           held,
+		logAge:         scope.Gauge("log_age_seconds"),
 		admitted:       scope.Counter("admitted"),
 		passedOver:     scope.Counter("shares_passed_over"),
 		waited:         scope.Counter("waits_for_home"),
