Gather refunds of finished requests into one call to each home

Change: RefundRequest carries parts; Settle gathers them for 0.2 s, and Run sends the rest when it ends. A refused gather still gives back at once, since others may be refused for want of its tokens.

--- a/rate/config.go
+++ b/rate/config.go
@@ -51,6 +51,9 @@
 	// maxGather is the age above which a gathered grant is given back: a paused asker
 	// would otherwise start work long after its tokens were counted.
 	maxGather = time.Second
+	// settleEvery is how long refunds of finished requests are gathered into one call to
+	// each home. It is short beside the seconds that a request runs.
+	settleEvery = 200 * time.Millisecond
 	// refundTimeout bounds a refund; a lost one costs tokens and creates none.
 	refundTimeout = time.Second
 	// gaugeEvery is how often gauges are brought up to date.
--- a/rate/handler.go
+++ b/rate/handler.go
@@ -7,7 +7,6 @@
 
 	"connectrpc.com/connect"
 
-	"github.com/cairnworks/cairnworks/decision/bucket"
 	peerv1 "github.com/cairnworks/cairnworks/gen/cairnworks/peer/v1"
 	"github.com/cairnworks/cairnworks/gen/cairnworks/peer/v1/peerv1connect"
 	"github.com/cairnworks/cairnworks/rate/lease"
@@ -42,12 +41,9 @@
 
 // Refund implements peerv1connect.RateServiceHandler.
 func (h handler) Refund(_ context.Context, req *connect.Request[peerv1.RefundRequest]) (*connect.Response[peerv1.RefundResponse], error) {
-	m := req.Msg
-	h.s.tell(refund{
-		shard: m.GetShard(), key: share.Key{Organisation: m.GetOrganisation(), Share: m.GetShare()},
-		term: lease.Term(m.GetTerm()), charge: bucket.ChargeID(m.GetCharge()),
-		tokens: m.GetTokens(), overdraft: m.GetOverdraft(),
-	})
+	for _, p := range req.Msg.GetParts() {
+		h.s.tell(refundMessage(p))
+	}
 	return connect.NewResponse(&peerv1.RefundResponse{}), nil
 }
 
--- a/rate/service.go
+++ b/rate/service.go
@@ -30,6 +30,7 @@
 	draining atomic.Bool
 	doubts   doubts
 	clients  sync.Map
+	unsent   unsentRefunds
 	// appends numbers the entries that this run appends.
 	appends atomic.Uint64
 	// background counts calls to peers and the log; ended is closed when Run ends, and
@@ -107,6 +108,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return s.follow(ctx) })
 	g.Go(func() error { return s.tick(ctx) })
+	g.Go(func() error { return s.settle(ctx) })
 	return g.Wait()
 }
 
