Two random faults at once; clients of unused addresses are forgotten

Cause: the random fault test broke one thing at a time though it claimed several; a long-lived instance kept a client for every address it ever saw.

--- a/rate/config.go
+++ b/rate/config.go
@@ -58,7 +58,7 @@
 	refundTimeout = time.Second
 	// gaugeEvery is how often gauges are brought up to date.
 	gaugeEvery = time.Second
-	// pruneEvery is how often unused buckets are dropped.
+	// pruneEvery is how often unused buckets and clients are dropped.
 	pruneEvery = time.Minute
 )
 
@@ -75,7 +75,7 @@
 	// Limit returns an organisation's limit in force, false if it has none.
 	Limit func(organisation string) (object.Limit, bool)
 	// Dial returns the client for a peer's address (IP:port). It is called once for
-	// each address.
+	// each address while that is in use.
 	Dial    func(address string) peerv1connect.RateServiceClient
 	Logger  *zap.Logger
 	Metrics *observe.Metrics
--- a/rate/fault_test.go
+++ b/rate/fault_test.go
@@ -63,8 +63,8 @@
 }
 
 // load sends requests of cost from each instance in turn, or from all that live at the
-// moment, for a time. It does not wait
-// for their answers: a paused instance gives them only when it goes on.
+// moment, for a time. It does not wait for their answers: a paused instance gives them
+// only when it goes on.
 func (k *meter) load(f *fleet, from []*member, cost uint64, perSecond int, d time.Duration) {
 	for i := range int(d.Seconds() * float64(perSecond)) {
 		turn := from
@@ -273,7 +273,7 @@
 }
 
 // Instances are paused, cut off, killed and restarted and the log goes down, at random
-// and several at once, while all instances are sent more than the rate. In no window may
+// and two at once, while all instances are sent more than the rate. In no window may
 // more than the rate and burst be admitted.
 func TestRandomFaults(t *testing.T) {
 	t.Parallel()
@@ -281,9 +281,11 @@
 		inFleet(t, 5, func(f *fleet, k *meter) {
 			rng := rand.New(rand.NewPCG(seed, 5))
 			for range 25 {
-				heal := f.breakSomething(rng)
+				heal := f.breakSomething(rng, 4)
+				healSecond := f.breakSomething(rng, 2)
 				k.load(f, nil, 100, 10, time.Duration(1+rng.IntN(10))*time.Second)
 				heal()
+				healSecond()
 				k.load(f, nil, 100, 10, time.Duration(rng.IntN(4))*time.Second)
 			}
 			f.settle()
@@ -291,30 +293,25 @@
 	}
 }
 
-// breakSomething brings one fault about and returns how it ends.
-func (f *fleet) breakSomething(rng *rand.Rand) (heal func()) {
+// breakSomething brings about one of the first kinds of fault and returns how it ends.
+func (f *fleet) breakSomething(rng *rand.Rand, kinds int) (heal func()) {
 	live := f.living()
-	m := live[rng.IntN(len(live))]
-	unlisted := rng.IntN(2) == 0
-	if unlisted {
+	m, peer := live[rng.IntN(len(live))], live[rng.IntN(len(live))].holder.Address
+	back := func() {}
+	if rng.IntN(2) == 0 {
 		f.unlist(m)
+		back = func() { f.list(m) }
 	}
-	back := func() {
-		if unlisted {
-			f.list(m)
-		}
-	}
-	switch rng.IntN(4) {
+	switch rng.IntN(kinds) {
 	case 0:
-		m.gate.pause()
-		return func() { m.gate.resume(); back() }
-	case 1:
 		f.log.setDown(true)
 		return func() { f.log.setDown(false); back() }
+	case 1:
+		f.setCut(m, true, "log", peer)
+		return func() { f.setCut(m, false, "log", peer); back() }
 	case 2:
-		other := live[rng.IntN(len(live))]
-		f.setCut(m, true, "log", other.holder.Address)
-		return func() { f.setCut(m, false, "log", other.holder.Address); back() }
+		m.gate.pause()
+		return func() { m.gate.resume(); back() }
 	default:
 		f.kill(m)
 		return func() { f.start(m.holder.Instance, m.holder.Incarnation+1) }
--- a/rate/fleet_test.go
+++ b/rate/fleet_test.go
@@ -248,7 +248,9 @@
 func (f *fleet) list(m *member) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.listed = append(f.listed, m.holder)
+	if !slices.Contains(f.listed, m.holder) {
+		f.listed = append(slices.Clone(f.listed), m.holder)
+	}
 }
 
 func (f *fleet) unlist(m *member) {
--- a/rate/home.go
+++ b/rate/home.go
@@ -128,6 +128,7 @@
 	}
 	if now >= h.pruned+pruneEvery {
 		h.pruned = now
+		h.s.pruneClients(m.members)
 		for _, held := range h.held {
 			held.buckets.Prune(now, h.s.portion)
 		}
--- a/rate/service.go
+++ b/rate/service.go
@@ -164,6 +164,25 @@
 	return c.(peerv1connect.RateServiceClient)
 }
 
+// pruneClients forgets clients of addresses that neither a member nor a holder has any
+// more. Instances come back at other addresses, and a long-lived instance would keep a
+// client for every address it ever saw.
+func (s *Service) pruneClients(members []request.Holder) {
+	used := make(map[string]bool)
+	for _, m := range members {
+		used[m.Address] = true
+	}
+	for _, h := range s.routes.Load().holders {
+		used[h.Address] = true
+	}
+	s.clients.Range(func(address, _ any) bool {
+		if !used[address.(string)] {
+			s.clients.Delete(address)
+		}
+		return true
+	})
+}
+
 // inBackground runs a call that ends with the service.
 func (s *Service) inBackground(timeout time.Duration, call func(ctx context.Context)) {
 	if s.ctx.Err() != nil {
