--- a/route/stages.go
+++ b/route/stages.go
@@ -30,9 +30,9 @@
 
 // ChargePart is the charge against one share of the organisation's bucket.
 type ChargePart struct {
-	Share  uint32
-	Shard  uint32
-	Term   uint64
+	Share uint32
+	Shard uint32
+	Term  uint64
 	// Charge names the grant in the share's bucket.
 	Charge uint64
 	Tokens uint64
@@ -85,6 +85,8 @@
 type Placer interface {
 	// Reserve waits for a grant until the request's deadline or refuses.
 	Reserve(ctx context.Context, req *request.Request, attempt uint32, avoid []string) (*Grant, error)
+	// PrefillDone tells that the grant's prefill place is free again.
+	PrefillDone(grant *Grant)
 	// Release gives the grant back. It returns at once; an unsent release is
 	// covered by the grant's lease.
 	Release(grant *Grant, outcome Outcome)
@@ -102,6 +104,9 @@
 	Finish(ctx context.Context, ticket *Ticket, answer RecordedAnswer) error
 	// Abandon records that the call certainly did not run, so that a resend may run it.
 	Abandon(ctx context.Context, ticket *Ticket) error
+	// Unanswered ends a ticket whose call got no whole answer though it may have run
+	// (verdict.MayHaveRun) or has run (verdict.HasRun). Resends are told so.
+	Unanswered(ctx context.Context, ticket *Ticket, ran verdict.Ran) error
 }
 
 // GuardedCall identifies a call that runs at most once.
--- a/verdict/reason.go
+++ b/verdict/reason.go
@@ -14,7 +14,6 @@
 	ReasonUnauthenticated   Reason = "unauthenticated"
 	ReasonKeyWithdrawn      Reason = "key_withdrawn"
 	ReasonForbidden         Reason = "forbidden"
-	ReasonDraining          Reason = "draining"
 	ReasonNoConfiguration   Reason = "no_configuration"
 	ReasonMethodNotAllowed  Reason = "method_not_allowed"
 	ReasonIdempotencyNeeded Reason = "idempotency_key_invalid"
@@ -51,6 +50,22 @@
 	ReasonKeyReused      Reason = "idempotency_key_reused"
 	ReasonLogUnavailable Reason = "log_unavailable"
 	ReasonRetentionOver  Reason = "retention_over"
+	// ReasonGuardFull means that too many keys are remembered already.
+	ReasonGuardFull Reason = "guard_full"
+	// ReasonAnswerNotKept means that the call ran and its answer was not kept.
+	ReasonAnswerNotKept Reason = "answer_not_kept"
+)
+
+// Reasons of orders to upstreams.
+const (
+	// ReasonOrderConflict means that another order was claimed since the state that
+	// the operator acted from.
+	ReasonOrderConflict Reason = "order_conflict"
+	// ReasonOrderUnconfirmed means that the upstream's own state does not show the
+	// order's effect.
+	ReasonOrderUnconfirmed Reason = "order_unconfirmed"
+	// ReasonLeaseOver means that the time in which an order may be sent has passed.
+	ReasonLeaseOver Reason = "lease_over"
 )
 
 // ReasonInternal is a fault of this program.
@@ -63,7 +78,8 @@
 	case ReasonBadRequest, ReasonBodyTooLarge, ReasonPromptTooLong, ReasonUnknownModel,
 		ReasonUnknownService, ReasonUnauthenticated, ReasonKeyWithdrawn, ReasonForbidden,
 		ReasonMethodNotAllowed, ReasonIdempotencyNeeded, ReasonKeyReused, ReasonRetentionOver,
-		ReasonCancelled, ReasonOutcomeUnknown:
+		ReasonCancelled, ReasonOutcomeUnknown, ReasonAnswerNotKept,
+		ReasonOrderConflict, ReasonOrderUnconfirmed:
 		return false
 	default:
 		return true
