--- a/rate/config.go
+++ b/rate/config.go
@@ -22,7 +22,7 @@
 	tickEvery = 200 * time.Millisecond
 	// homePoll and idlePoll are the long polls of the log for an instance that holds
 	// shards and for one that does not. Each read to the end proves the right to spend.
-	homePoll = time.Second
+	homePoll = 600 * time.Millisecond
 	idlePoll = 2 * time.Second
 	// readTimeout bounds a read beyond its long poll.
 	readTimeout = time.Second
@@ -51,9 +51,14 @@
 	// maxGather is the age above which a gathered grant is given back: a paused asker
 	// would otherwise start work long after its tokens were counted.
 	maxGather = time.Second
+	// settleEvery is how long refunds of finished requests are gathered into one call to
+	// each home. It is short beside the seconds that a request runs.
+	settleEvery = 200 * time.Millisecond
 	// refundTimeout bounds a refund; a lost one costs tokens and creates none.
 	refundTimeout = time.Second
-	// pruneEvery is how often unused buckets are dropped.
+	// gaugeEvery is how often gauges are brought up to date.
+	gaugeEvery = time.Second
+	// pruneEvery is how often unused buckets and clients are dropped.
 	pruneEvery = time.Minute
 )
 
@@ -63,12 +68,14 @@
 	// the instance.
 	Self request.Holder
 	Log  port.Log
-	// Members returns the runs that are alive and not draining, this one included.
+	// Members returns the runs that are alive and not draining, this one included. A run
+	// that is missing from it loses its shards to others, so Run should begin once the
+	// list is complete.
 	Members func() []request.Holder
 	// Limit returns an organisation's limit in force, false if it has none.
 	Limit func(organisation string) (object.Limit, bool)
 	// Dial returns the client for a peer's address (IP:port). It is called once for
-	// each address.
+	// each address while that is in use.
 	Dial    func(address string) peerv1connect.RateServiceClient
 	Logger  *zap.Logger
 	Metrics *observe.Metrics
--- a/rate/handler.go
+++ b/rate/handler.go
@@ -7,7 +7,6 @@
 
 	"connectrpc.com/connect"
 
-	"github.com/cairnworks/cairnworks/decision/bucket"
 	peerv1 "github.com/cairnworks/cairnworks/gen/cairnworks/peer/v1"
 	"github.com/cairnworks/cairnworks/gen/cairnworks/peer/v1/peerv1connect"
 	"github.com/cairnworks/cairnworks/rate/lease"
@@ -42,20 +41,21 @@
 
 // Refund implements peerv1connect.RateServiceHandler.
 func (h handler) Refund(_ context.Context, req *connect.Request[peerv1.RefundRequest]) (*connect.Response[peerv1.RefundResponse], error) {
-	m := req.Msg
-	h.s.tell(refund{
-		shard: m.GetShard(), key: share.Key{Organisation: m.GetOrganisation(), Share: m.GetShare()},
-		term: lease.Term(m.GetTerm()), charge: bucket.ChargeID(m.GetCharge()),
-		tokens: m.GetTokens(), overdraft: m.GetOverdraft(),
-	})
+	for _, p := range req.Msg.GetParts() {
+		h.s.tell(refundMessage(p))
+	}
 	return connect.NewResponse(&peerv1.RefundResponse{}), nil
 }
 
 // Extend implements peerv1connect.RateServiceHandler.
 func (h handler) Extend(ctx context.Context, req *connect.Request[peerv1.ExtendRequest]) (*connect.Response[peerv1.ExtendResponse], error) {
 	m := req.Msg
-	ok, answered := ask(ctx, h.s, func(reply chan bool) any {
-		return extend{member: fromWire(m.GetMember()), shard: m.GetShard(), term: lease.Term(m.GetTerm()), reply: reply}
+	terms := make([]termRef, 0, len(m.GetTerms()))
+	for _, t := range m.GetTerms() {
+		terms = append(terms, termRef{shard: t.GetShard(), term: lease.Term(t.GetTerm())})
+	}
+	ok, answered := ask(ctx, h.s, func(reply chan []bool) any {
+		return extend{member: fromWire(m.GetMember()), terms: terms, reply: reply}
 	})
 	if !answered {
 		return nil, errStopped()
--- a/rate/service.go
+++ b/rate/service.go
@@ -30,6 +30,7 @@
 	draining atomic.Bool
 	doubts   doubts
 	clients  sync.Map
+	unsent   unsentRefunds
 	// appends numbers the entries that this run appends.
 	appends atomic.Uint64
 	// background counts calls to peers and the log; ended is closed when Run ends, and
@@ -45,6 +46,9 @@
 	started, stopped                    tally.Counter
 	refunds, refundsDropped             tally.Counter
 	extends, fences, appends, readFails tally.Counter
+	// held counts this instance's shards by phase; logAge is in seconds.
+	held   map[lease.Phase]tally.Gauge
+	logAge tally.Gauge
 }
 
 func newCounters(m *observe.Metrics) counters {
@@ -52,7 +56,13 @@
 	if m != nil {
 		scope = m.Scope.SubScope("rate")
 	}
+	held := make(map[lease.Phase]tally.Gauge)
+	for _, phase := range []lease.Phase{lease.PhaseWaiting, lease.PhaseSpending, lease.PhaseExtended, lease.PhaseLapsed} {
+		held[phase] = scope.Tagged(map[string]string{"phase": string(phase)}).Gauge("shards_held")
+	}
 	return counters{
+		held:           held,
+		logAge:         scope.Gauge("log_age_seconds"),
 		admitted:       scope.Counter("admitted"),
 		passedOver:     scope.Counter("shares_passed_over"),
 		waited:         scope.Counter("waits_for_home"),
@@ -98,6 +108,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return s.follow(ctx) })
 	g.Go(func() error { return s.tick(ctx) })
+	g.Go(func() error { return s.settle(ctx) })
 	return g.Wait()
 }
 
@@ -153,6 +164,25 @@
 	return c.(peerv1connect.RateServiceClient)
 }
 
+// pruneClients forgets clients of addresses that neither a member nor a holder has any
+// more. Instances come back at other addresses, and a long-lived instance would keep a
+// client for every address it ever saw.
+func (s *Service) pruneClients(members []request.Holder) {
+	used := make(map[string]bool)
+	for _, m := range members {
+		used[m.Address] = true
+	}
+	for _, h := range s.routes.Load().holders {
+		used[h.Address] = true
+	}
+	s.clients.Range(func(address, _ any) bool {
+		if !used[address.(string)] {
+			s.clients.Delete(address)
+		}
+		return true
+	})
+}
+
 // inBackground runs a call that ends with the service.
 func (s *Service) inBackground(timeout time.Duration, call func(ctx context.Context)) {
 	if s.ctx.Err() != nil {
