--- /dev/null
+++ b/rate/slope_bench_test.go
@@ -0,0 +1,102 @@
+package rate
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"connectrpc.com/connect"
+	"gotest.tools/v3/assert"
+
+	peerv1 "github.com/cairnworks/cairnworks/gen/cairnworks/peer/v1"
+	"github.com/cairnworks/cairnworks/gen/cairnworks/peer/v1/peerv1connect"
+	"github.com/cairnworks/cairnworks/peer"
+)
+
+// stubHome answers as a home with tokens and as a fence member does.
+type stubHome struct {
+	peerv1connect.UnimplementedRateServiceHandler
+}
+
+func (stubHome) Acquire(_ context.Context, req *connect.Request[peerv1.AcquireRequest]) (*connect.Response[peerv1.AcquireResponse], error) {
+	return connect.NewResponse(&peerv1.AcquireResponse{Granted: req.Msg.Tokens, Term: 123456, Charge: 123456}), nil
+}
+
+func (stubHome) Refund(context.Context, *connect.Request[peerv1.RefundRequest]) (*connect.Response[peerv1.RefundResponse], error) {
+	return connect.NewResponse(&peerv1.RefundResponse{}), nil
+}
+
+func (stubHome) Extend(context.Context, *connect.Request[peerv1.ExtendRequest]) (*connect.Response[peerv1.ExtendResponse], error) {
+	return connect.NewResponse(&peerv1.ExtendResponse{Extended: true}), nil
+}
+
+// wireConn counts the bytes of HTTP/2 on a connection, without headers of IP and TCP.
+type wireConn struct {
+	net.Conn
+	sent, received *atomic.Int64
+}
+
+func (c wireConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.received.Add(int64(n))
+	return n, err
+}
+
+func (c wireConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.sent.Add(int64(n))
+	return n, err
+}
+
+// BenchmarkWire is what one call to a peer sends and receives. A request whose
+// share's home is elsewhere takes one Acquire and one Refund; a holder that has not
+// read the log for Timing.ExtendAfter sends one Extend for each shard and member of
+// its fence set.
+func BenchmarkWire(b *testing.B) {
+	holder := &peerv1.Holder{Instance: "waco-north-entry-123", Incarnation: 1_790_000_000_000, Address: "10.123.123.123:7443"}
+	for name, call := range map[string]func(context.Context, peerv1connect.RateServiceClient) error{
+		"acquire": func(ctx context.Context, c peerv1connect.RateServiceClient) error {
+			_, err := c.Acquire(ctx, connect.NewRequest(&peerv1.AcquireRequest{Organisation: "organisation-01234", Share: 2, Shard: 50, Tokens: 4096, Partial: true}))
+			return err
+		},
+		"refund": func(ctx context.Context, c peerv1connect.RateServiceClient) error {
+			_, err := c.Refund(ctx, connect.NewRequest(&peerv1.RefundRequest{Organisation: "organisation-01234", Share: 2, Shard: 50, Term: 123456, Tokens: 1024, Charge: 123456}))
+			return err
+		},
+		"extend": func(ctx context.Context, c peerv1connect.RateServiceClient) error {
+			_, err := c.Extend(ctx, connect.NewRequest(&peerv1.ExtendRequest{Shard: 50, Term: 123456, Holder: holder, Member: holder}))
+			return err
+		},
+	} {
+		b.Run(name, func(b *testing.B) { benchWire(b, call) })
+	}
+}
+
+func benchWire(b *testing.B, call func(context.Context, peerv1connect.RateServiceClient) error) {
+	_, handler := peerv1connect.NewRateServiceHandler(stubHome{})
+	server := httptest.NewUnstartedServer(nil)
+	server.Config = peer.NewServer(handler, nil, "")
+	server.Start()
+	b.Cleanup(server.Close)
+	var sent, received atomic.Int64
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	transport := &http.Transport{Protocols: protocols, DialContext: func(_ context.Context, network, address string) (net.Conn, error) {
+		conn, err := net.Dial(network, address)
+		return wireConn{conn, &sent, &received}, err
+	}}
+	b.Cleanup(transport.CloseIdleConnections)
+	client := peerv1connect.NewRateServiceClient(&http.Client{Transport: transport}, "http://"+server.Listener.Addr().String())
+	ctx := context.Background()
+	assert.NilError(b, call(ctx, client))
+	out, in, n := sent.Load(), received.Load(), 0
+	for b.Loop() {
+		n++
+		assert.NilError(b, call(ctx, client))
+	}
+	b.ReportMetric(float64(sent.Load()-out)/float64(n), "sent-B")
+	b.ReportMetric(float64(received.Load()-in)/float64(n), "received-B")
+}
