--- a/e2e/slope_bench_test.go
+++ b/e2e/slope_bench_test.go
@@ -225,3 +225,25 @@
 		})
 	}
 }
+
+// BenchmarkOperatorQueries reports the bytes of one answer to each of the operators'
+// queries that grow with the fleet.
+func BenchmarkOperatorQueries(b *testing.B) {
+	for _, instances := range []int{9, 18, 36} {
+		b.Run(strconv.Itoa(instances), func(b *testing.B) {
+			f := slopeFleet(b, fleetConfig{instances: instances, prefill: 2, decode: 2, plain: 1, tokenTime: time.Millisecond}, 0)
+			for b.Loop() {
+				for _, query := range []string{"/metrics", "/status", "/instances", "/upstreams", "/queues"} {
+					resp, err := http.Get("http://" + f.instances[0].operators + query)
+					assert.NilError(b, err)
+					text, err := io.ReadAll(resp.Body)
+					assert.NilError(b, err)
+					resp.Body.Close()
+					assert.Equal(b, resp.StatusCode, http.StatusOK, query)
+					b.ReportMetric(float64(len(text)), query[1:]+"-B")
+				}
+			}
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
--- a/rate/slope_bench_test.go
+++ b/rate/slope_bench_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
+	"syscall"
 	"testing"
 
 	"connectrpc.com/connect"
@@ -92,11 +93,20 @@
 	client := peerv1connect.NewRateServiceClient(&http.Client{Transport: transport}, "http://"+server.Listener.Addr().String())
 	ctx := context.Background()
 	assert.NilError(b, call(ctx, client))
-	out, in, n := sent.Load(), received.Load(), 0
+	began, out, in, n := processorTime(b), sent.Load(), received.Load(), 0
 	for b.Loop() {
 		n++
 		assert.NilError(b, call(ctx, client))
 	}
 	b.ReportMetric(float64(sent.Load()-out)/float64(n), "sent-B")
 	b.ReportMetric(float64(received.Load()-in)/float64(n), "received-B")
+	b.ReportMetric((processorTime(b)-began)*1e6/float64(n), "cpu-µs")
+}
+
+// processorTime is what this process, with both ends of the call, has used in seconds.
+func processorTime(b *testing.B) float64 {
+	b.Helper()
+	var used syscall.Rusage
+	assert.NilError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &used))
+	return float64(used.Utime.Nano()+used.Stime.Nano()) / 1e9
 }
--- a/scheduler/slope_bench_test.go
+++ b/scheduler/slope_bench_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -142,11 +143,11 @@
 			for range 20 {
 				run()
 			}
-			sent, received, writes, first := count.sent.Load(), count.received.Load(), count.writes.Load(), n
+			began, first := readMarks(b, count), n
 			for b.Loop() {
 				run()
 			}
-			reportWire(b, count, sent, received, writes, n-first)
+			reportWire(b, count, began, n-first)
 		})
 	}
 }
@@ -165,14 +166,14 @@
 			for address, wire := range held {
 				client.renew(ctx, address, wire)
 			}
-			sent, received, writes, n := count.sent.Load(), count.received.Load(), count.writes.Load(), 0
+			began, n := readMarks(b, count), 0
 			for b.Loop() {
 				n++
 				for address, wire := range held {
 					client.renew(ctx, address, wire)
 				}
 			}
-			reportWire(b, count, sent, received, writes, n)
+			reportWire(b, count, began, n)
 		})
 	}
 }
@@ -189,9 +190,29 @@
 	return byScheduler
 }
 
-func reportWire(b *testing.B, count *wireCount, sent, received, writes int64, n int) {
+// marks are the counts at one moment.
+type marks struct {
+	sent, received, writes int64
+	cpu                    time.Duration
+}
+
+func readMarks(b *testing.B, count *wireCount) marks {
+	b.Helper()
+	var used syscall.Rusage
+	assert.NilError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &used))
+	return marks{
+		sent: count.sent.Load(), received: count.received.Load(), writes: count.writes.Load(),
+		cpu: time.Duration(used.Utime.Nano() + used.Stime.Nano()),
+	}
+}
+
+// reportWire reports what each of n rounds cost since the marks. Processor time is
+// that of both ends.
+func reportWire(b *testing.B, count *wireCount, began marks, n int) {
 	b.Helper()
-	b.ReportMetric(float64(count.sent.Load()-sent)/float64(n), "sent-B")
-	b.ReportMetric(float64(count.received.Load()-received)/float64(n), "received-B")
-	b.ReportMetric(float64(count.writes.Load()-writes)/float64(n), "writes")
+	now, rounds := readMarks(b, count), float64(n)
+	b.ReportMetric(float64(now.sent-began.sent)/rounds, "sent-B")
+	b.ReportMetric(float64(now.received-began.received)/rounds, "received-B")
+	b.ReportMetric(float64(now.writes-began.writes)/rounds, "writes")
+	b.ReportMetric(float64((now.cpu-began.cpu).Microseconds())/rounds, "cpu-µs")
 }
