Refuse an authority file without a certificate

Cause: callers.tls or peers.tls with ca_file alone was accepted; the listener spoke plain TCP and checked no certificate, and nothing said so. Change: the settings check names the field and refuses. Measured: cairnworksd run with callers.tls={"ca_file":...} started and listened before; TestAuthorityWithoutCertificateIsRefused fails without the check (got no error) and passes with it, under -race. Conclusion: a listener checks certificates or the instance does not start.

--- a/settings/load.go
+++ b/settings/load.go
@@ -139,6 +139,11 @@
 	if (t.CertFile == "") != (t.KeyFile == "") {
 		c.fault(field, "one of cert_file and key_file", "both or none")
 	}
+	// Without a certificate the listener speaks plain TCP and checks nobody's
+	// certificate, while whoever wrote the file believes that it does.
+	if t.CAFile != "" && t.CertFile == "" {
+		c.fault(field+".ca_file", "a file without cert_file", "ca_file beside cert_file and key_file")
+	}
 }
 
 // guarded refuses an unprotected address that others can reach: anybody on the
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -46,6 +46,15 @@
 	}
 }
 
+// An operator sets the authority that callers' certificates must come from and
+// forgets the listener's own certificate. The instance would listen in plain TCP
+// and let everybody in; it must refuse to start.
+func TestAuthorityWithoutCertificateIsRefused(t *testing.T) {
+	data := strings.Replace(goodSettings, `"127.0.0.1:1"`, `"127.0.0.1:1","tls":{"ca_file":"ca.pem"}`, 1)
+	_, err := Parse("f", []byte(data))
+	assert.ErrorContains(t, err, `f: field "callers.tls.ca_file": got a file without cert_file`)
+}
+
 func TestEverySettingIsDescribed(t *testing.T) {
 	var out bytes.Buffer
 	assert.NilError(t, Describe(&out))
