Print the line to try when the instance is ready; exit codes for wrong use

The first answer of the README was 503 rate_home_unavailable with Retry-After 5, and so were both swaps.

--- a/cmd/cairnworksd/main.go
+++ b/cmd/cairnworksd/main.go
@@ -4,9 +4,11 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
@@ -25,11 +27,28 @@
 	exitKilled   = 130
 )
 
+const description = `Exit codes:
+     0  drained, and ended by SIGTERM, SIGINT or an operator's drain
+     1  any other failure, for instance an address in use or a file that cannot be read
+     2  wrong use or wrong settings; starting again cannot help
+   130  ended at once by a second signal
+
+'cairnworksd completion bash' (zsh, fish, pwsh) prints the shell completion.`
+
 func main() {
+	if err := newApp().Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "cairnworksd:", err)
+		os.Exit(exitFailed)
+	}
+}
+
+func newApp() *cli.Command {
 	app := &cli.Command{
 		Name:                  "cairnworksd",
 		Usage:                 "route requests to separate prefill and decode pools",
+		Description:           description,
 		EnableShellCompletion: true,
+		Action:                noCommand,
 		Commands: []*cli.Command{
 			{
 				Name:  "run",
@@ -49,9 +68,26 @@
 			},
 		},
 	}
-	if err := app.Run(context.Background(), os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "cairnworksd:", err)
-		os.Exit(exitFailed)
+	markUsageErrors(app)
+	return app
+}
+
+// noCommand refuses an unknown command and helps whoever names none.
+func noCommand(_ context.Context, cmd *cli.Command) error {
+	if name := cmd.Args().First(); name != "" {
+		return cli.Exit(fmt.Sprintf("cairnworksd: unknown command %q", name), exitSettings)
+	}
+	return cli.ShowAppHelp(cmd)
+}
+
+// markUsageErrors gives every wrong flag the exit code of wrong settings, which
+// tells a supervisor that starting again cannot help.
+func markUsageErrors(cmd *cli.Command) {
+	cmd.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+		return cli.Exit("cairnworksd: "+err.Error(), exitSettings)
+	}
+	for _, sub := range cmd.Commands {
+		markUsageErrors(sub)
 	}
 }
 
@@ -73,12 +109,38 @@
 		return err
 	}
 	if platform != nil {
-		fmt.Println(platform.CurlLine(i.Addresses().Callers))
+		go printWhenReady(ctx, i.Addresses(), platform)
 	}
 	drainOnSignal(i, log)
 	return i.Run(ctx)
 }
 
+// readyPoll is how often a starting instance is asked whether it is ready.
+const readyPoll = 50 * time.Millisecond
+
+// printWhenReady prints the line to try. Printed at the start, its first answer
+// would be a refusal, as the rate homes are not settled yet.
+func printWhenReady(ctx context.Context, addresses instance.Addresses, platform *embedded.Platform) {
+	for ctx.Err() == nil && !ready(ctx, addresses.Operators) {
+		time.Sleep(readyPoll)
+	}
+	fmt.Println(platform.CurlLine(addresses.Callers))
+}
+
+// ready asks the operators' address whether callers may come.
+func ready(ctx context.Context, operators string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+operators+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
 // load reads the settings, or starts the stand-ins and makes settings for them.
 func load(ctx context.Context, cmd *cli.Command) (settings.Settings, *embedded.Platform, error) {
 	file := cmd.String("settings")
--- a/operator/ctl/app.go
+++ b/operator/ctl/app.go
@@ -58,7 +58,9 @@
    6  the log or the instance cannot be reached; nothing was changed
    7  the instance refused, for instance the token
    8  the time ran out before the state that was waited for
-   9  diff: the sets differ`
+   9  diff: the sets differ
+
+'cairnctl completion bash' (zsh, fish, pwsh) prints the shell completion.`
 
 // Run runs one command line and returns its exit code.
 func Run(ctx context.Context, env Env, args []string) int {
--- a/operator/ctl/publish.go
+++ b/operator/ctl/publish.go
@@ -20,7 +20,7 @@
 		Name: "publish", ArgsUsage: "FILE...",
 		Usage: "publish a set through --log, or through --instance without it",
 		Flags: []cli.Flag{
-			&cli.Uint64Flag{Name: flagBase, Usage: "`VERSION` that the set was made from (default: the one in force)"},
+			&cli.Uint64Flag{Name: flagBase, Usage: "`VERSION` that the set was made from (default: the one in force)", HideDefault: true},
 			&cli.StringFlag{Name: flagNote, Usage: "`TEXT` for the history"},
 			&cli.BoolFlag{Name: flagRestart, Usage: "publish although no retained record tells what is in force"},
 		},
