--- a/examples/fleet.sh
+++ b/examples/fleet.sh
@@ -11,7 +11,7 @@
 # Instance N listens on 2400N for callers, 2410N for peers, 2420N for operators.
 set -eu
 BIN=${BIN:-bin}
-DIR=${DIR:-fleet}
+DIR=${DIR:-bin/fleet}
 here=$(dirname "$0")
 mkdir -p "$DIR/settings" "$DIR/logs" "$DIR/pids"
 
