One actor system for the rate homes too; the peers' address outlives them

Cause: the rate service had an actor system of its own, and the instance could free its peers' address while its homes still ended, which a fence member would misread. Change: the system is shared; listeners close after the rate service has ended; the wire benchmark follows the batched messages.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -130,7 +130,11 @@
 	group.Go(func() error { return ignoreEnd(ctx, i.members.Run(ctx)) })
 	group.Go(func() error { return ignoreEnd(ctx, i.follower.Run(ctx)) })
 	group.Go(func() error { return ignoreEnd(ctx, i.placer.Run(ctx)) })
-	group.Go(func() error { return ignoreEnd(ctx, i.rate.Run(ctx)) })
+	rateEnded := make(chan struct{})
+	group.Go(func() error {
+		defer close(rateEnded)
+		return ignoreEnd(ctx, i.rate.Run(ctx))
+	})
 	group.Go(func() error { return ignoreEnd(ctx, i.guard.Run(ctx)) })
 	group.Go(func() error { return i.awaitRate(ctx) })
 	group.Go(func() error { return i.followUpstreams(ctx) })
@@ -143,6 +147,9 @@
 		case <-i.drain.finished:
 		}
 		stop()
+		// A peer that finds another run at this address takes this run's rate homes
+		// to have ended, so the address must not be free before they have.
+		<-rateEnded
 		i.listeners.close()
 		return nil
 	})
--- a/instance/stages.go
+++ b/instance/stages.go
@@ -21,7 +21,7 @@
 	var err error
 	i.rate, err = rate.New(rate.Config{
 		Self: i.self(), Log: i.platform.log, Members: i.placedHolders, Limit: i.limit,
-		Dial: i.dialRate, Logger: i.log, Metrics: i.metrics,
+		Dial: i.dialRate, System: i.actors, Logger: i.log, Metrics: i.metrics,
 	})
 	if err != nil {
 		return err
--- a/rate/config.go
+++ b/rate/config.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/asynkron/protoactor-go/actor"
 	"github.com/samber/oops"
 	"go.uber.org/zap"
 
@@ -76,7 +77,9 @@
 	Limit func(organisation string) (object.Limit, bool)
 	// Dial returns the client for a peer's address (IP:port). It is called once for
 	// each address while that is in use.
-	Dial    func(address string) peerv1connect.RateServiceClient
+	Dial func(address string) peerv1connect.RateServiceClient
+	// System runs the home's actor. Without it the service has one of its own.
+	System  *actor.ActorSystem
 	Logger  *zap.Logger
 	Metrics *observe.Metrics
 	// Clock defaults to time.Now; its readings must be monotonic.
--- a/rate/service.go
+++ b/rate/service.go
@@ -20,17 +20,18 @@
 // Service is one instance's part in metering: home of some shards, fence member for
 // others, and the way in for this instance's requests.
 type Service struct {
-	cfg      Config
-	logger   *zap.Logger
-	count    counters
-	start    time.Time
-	system   *actor.ActorSystem
-	homePID  *actor.PID
-	routes   atomic.Pointer[routes]
-	draining atomic.Bool
-	doubts   doubts
-	clients  sync.Map
-	unsent   unsentRefunds
+	cfg       Config
+	logger    *zap.Logger
+	count     counters
+	start     time.Time
+	system    *actor.ActorSystem
+	ownSystem bool
+	homePID   *actor.PID
+	routes    atomic.Pointer[routes]
+	draining  atomic.Bool
+	doubts    doubts
+	clients   sync.Map
+	unsent    unsentRefunds
 	// appends numbers the entries that this run appends.
 	appends atomic.Uint64
 	// background counts calls to peers and the log; ended is closed when Run ends, and
@@ -82,9 +83,14 @@
 	if err := cfg.check(); err != nil {
 		return nil, err
 	}
+	ownSystem := cfg.System == nil
+	if ownSystem {
+		cfg.System = observe.NewActorSystem()
+	}
 	s := &Service{
-		cfg: cfg, logger: cfg.Logger, count: newCounters(cfg.Metrics),
-		start: cfg.Clock(), system: observe.NewActorSystem(),
+		ownSystem: ownSystem,
+		cfg:       cfg, logger: cfg.Logger, count: newCounters(cfg.Metrics),
+		start: cfg.Clock(), system: cfg.System,
 	}
 	s.doubts.now = s.now
 	s.ctx, s.end = context.WithCancel(context.Background())
@@ -116,7 +122,9 @@
 	s.end()
 	s.background.Wait()
 	_ = s.system.Root.StopFuture(s.homePID).Wait()
-	s.system.Shutdown()
+	if s.ownSystem {
+		s.system.Shutdown()
+	}
 }
 
 func (s *Service) tick(ctx context.Context) error {
--- a/rate/slope_bench_test.go
+++ b/rate/slope_bench_test.go
@@ -31,7 +31,7 @@
 }
 
 func (stubHome) Extend(context.Context, *connect.Request[peerv1.ExtendRequest]) (*connect.Response[peerv1.ExtendResponse], error) {
-	return connect.NewResponse(&peerv1.ExtendResponse{Extended: true}), nil
+	return connect.NewResponse(&peerv1.ExtendResponse{Extended: []bool{true}}), nil
 }
 
 // wireConn counts the bytes of HTTP/2 on a connection, without headers of IP and TCP.
@@ -64,11 +64,15 @@
 			return err
 		},
 		"refund": func(ctx context.Context, c peerv1connect.RateServiceClient) error {
-			_, err := c.Refund(ctx, connect.NewRequest(&peerv1.RefundRequest{Organisation: "organisation-01234", Share: 2, Shard: 50, Term: 123456, Tokens: 1024, Charge: 123456}))
+			_, err := c.Refund(ctx, connect.NewRequest(&peerv1.RefundRequest{Parts: []*peerv1.RefundPart{
+				{Organisation: "organisation-01234", Share: 2, Shard: 50, Term: 123456, Tokens: 1024, Charge: 123456},
+			}}))
 			return err
 		},
 		"extend": func(ctx context.Context, c peerv1connect.RateServiceClient) error {
-			_, err := c.Extend(ctx, connect.NewRequest(&peerv1.ExtendRequest{Shard: 50, Term: 123456, Holder: holder, Member: holder}))
+			_, err := c.Extend(ctx, connect.NewRequest(&peerv1.ExtendRequest{
+				Holder: holder, Member: holder, Terms: []*peerv1.TermRef{{Shard: 50, Term: 123456}},
+			}))
 			return err
 		},
 	} {
@@ -77,7 +81,7 @@
 }
 
 func benchWire(b *testing.B, call func(context.Context, peerv1connect.RateServiceClient) error) {
-	_, handler := peerv1connect.NewRateServiceHandler(stubHome{})
+	_, handler := peerv1connect.NewRateServiceHandler(stubHome{}, peer.HandlerOptions())
 	server := httptest.NewUnstartedServer(nil)
 	server.Config = peer.NewServer(handler, nil, "")
 	server.Start()
@@ -90,7 +94,7 @@
 		return wireConn{conn, &sent, &received}, err
 	}}
 	b.Cleanup(transport.CloseIdleConnections)
-	client := peerv1connect.NewRateServiceClient(&http.Client{Transport: transport}, "http://"+server.Listener.Addr().String())
+	client := peerv1connect.NewRateServiceClient(&http.Client{Transport: transport}, "http://"+server.Listener.Addr().String(), peer.ClientOptions())
 	ctx := context.Background()
 	assert.NilError(b, call(ctx, client))
 	began, out, in, n := processorTime(b), sent.Load(), received.Load(), 0
