An engine that was slow is tried again

Cause: a decode engine whose answers miss the target has its limit of requests cut, and the limit grew with its answers only. Cut to one, it looks full beside peers with room, gets no request, and so no answer. Ruled out: the health monitor, which had too few outcomes to judge it (weight full). Change: an idle upstream's limit grows by one every 5 s.

--- a/decision/group/dispatch.go
+++ b/decision/group/dispatch.go
@@ -10,6 +10,9 @@
 // Advance handles what is due at now. It returns when it must be called next;
 // the zero time means that nothing is due.
 func (g *Group) Advance(now time.Time) ([]Decision, time.Time) {
+	for _, u := range g.byName {
+		u.account.Raise(now)
+	}
 	decisions := g.dispatch(now)
 	next := g.queue.NextExpiry()
 	for _, w := range g.parked {
--- a/decision/placement/limit.go
+++ b/decision/placement/limit.go
@@ -36,13 +36,35 @@
 // Limit is the number of requests that a decode upstream is given at once. It
 // starts at the slots, is cut in proportion when answers are slower than the
 // target, and grows by one for each full round of answers within it (additive
-// increase, multiplicative decrease, as in TCP). The zero value is a full limit.
+// increase, multiplicative decrease, as in TCP), or with time while it is idle. The
+// zero value is a full limit.
 type Limit struct {
 	// below is by how much the limit is under the slots.
 	below float64
 	// cutAt is the time of the last cut. Answers granted before it ran in the
 	// larger batch and say nothing about the smaller one.
 	cutAt time.Time
+	// idleSince is when the upstream last held a request, or was last raised.
+	idleSince time.Time
+}
+
+// RaiseInterval is the idle time for which a cut limit grows by one. Limits grow
+// with answers, and an upstream whose limit was cut far looks full beside peers
+// with room: it would never be given the request whose answer shows that it is
+// well. At one request in some five seconds an upstream that is still slow costs
+// no more than a health trial does.
+const RaiseInterval = 5 * time.Second
+
+// raise lets the limit of an idle upstream grow with time.
+func (l *Limit) raise(slots, running int, now time.Time) {
+	if l.below == 0 || running > 0 || l.idleSince.IsZero() {
+		l.idleSince = now
+		return
+	}
+	if now.Sub(l.idleSince) >= RaiseInterval {
+		l.idleSince = now
+		l.set(slots, float64(slots)-l.below+1)
+	}
 }
 
 func (l *Limit) allowed(slots int) int {
--- a/decision/placement/placement.go
+++ b/decision/placement/placement.go
@@ -124,6 +124,10 @@
 	u.recentRelease = append(u.recentRelease[:0], u.recentRelease[old:]...)
 }
 
+// Raise lets a cut limit grow while the upstream is idle. It is called again and
+// again, a few times in RaiseInterval at least.
+func (u *Upstream) Raise(now time.Time) { u.limit.raise(u.Slots, u.running, now) }
+
 // Observe feeds the limit with an answer.
 func (u *Upstream) Observe(now time.Time, a Answer) {
 	u.limit.observe(u.Slots, u.running+1, now, a)
