Rate tests: no expired timers and no lingering ones in the bubble

Cause: two of nine runs of the rate tests with -race ended in a crash of the race detector (ThreadSanitizer CHECK, SIGSEGV under runtime.maybeRunChan), and one in "blocked goroutines remain". The first came with the shortened fake log, whose read selected on a timer of zero; the second is the actor library's one-second timer for messages to a stopped actor.

Change: the fake log selects only when it has to wait; the fleet lets 5 s of simulated time pass after its instances have ended.

--- a/rate/fleet_test.go
+++ b/rate/fleet_test.go
@@ -81,15 +81,16 @@
 		return port.Page{}, err
 	}
 	l.mu.Lock()
-	changed := l.changed
-	if uint64(len(l.records)) >= from {
-		wait = 0
-	}
+	changed, empty := l.changed, uint64(len(l.records)) < from
 	l.mu.Unlock()
-	select {
-	case <-changed:
-	case <-time.After(wait):
-	case <-ctx.Done():
+	// A select on a timer that has expired already crashes the race detector in a bubble
+	// now and then, so there is none when records are there.
+	if empty {
+		select {
+		case <-changed:
+		case <-time.After(wait):
+		case <-ctx.Done():
+		}
 	}
 	if err := l.enter(ctx); err != nil {
 		return port.Page{}, err
@@ -215,6 +216,9 @@
 		m.stop()
 		<-m.done
 	}
+	// The actor library's timer for messages that came after the end runs for a second,
+	// and the bubble's time stands still once the test returns.
+	time.Sleep(5 * time.Second)
 }
 
 // start runs an instance and lists it as a member.
