Fleet script: start nothing that still runs

Cause: starting an upstream again that still ran overwrote its process id; the second could not listen, and stop left the first behind. Change: the script says that it still runs and leaves it.

--- a/examples/fleet.sh
+++ b/examples/fleet.sh
@@ -18,6 +18,11 @@
 start() {
 	name=$1
 	shift
+	# A second process could not listen, and stop would no longer know the first.
+	if [ -f "$DIR/pids/$name" ] && kill -0 "$(cat "$DIR/pids/$name")" 2>/dev/null; then
+		echo "$name still runs" >&2
+		return
+	fi
 	"$@" >>"$DIR/logs/$name.log" 2>&1 &
 	echo $! >"$DIR/pids/$name"
 }
