Fleet script: keep every process id instead of refusing a second start

Cause: the check for a process that still runs also found one that had been killed and not yet been reaped, and refused to start it again. Change: process ids are kept beside one another; stop ends all of them.

--- a/examples/fleet.sh
+++ b/examples/fleet.sh
@@ -18,13 +18,10 @@
 start() {
 	name=$1
 	shift
-	# A second process could not listen, and stop would no longer know the first.
-	if [ -f "$DIR/pids/$name" ] && kill -0 "$(cat "$DIR/pids/$name")" 2>/dev/null; then
-		echo "$name still runs" >&2
-		return
-	fi
 	"$@" >>"$DIR/logs/$name.log" 2>&1 &
-	echo $! >"$DIR/pids/$name"
+	# Kept beside earlier ones: a second process of a name cannot listen, and stop
+	# must still know the first.
+	echo $! >>"$DIR/pids/$name"
 }
 
 data_centre() { case $(($1 % 3)) in 0) echo split-a ;; 1) echo rijeka-b ;; 2) echo zadar-c ;; esac; }
@@ -74,6 +71,9 @@
 platform) platform ;;
 instance) for n in "$@"; do instance "$n"; done ;;
 upstream) upstreams | while read -r name role address; do [ "$name" != "$1" ] || upstream "$name" "$role" "$address"; done ;;
-stop) for pid in "$DIR"/pids/*; do kill -9 "$(cat "$pid")" 2>/dev/null || true; rm "$pid"; done ;;
+stop) for pid in "$DIR"/pids/*; do
+	while read -r id; do kill -9 "$id" 2>/dev/null || true; done <"$pid"
+	rm "$pid"
+done ;;
 *) sed -n '2,11p' "$0" ;;
 esac
