Engines' streams are listed every ten seconds, or when a report counts too many

Change: load each second, the list each tenth poll and at once when two reports in a row count more streams than there are leases; the platform's list is read by schedulers only.

--- a/instance/upstreams.go
+++ b/instance/upstreams.go
@@ -35,6 +35,11 @@
 		return nil
 	}
 	for sleep(ctx, upstreamListInterval) {
+		// Only schedulers use the list. At 400 instances and 600 upstreams each
+		// reading costs 64 KB.
+		if !i.sched.Schedules() {
+			continue
+		}
 		listed, err := i.platform.list.Upstreams(ctx)
 		if err != nil {
 			i.metrics.Scope.Counter("upstream_list_errors").Inc(1)
--- a/scheduler/actor.go
+++ b/scheduler/actor.go
@@ -54,10 +54,12 @@
 	// upstream's process as last reported.
 	crashes   *quarantine.Ledger
 	processes map[string]string
-	health    *upstreamHealth
-	warmup    warmup
-	timer     *time.Timer
-	plain     bool
+	// excess counts the reports in a row with more streams than leases, by upstream.
+	excess map[string]int
+	health *upstreamHealth
+	warmup warmup
+	timer  *time.Timer
+	plain  bool
 }
 
 // lease is a grant with its holder and the time it ends without a renewal.
--- a/scheduler/messages.go
+++ b/scheduler/messages.go
@@ -64,7 +64,10 @@
 	reportMsg struct {
 		upstream string
 		load     port.Load
-		streams  []port.StreamState
+		// listed tells that streams is the upstream's list; listNow asks for one.
+		listed  bool
+		listNow chan<- struct{}
+		streams []port.StreamState
 		// asked is when the lists were asked for.
 		asked time.Time
 	}
--- a/scheduler/query.go
+++ b/scheduler/query.go
@@ -53,6 +53,13 @@
 	}
 }
 
+// Schedules reports whether any service is scheduled here.
+func (s *Server) Schedules() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.services) > 0
+}
+
 // Waiting returns the number of reservations without an answer. A drain waits
 // for it to reach zero.
 func (s *Server) Waiting() int64 { return s.waiting.Load() }
--- a/scheduler/server.go
+++ b/scheduler/server.go
@@ -122,6 +122,7 @@
 		byID:    make(map[uint64]*lease),
 		ended:   make(map[attemptKey]time.Time),
 		crashes: quarantine.New(quarantine.DefaultConfig()), processes: make(map[string]string),
+		excess:  make(map[string]int),
 		health:  newUpstreamHealth(),
 		addrs:   make(map[string]string),
 		home:    func() bool { return s.isHome(service.Name) },
--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -63,6 +63,7 @@
 	if !a.home() {
 		return
 	}
+	a.askForList(msg)
 	for _, s := range msg.streams {
 		key := keyOf(s.Stream)
 		if a.byKey[key] != nil {
@@ -80,6 +81,29 @@
 	}
 }
 
+// askForList asks for an upstream's list when two reports in a row count more
+// streams than leases cover. One report alone lags behind streams that just ended.
+func (a *serviceActor) askForList(msg reportMsg) {
+	known := 0
+	for _, l := range a.byKey {
+		if l.decode == msg.upstream || l.prefill == msg.upstream && !l.prefilled {
+			known++
+		}
+	}
+	if msg.listed || msg.load.Running <= known {
+		a.excess[msg.upstream] = 0
+		return
+	}
+	a.excess[msg.upstream]++
+	if a.excess[msg.upstream] < 2 {
+		return
+	}
+	select {
+	case msg.listNow <- struct{}{}:
+	default: // one has been asked for already
+	}
+}
+
 func (a *serviceActor) cache(now time.Time, msg cacheMsg) {
 	if msg.reset {
 		a.group.CacheReset(msg.upstream)
--- a/scheduler/watch.go
+++ b/scheduler/watch.go
@@ -17,6 +17,10 @@
 	watchInterval = time.Second
 	// watchTimeout bounds one poll.
 	watchTimeout = time.Second
+	// fullEvery is how many polls there are to one that lists the streams. A list
+	// takes 188 bytes a stream, a load report some 260 in all; a report of more
+	// streams than are known here asks for the list at once.
+	fullEvery = 10
 )
 
 // watch polls every upstream of a model service until ctx ends. The first poll
@@ -26,7 +30,9 @@
 		return
 	}
 	for _, u := range upstreams {
-		w := &upstreamWatch{server: s, pid: pid, upstream: u, engine: s.cfg.Engines(u.Address)}
+		w := &upstreamWatch{
+			server: s, pid: pid, upstream: u, engine: s.cfg.Engines(u.Address), listNow: make(chan struct{}, 1),
+		}
 		go w.run(ctx)
 	}
 }
@@ -36,6 +42,8 @@
 	pid      *actor.PID
 	upstream *object.Upstream
 	engine   port.Engine
+	// listNow asks for the streams' list with the next poll, which it brings forward.
+	listNow chan struct{}
 	// cacheSeq is the last cache event seen; start is the engine's process.
 	cacheSeq uint64
 	start    string
@@ -44,33 +52,34 @@
 func (w *upstreamWatch) run(ctx context.Context) {
 	ticker := time.NewTicker(watchInterval)
 	defer ticker.Stop()
-	for {
-		w.poll(ctx)
+	for n := 0; ; n++ {
+		w.poll(ctx, n%fullEvery == 0)
 		select {
 		case <-ctx.Done():
 			return
+		case <-w.listNow:
+			w.poll(ctx, true)
 		case <-ticker.C:
 		}
 	}
 }
 
-func (w *upstreamWatch) poll(ctx context.Context) {
+// poll asks for the load and, if full, for the streams.
+func (w *upstreamWatch) poll(ctx context.Context, full bool) {
 	ctx, stop := context.WithTimeout(ctx, watchTimeout)
 	defer stop()
-	asked := time.Now()
-	load, err := w.engine.Load(ctx)
-	if err != nil {
-		w.send(unreachableMsg{w.upstream.Name})
-		return
+	msg := reportMsg{upstream: w.upstream.Name, asked: time.Now(), listed: full, listNow: w.listNow}
+	var err error
+	if msg.load, err = w.engine.Load(ctx); err == nil && full {
+		msg.streams, err = w.engine.Streams(ctx)
 	}
-	streams, err := w.engine.Streams(ctx)
 	if err != nil {
 		w.send(unreachableMsg{w.upstream.Name})
 		return
 	}
-	w.send(reportMsg{upstream: w.upstream.Name, load: load, streams: streams, asked: asked})
+	w.send(msg)
 	if w.upstream.Role == object.RolePrefill {
-		w.pollCache(ctx, load.Start)
+		w.pollCache(ctx, msg.load.Start)
 	}
 }
 
