--- a/rate/service.go
+++ b/rate/service.go
@@ -100,9 +100,9 @@
 	return s, nil
 }
 
-// Run follows the log and holds shards until ctx ends. The instance must not close its
-// listener before Run has ended: a peer that finds another run at its address takes
-// this one to have ended.
+// Run follows the log and holds shards until ctx ends. An instance that closes its
+// listener for peers must answer no call on its open connections either, unless Run has
+// ended: a peer that finds another run at the address counts this one as fenced.
 func (s *Service) Run(ctx context.Context) error {
 	defer s.shutdown()
 	g, ctx := errgroup.WithContext(ctx)
