An instance that was paused takes rate homes again

Cause: membership gives an instance that was declared dead in a pause a new incarnation; its rate service keeps the one that its terms have, did not find itself among the members, and claimed nothing from then on. Change: the rate and the guard see their own instance as the run they were started as. Others still name the new incarnation in fence sets, which this instance refuses to answer for: safe, and one voice fewer.

--- a/e2e/takeover_test.go
+++ b/e2e/takeover_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -150,3 +151,51 @@
 	a := chat(context.Background(), d.callers, f.keys["alpha"], "again", 5, nil)
 	return a.code == "key_withdrawn"
 }
+
+// An instance is paused until the others declare it dead, and comes back under a
+// new incarnation. Later another instance dies. The shards of rates that then
+// belong to the one that came back must be taken up by it; left to nobody, their
+// organisations would miss a third of their rate until it is restarted.
+func TestAnInstanceThatWasPausedTakesHomesAgain(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, fleetConfig{instances: 4, prefill: 1, decode: 1, plain: 1, tokenTime: time.Millisecond})
+	paused := f.instances[1]
+	held := func() int { return paused.count("msg=\"rate shard held\"") }
+	paused.signal(syscall.SIGSTOP)
+	eventually(t, "the others go on without it", func() bool { return f.states(f.instances[0])[paused.name] == "dead" })
+	paused.signal(syscall.SIGCONT)
+	eventually(t, "it is back under a new incarnation", func() bool { return paused.count("declared dead while paused") > 0 })
+	eventually(t, "the others see it again", func() bool { return f.states(f.instances[0])[paused.name] == "alive" })
+	before := held()
+	f.instances[0].kill()
+	eventually(t, "it takes homes of the dead one", func() bool { return held() > before })
+}
+
+// count returns how many lines a process printed with a text.
+func (p *process) count(text string) int {
+	n := 0
+	for _, line := range p.printed() {
+		if strings.Contains(line, text) {
+			n++
+		}
+	}
+	return n
+}
+
+// states returns the state of each instance by the view of one of them.
+func (f *fleet) states(d *daemon) map[string]string {
+	resp, err := http.Get("http://" + d.operators + "/instances")
+	if err != nil {
+		return nil
+	}
+	defer resp.Body.Close()
+	var instances []operator.Instance
+	if err := json.NewDecoder(resp.Body).Decode(&instances); err != nil {
+		return nil
+	}
+	states := map[string]string{}
+	for _, i := range instances {
+		states[i.Name] = i.State
+	}
+	return states
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -23,6 +23,7 @@
 	"github.com/cairnworks/cairnworks/port"
 	"github.com/cairnworks/cairnworks/port/httpport"
 	"github.com/cairnworks/cairnworks/rate"
+	"github.com/cairnworks/cairnworks/request"
 	"github.com/cairnworks/cairnworks/scheduler"
 	"github.com/cairnworks/cairnworks/settings"
 )
@@ -33,7 +34,9 @@
 	log      *zap.Logger
 	level    zap.AtomicLevel
 	metrics  *observe.Metrics
-	started  time.Time
+	// began is when the instance was made; started is the run it started as.
+	began   time.Time
+	started request.Holder
 
 	// actors runs the concurrent parts. They share one system, since each holds
 	// about 4 MB for its registry.
@@ -69,7 +72,7 @@
 func New(s settings.Settings, log *zap.Logger, level zap.AtomicLevel) (*Instance, error) {
 	i := &Instance{
 		settings: s, log: log.With(zap.String("instance", s.Instance)), level: level,
-		metrics: observe.NewMetrics(), open: newOpenRequests(), actors: observe.NewActorSystem(), started: time.Now(), drain: newDrainState(),
+		metrics: observe.NewMetrics(), open: newOpenRequests(), actors: observe.NewActorSystem(), began: time.Now(), drain: newDrainState(),
 	}
 	secret, err := readSecret(s.Peers.SecretFile)
 	if err != nil {
@@ -166,7 +169,7 @@
 	i.actors.Shutdown()
 	i.peers.Close()
 	_ = i.metrics.Close()
-	i.log.Info("stopped", zap.Duration("ran", time.Since(i.started)))
+	i.log.Info("stopped", zap.Duration("ran", time.Since(i.began)))
 }
 
 // ignoreEnd drops the error that a part returns because ctx ended.
--- a/instance/join.go
+++ b/instance/join.go
@@ -39,6 +39,7 @@
 	if err != nil {
 		return err
 	}
+	i.started = i.self()
 	i.follower = config.NewFollower(config.FollowerConfig{
 		Log: i.platform.log, Self: i.Addresses().Peers, Peers: i.configPeers, Dial: i.dialConfig,
 		Retention: i.logRetention(), Seed: uint64(time.Now().UnixNano()), Logger: i.log, Metrics: i.metrics,
--- a/instance/operators.go
+++ b/instance/operators.go
@@ -63,7 +63,7 @@
 	self := s.i.self()
 	status := operator.Status{
 		Instance: self.Instance, Incarnation: self.Incarnation, DataCentre: s.i.settings.DataCentre,
-		Started: s.i.started, Ready: s.i.ready(), Reason: s.i.notReadyReason(), Draining: s.i.drain.draining(),
+		Started: s.i.began, Ready: s.i.ready(), Reason: s.i.notReadyReason(), Draining: s.i.drain.draining(),
 		OpenRequests: int(s.i.door.Open()), LogLevel: s.i.level.Level().String(),
 	}
 	if index := s.i.index(); index != nil {
--- a/instance/stages.go
+++ b/instance/stages.go
@@ -20,14 +20,14 @@
 func (i *Instance) buildStages() error {
 	var err error
 	i.rate, err = rate.New(rate.Config{
-		Self: i.self(), Log: i.platform.log, Members: i.placedHolders, Limit: i.limit,
+		Self: i.started, Log: i.platform.log, Members: i.placedHolders, Limit: i.limit,
 		Dial: i.dialRate, System: i.actors, Logger: i.log, Metrics: i.metrics,
 	})
 	if err != nil {
 		return err
 	}
 	i.guard, err = once.New(once.Config{
-		Self: i.self(), Log: i.platform.log, Members: i.liveHolders, Dial: i.dialOnce, System: i.actors, Logger: i.log, Metrics: i.metrics,
+		Self: i.started, Log: i.platform.log, Members: i.liveHolders, Dial: i.dialOnce, System: i.actors, Logger: i.log, Metrics: i.metrics,
 		LogRetention: i.logRetention(),
 		Window:       i.logRetention() / 2,
 	})
@@ -81,11 +81,19 @@
 	return i.holders(func(bool) bool { return true })
 }
 
+// holders lists members for the rate and the guard, this instance as the run that
+// these were started as. Membership gives it a new incarnation when it was declared
+// dead in a pause; the rate, which keeps the identity that its terms in the log
+// have, would not find itself among the members and claim nothing any more.
 func (i *Instance) holders(take func(draining bool) bool) []request.Holder {
 	members := i.members.Members()
 	holders := make([]request.Holder, 0, len(members))
 	for _, m := range members {
-		if take(m.Draining) {
+		switch {
+		case !take(m.Draining):
+		case m.Instance == i.started.Instance:
+			holders = append(holders, i.started)
+		default:
 			holders = append(holders, m.Holder)
 		}
 	}
