An instance apart from its peers does not take the fleet's rate homes

Cause: an instance that reaches the log and not its peers (a cut, a wrong secret) took all others for dead and claimed their shards; they claimed them back, and nobody spent for long. Ruled out: pauses alone, which would leave the shards with the stranger half of the time. Change: a side smaller than half of the holders named in the log claims only from runs that have been silent there for longer than a live one; equal sides pause, growing. The search of the lease protocol passes with the rule.

--- a/rate/lease/follow.go
+++ b/rate/lease/follow.go
@@ -13,6 +13,7 @@
 		n.lose(&out)
 		return out
 	}
+	n.hear(p, now)
 	for shard := range n.own {
 		n.followShard(uint32(shard), now, &out)
 	}
@@ -58,6 +59,7 @@
 	case held != nil:
 		out.Stopped = append(out.Stopped, Stop{Shard: shard, Term: held.Term, Spending: held.spending, Successor: cur.Holder})
 		n.own[shard] = nil
+		n.claims[shard].lose()
 	}
 }
 
@@ -82,7 +84,7 @@
 
 // begin takes up a term whose claim has been read back.
 func (n *Node) begin(shard uint32, h Holding, now time.Duration, out *Effects) {
-	n.claims[shard] = claimState{}
+	n.claims[shard] = n.claims[shard].begun()
 	s := &n.log.shards[shard]
 	t := newOwnTerm(h, s.open[:len(s.open)-1], s.complete, now)
 	old := n.own[shard]
--- a/rate/lease/node.go
+++ b/rate/lease/node.go
@@ -23,8 +23,11 @@
 	firstRead, lastRead time.Duration
 	hasRead             bool
 	claims              []claimState
-	lastMove            time.Duration
-	lastRefresh         time.Duration
+	// heard is when each instance last wrote to the stream. It is replaced, never
+	// changed in place.
+	heard       []hearing
+	lastMove    time.Duration
+	lastRefresh time.Duration
 }
 
 // claimState is what a node knows of its wish for a shard.
@@ -36,6 +39,12 @@
 	// wanted is since when the shard's place is here though another holds it.
 	isWanted bool
 	wanted   time.Duration
+	// contests counts how often in a row the shard was lost to a run that is not
+	// among the members; lostAt is the last time.
+	contests int
+	lostAt   time.Duration
+	// wasLost marks a loss that has not been judged yet.
+	wasLost bool
 }
 
 type handOver struct {
--- a/rate/lease/tick.go
+++ b/rate/lease/tick.go
@@ -121,11 +121,14 @@
 		return false
 	}
 	cur, ok := n.log.current(shard)
+	c.judgeLoss(now, cur.Holder, v.Members)
 	switch {
 	case !ok && !n.log.shards[shard].complete && n.log.allStopped == 0:
 		return now >= n.firstRead+n.timing.UnknownDelay
-	case !ok || SameRun(cur.Holder, n.self) || !containsRun(v.Members, cur.Holder):
+	case !ok || SameRun(cur.Holder, n.self):
 		return true
+	case !containsRun(v.Members, cur.Holder):
+		return n.mayClaimFromStranger(shard, now, cur, v.Members)
 	default:
 		return n.wantsFromLive(c, now)
 	}
