Operators see an upstream's state of health and not its weight

Cause: an upstream that is out has full weight while it is tried, so that status said full in the middle of its illness and never out; failed handshakes were logged outside the key=value form. Change: status carries the monitor's state in the words of the log; the servers' own lines go through the logger.

--- a/instance/listen.go
+++ b/instance/listen.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/samber/oops"
+	"go.uber.org/zap"
 
 	"github.com/cairnworks/cairnworks/peer"
 	"github.com/cairnworks/cairnworks/settings"
@@ -92,12 +93,21 @@
 		return err
 	}
 	i.listeners.callers.server = callerServer(i.door, callersTLS, i.settings)
+	// The library's own lines, such as those of failed handshakes, would break the
+	// one key=value line an event.
+	errorLog, err := zap.NewStdLogAt(i.log, zap.InfoLevel)
+	if err != nil {
+		return err
+	}
 	i.listeners.peers.server = peer.NewServer(i.peerHandler(), peersTLS, secret)
 	operators, err := i.operatorHandler()
 	if err != nil {
 		return err
 	}
 	i.listeners.operators.server = &http.Server{Handler: operators, ReadHeaderTimeout: headerTimeout(i.settings)}
+	for _, l := range i.listeners.all() {
+		l.server.ErrorLog = errorLog
+	}
 	return nil
 }
 
--- a/scheduler/actor.go
+++ b/scheduler/actor.go
@@ -108,7 +108,7 @@
 	case cacheMsg:
 		a.cache(now, msg)
 	case statusMsg:
-		msg.answer <- statusReply{a.group.Status(now), a.advice()}
+		msg.answer <- statusReply{a.group.Status(now), a.advice(), a.health.describe()}
 	case tickMsg:
 	case *actor.Stopping:
 		a.stop()
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -112,6 +112,17 @@
 	a.log.Info("upstream health", zap.String("upstream", w.Upstream), zap.String("state", w.State.String()), zap.Float64("weight", w.Weight))
 }
 
+// describe returns each upstream's state in the words of the log.
+func (h *upstreamHealth) describe() map[string]string {
+	states := make(map[string]string, len(h.roles))
+	for _, monitor := range h.monitors {
+		for _, w := range monitor.Weights() {
+			states[w.Upstream] = w.State.String()
+		}
+	}
+	return states
+}
+
 // adviseInterval is how often the pools' balance is sampled.
 const adviseInterval = time.Second
 
--- a/scheduler/messages.go
+++ b/scheduler/messages.go
@@ -85,6 +85,8 @@
 type statusReply struct {
 	status group.Status
 	advice string
+	// health is the monitors' state of each upstream.
+	health map[string]string
 }
 
 // heldGrant is a grant that an instance renews.
--- a/scheduler/query.go
+++ b/scheduler/query.go
@@ -19,7 +19,7 @@
 	s.system.Root.Send(pid, statusMsg{answer})
 	select {
 	case r := <-answer:
-		response := statusResponse(r.status)
+		response := statusResponse(r)
 		response.Advice = r.advice
 		return connect.NewResponse(response), nil
 	case <-ctx.Done():
@@ -27,30 +27,27 @@
 	}
 }
 
-func statusResponse(status group.Status) *peerv1.StatusResponse {
+func statusResponse(r statusReply) *peerv1.StatusResponse {
+	status := r.status
 	response := &peerv1.StatusResponse{
 		QueuedInteractive: uint32(status.QueuedInteractive), QueuedDeferrable: uint32(status.QueuedDeferrable),
 	}
 	for _, u := range status.Upstreams {
 		response.Upstreams = append(response.Upstreams, &peerv1.UpstreamStatus{
 			Name: u.Name, Running: uint32(u.Running), Slots: uint32(u.Slots),
-			PiecesUsed: uint32(u.PiecesUsed), Pieces: uint32(u.Pieces), Health: healthText(u),
+			PiecesUsed: uint32(u.PiecesUsed), Pieces: uint32(u.Pieces), Health: r.healthOf(u),
 		})
 	}
 	return response
 }
 
-func healthText(u group.UpstreamStatus) string {
-	switch {
-	case u.Leaving:
+// healthOf is an upstream's state for operators. Weights would not do: an upstream
+// that is out has full weight while it is tried.
+func (r statusReply) healthOf(u group.UpstreamStatus) string {
+	if u.Leaving {
 		return "leaving"
-	case u.Health <= 0:
-		return "out"
-	case u.Health < 1:
-		return "reduced"
-	default:
-		return "full"
 	}
+	return r.health[u.Name]
 }
 
 // Schedules reports whether any service is scheduled here.
--- a/scheduler/server_test.go
+++ b/scheduler/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -125,3 +126,33 @@
 		assert.Assert(t, <-granted >= LeaseTime)
 	})
 }
+
+// An upstream that is out gets full weight for the one request that tries it.
+// Operators who were shown the weight saw it as well in the middle of its illness.
+func TestStatusShowsHealthAndNotTheWeightOfATrial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestServer(t, &listedEngine{cancelled: make(chan port.StreamID, 8)})
+		for n := range 40 {
+			id := fmt.Sprint(n)
+			resp, err := reserve(s, id)
+			assert.NilError(t, err)
+			if resp.Grant == nil {
+				break
+			}
+			_, err = s.Release(context.Background(), connect.NewRequest(&peerv1.ReleaseRequest{
+				Service: "pisar", RequestId: id, Attempt: 1,
+				Outcome: &peerv1.Outcome{Kind: peerv1.Outcome_KIND_DECODE_FAILED, FailedUpstream: "d"},
+			}))
+			assert.NilError(t, err)
+		}
+		time.Sleep(10 * time.Second)
+		resp, err := s.Status(context.Background(), connect.NewRequest(&peerv1.StatusRequest{Service: "pisar"}))
+		assert.NilError(t, err)
+		health := map[string]string{}
+		for _, u := range resp.Msg.Upstreams {
+			health[u.Name] = u.Health
+		}
+		assert.Equal(t, health["p"], "healthy")
+		assert.Assert(t, health["d"] == "out" || health["d"] == "spared", health["d"])
+	})
+}
