Requests are settled by the engine's count; an empty load run is a failed one

Cause: usage was capped at the estimate of the prompt though the rate takes an excess afterwards; cairnload said no promise was broken when nothing had been answered; leases were indexed twice. Change: settle by the true count; a run without an answer exits 1 and the table gives the number of answers; one index; the write timeout stands with the writer.

--- a/caller/errors.go
+++ b/caller/errors.go
@@ -5,7 +5,6 @@
 	"math"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/cairnworks/cairnworks/verdict"
 )
@@ -90,7 +89,3 @@
 	x.w.WriteHeader(statusOf(v))
 	_ = json.NewEncoder(x.w).Encode(x.errorBody(v)) // a failed write means the caller is gone
 }
-
-// writeTimeout bounds one write to a caller that does not read. Without it a
-// stuck caller holds a decode slot for as long as its connection stays open.
-const writeTimeout = 10 * time.Second
--- a/caller/events.go
+++ b/caller/events.go
@@ -7,6 +7,10 @@
 	"time"
 )
 
+// writeTimeout bounds one write to a caller that does not read. Without it a
+// stuck caller holds a decode slot for as long as its connection stays open.
+const writeTimeout = 10 * time.Second
+
 // eventWriter writes server-sent events. It sends the headers with the first
 // event, so that a failure before it can still be an ordinary error response.
 type eventWriter struct {
--- a/caller/model.go
+++ b/caller/model.go
@@ -40,14 +40,14 @@
 	return writer.finish(answer)
 }
 
-// usedTokens is what a request is charged in the end. The prompt is charged as
-// estimated at admission, so that the engine's own count, known later, can never
-// exceed what was taken from the bucket.
+// usedTokens is what a request is charged in the end, by the engine's own count of
+// the prompt. Where that is above the estimate taken at admission, the excess is
+// taken from the bucket afterwards, at the organisation's own cost.
 func usedTokens(req *Request, promptTokens, outputTokens int, err error) uint64 {
 	if err != nil && verdict.From(err).Ran == verdict.NotRun {
 		return 0
 	}
-	if promptTokens == 0 || promptTokens > req.PromptTokens {
+	if promptTokens == 0 {
 		promptTokens = req.PromptTokens
 	}
 	return uint64(promptTokens + outputTokens)
--- a/cmd/cairnload/main.go
+++ b/cmd/cairnload/main.go
@@ -96,6 +96,9 @@
 	if len(report.Violations) > 0 {
 		return errBroken
 	}
+	if report.Answered() == 0 {
+		return errors.New("no request was answered: nothing was checked")
+	}
 	return nil
 }
 
--- a/load/report.go
+++ b/load/report.go
@@ -50,6 +50,16 @@
 	within  map[*Result]bool
 }
 
+// Answered counts the requests that got a whole answer. A run without one has
+// checked nothing, and its lack of broken promises says nothing.
+func (r *Report) Answered() int {
+	whole := 0
+	for _, g := range r.Kinds {
+		whole += g.Whole
+	}
+	return whole
+}
+
 // lateAfter is far below the latencies that are measured, which are tens of
 // milliseconds and more.
 const lateAfter = 5 * time.Millisecond
--- a/load/table.go
+++ b/load/table.go
@@ -53,7 +53,7 @@
 
 func (r *Report) writeViolations(w io.Writer) {
 	if len(r.Violations) == 0 {
-		fmt.Fprintln(w, "no promise broken")
+		fmt.Fprintf(w, "no promise broken in %d whole answers\n", r.Answered())
 		return
 	}
 	fmt.Fprintf(w, "%d BROKEN PROMISES\n", len(r.Violations))
--- a/scheduler/actor.go
+++ b/scheduler/actor.go
@@ -39,7 +39,6 @@
 	group    *group.Group
 	waiting  map[attemptKey]reserveMsg
 	byKey    map[attemptKey]*lease
-	byID     map[uint64]*lease
 	ended    map[attemptKey]time.Time
 	addrs    map[string]string
 	nextHeld uint64
@@ -199,7 +198,7 @@
 			id: d.Grant.ID, key: key, holder: msg.holder, prefill: d.Grant.Prefill, decode: d.Grant.Decode,
 			expires: now.Add(LeaseTime), fingerprint: msg.req.Fingerprint, promptTokens: msg.req.PromptTokens,
 		}
-		a.byKey[key], a.byID[l.id] = l, l
+		a.byKey[key] = l
 		delete(a.ended, key)
 		msg.answer <- reply{grant: d.Grant}
 	}
@@ -229,7 +228,6 @@
 		return
 	}
 	delete(a.byKey, key)
-	delete(a.byID, l.id)
 	a.apply(now, a.group.Release(now, l.id, outcome))
 }
 
--- a/scheduler/server.go
+++ b/scheduler/server.go
@@ -119,7 +119,6 @@
 		}),
 		waiting: make(map[attemptKey]reserveMsg),
 		byKey:   make(map[attemptKey]*lease),
-		byID:    make(map[uint64]*lease),
 		ended:   make(map[attemptKey]time.Time),
 		crashes: quarantine.New(quarantine.DefaultConfig()), processes: make(map[string]string),
 		excess:  make(map[string]int),
--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -43,7 +43,7 @@
 		Prefill: held.prefill, Decode: held.decode, Pieces: held.pieces,
 	})
 	l := &lease{id: id, key: held.key, holder: holder, prefill: held.prefill, decode: held.decode, expires: now.Add(LeaseTime), fingerprint: held.fingerprint}
-	a.byKey[held.key], a.byID[id] = l, l
+	a.byKey[held.key] = l
 	a.metrics.Scope.Counter("grants_adopted").Inc(1)
 }
 
