--- a/decision/placement/limit.go
+++ b/decision/placement/limit.go
@@ -48,11 +48,12 @@
 	idleSince time.Time
 }
 
-// RaiseInterval is the idle time for which a cut limit grows by one. Limits grow
-// with answers, and an upstream whose limit was cut far looks full beside peers
-// with room: it would never be given the request whose answer shows that it is
-// well. At one request in some five seconds an upstream that is still slow costs
-// no more than a health trial does.
+// RaiseInterval is the idle time in which a cut limit doubles. Limits grow with
+// answers, and an upstream whose limit was cut far looks full beside peers with
+// room: it would never be given the request whose answer shows that it is well. An
+// idle upstream of twenty slots has its full limit back after 25 s; the first slow
+// answer cuts it again, so that one which is still slow costs a few requests in that
+// time, of the order of health trials.
 const RaiseInterval = 5 * time.Second
 
 // raise lets the limit of an idle upstream grow with time.
@@ -63,7 +64,7 @@
 	}
 	if now.Sub(l.idleSince) >= RaiseInterval {
 		l.idleSince = now
-		l.set(slots, float64(slots)-l.below+1)
+		l.set(slots, 2*(float64(slots)-l.below))
 	}
 }
 
