Status names the refusals by reason

Cause: operators had refusals by reason on the scrape page only. Change: the metrics keep the counts, status and cairnctl show them. Measured: a refused call shows in cairnctl status of an embedded instance.

--- a/observe/metrics.go
+++ b/observe/metrics.go
@@ -1,8 +1,11 @@
 package observe
 
 import (
+	"cmp"
 	"io"
 	"net/http"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -21,6 +24,23 @@
 	Scope   tally.Scope
 	Handler http.Handler
 	closer  io.Closer
+
+	mu       sync.Mutex
+	refusals map[Refusal]uint64
+}
+
+// Refusal is one kind of refusal or failure.
+type Refusal struct {
+	Stage  string         `json:"stage"`
+	Reason verdict.Reason `json:"reason"`
+	// Ran is the verdict's wire form.
+	Ran string `json:"ran"`
+}
+
+// RefusalCount is how often a kind of refusal was given since the start.
+type RefusalCount struct {
+	Refusal
+	Count uint64 `json:"count"`
 }
 
 // NewMetrics returns a fresh metric registry for one program.
@@ -34,7 +54,7 @@
 		CachedReporter: reporter,
 		Separator:      tallyprom.DefaultSeparator,
 	}, reportInterval)
-	return &Metrics{Scope: scope, Handler: reporter.HTTPHandler(), closer: closer}
+	return &Metrics{Scope: scope, Handler: reporter.HTTPHandler(), closer: closer, refusals: make(map[Refusal]uint64)}
 }
 
 // Close stops reporting.
@@ -42,11 +62,29 @@
 
 // Refused counts a refusal or failure by reason, verdict and stage.
 func (m *Metrics) Refused(stage string, v *verdict.Verdict) {
+	m.mu.Lock()
+	m.refusals[Refusal{stage, v.Reason, v.Ran.String()}]++
+	m.mu.Unlock()
 	m.Scope.Tagged(map[string]string{
 		"stage": stage, "reason": string(v.Reason), "ran": v.Ran.String(),
 	}).Counter("refusals").Inc(1)
 }
 
+// Refusals returns the refusals given so far, the most frequent first.
+func (m *Metrics) Refusals() []RefusalCount {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	counts := make([]RefusalCount, 0, len(m.refusals))
+	for refusal, count := range m.refusals {
+		counts = append(counts, RefusalCount{refusal, count})
+	}
+	slices.SortFunc(counts, func(a, b RefusalCount) int {
+		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Stage, b.Stage),
+			cmp.Compare(a.Reason, b.Reason), cmp.Compare(a.Ran, b.Ran))
+	})
+	return counts
+}
+
 // Retried counts a retry by the reason of the failed attempt.
 func (m *Metrics) Retried(service string, reason verdict.Reason) {
 	m.Scope.Tagged(map[string]string{"service": service, "reason": string(reason)}).Counter("retries").Inc(1)
--- a/operator/ctl/status.go
+++ b/operator/ctl/status.go
@@ -45,6 +45,15 @@
 		rows = append(rows, []any{i.Name, i.DataCentre, i.State, i.Draining, i.ConfigVersion, i.OperatorAddress})
 	}
 	s.table("INSTANCE\tDATA CENTRE\tSTATE\tDRAINING\tCONFIGURATION\tOPERATORS", rows)
+	if len(st.Refusals) == 0 {
+		return
+	}
+	s.printf("\n")
+	refusals := make([][]any, 0, len(st.Refusals))
+	for _, r := range st.Refusals {
+		refusals = append(refusals, []any{r.Reason, r.Ran, r.Stage, r.Count})
+	}
+	s.table("REFUSED BECAUSE\tRAN\tBY\tTIMES", refusals)
 }
 
 func upstreamsCommand(env Env) *cli.Command {
--- a/operator/sources.go
+++ b/operator/sources.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cairnworks/cairnworks/object"
+	"github.com/cairnworks/cairnworks/observe"
 )
 
 // Status describes one instance.
@@ -22,6 +23,8 @@
 	ConfigVersion uint64 `json:"config_version"`
 	OpenRequests  int    `json:"open_requests"`
 	LogLevel      string `json:"log_level"`
+	// Refusals counts refusals and failures by reason since the start.
+	Refusals []observe.RefusalCount `json:"refusals"`
 }
 
 // Instance is one member of the fleet as the asked instance sees it. It may lag
