One type for an attempt's outcome, one place that opens certificates

Cause: found in the read-through: the same type stood in route and decision/group, the same beginning in both TLS configurations. Change: route names the group's type; open reads a certificate for both.

--- a/decision/group/types.go
+++ b/decision/group/types.go
@@ -60,7 +60,7 @@
 // OutcomeKind is how an attempt ended.
 type OutcomeKind uint8
 
-// Ways an attempt ends; the values are those of route.OutcomeKind.
+// Ways an attempt ends; the values are those of peer.v1 Outcome.Kind.
 const (
 	OutcomeDone OutcomeKind = iota + 1
 	OutcomeCancelled
--- a/route/attempt.go
+++ b/route/attempt.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cairnworks/cairnworks/decision/group"
 	"github.com/cairnworks/cairnworks/port"
 	"github.com/cairnworks/cairnworks/verdict"
 )
@@ -227,7 +228,7 @@
 }
 
 // fail notes which upstream failed and how, for the scheduler.
-func (a *modelAttempt) fail(kind OutcomeKind, upstream string, err error) {
+func (a *modelAttempt) fail(kind group.OutcomeKind, upstream string, err error) {
 	v := verdict.From(err)
 	if v.Reason == verdict.ReasonCancelled {
 		a.outcome.Kind = OutcomeCancelled
--- a/route/plain_test.go
+++ b/route/plain_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"github.com/cairnworks/cairnworks/decision/group"
 	"github.com/cairnworks/cairnworks/observe"
 	"github.com/cairnworks/cairnworks/port"
 	"github.com/cairnworks/cairnworks/request"
@@ -21,7 +22,7 @@
 // fakePlace grants upstream after upstream and remembers how grants ended.
 type fakePlace struct {
 	grants   int
-	outcomes []OutcomeKind
+	outcomes []group.OutcomeKind
 	refuse   *verdict.Verdict
 }
 
--- a/route/stages.go
+++ b/route/stages.go
@@ -7,6 +7,7 @@
 	"context"
 	"time"
 
+	"github.com/cairnworks/cairnworks/decision/group"
 	"github.com/cairnworks/cairnworks/request"
 	"github.com/cairnworks/cairnworks/verdict"
 )
@@ -56,30 +57,19 @@
 	SchedulerIncarnation uint64
 }
 
-// OutcomeKind is how an attempt ended.
-type OutcomeKind uint8
+// Outcome is what the scheduler learns from an attempt.
+type Outcome = group.Outcome
 
-// Ways an attempt ends; they match peer.v1 Outcome.Kind.
+// Ways an attempt ends.
 const (
-	OutcomeDone OutcomeKind = iota + 1
-	OutcomeCancelled
-	OutcomePrefillFailed
-	OutcomeTransferFailed
-	OutcomeDecodeFailed
-	OutcomeUpstreamCrashed
+	OutcomeDone            = group.OutcomeDone
+	OutcomeCancelled       = group.OutcomeCancelled
+	OutcomePrefillFailed   = group.OutcomePrefillFailed
+	OutcomeTransferFailed  = group.OutcomeTransferFailed
+	OutcomeDecodeFailed    = group.OutcomeDecodeFailed
+	OutcomeUpstreamCrashed = group.OutcomeUpstreamCrashed
 )
 
-// Outcome is what the scheduler learns from an attempt.
-type Outcome struct {
-	Kind           OutcomeKind
-	Prefill        time.Duration
-	FirstToken     time.Duration
-	Decode         time.Duration
-	OutputTokens   int
-	Fingerprint    uint64
-	FailedUpstream string
-}
-
 // Placer reserves places on upstreams. It is the client side of the group
 // scheduler.
 type Placer interface {
--- a/tlsfile/tlsfile.go
+++ b/tlsfile/tlsfile.go
@@ -28,9 +28,8 @@
 	cert     *tls.Certificate
 }
 
-// Server returns the TLS configuration of a listener, or nil when the settings
-// name no certificate. With a CA file, clients must present a certificate.
-func Server(cfg settings.TLS) (*tls.Config, error) {
+// open reads the certificate for the first time. Without one it returns nil.
+func open(cfg settings.TLS) (*source, error) {
 	if cfg.CertFile == "" {
 		return nil, nil
 	}
@@ -38,6 +37,16 @@
 	if _, err := s.current(time.Now()); err != nil {
 		return nil, err
 	}
+	return s, nil
+}
+
+// Server returns the TLS configuration of a listener, or nil when the settings
+// name no certificate. With a CA file, clients must present a certificate.
+func Server(cfg settings.TLS) (*tls.Config, error) {
+	s, err := open(cfg)
+	if s == nil {
+		return nil, err
+	}
 	config := &tls.Config{
 		MinVersion: tls.VersionTLS12,
 		NextProtos: []string{"h2", "http/1.1"},
@@ -60,11 +69,8 @@
 // Client returns the TLS configuration for connections to other instances, or
 // nil when the settings name no certificate.
 func Client(cfg settings.TLS) (*tls.Config, error) {
-	if cfg.CertFile == "" {
-		return nil, nil
-	}
-	s := &source{cfg: cfg}
-	if _, err := s.current(time.Now()); err != nil {
+	s, err := open(cfg)
+	if s == nil {
 		return nil, err
 	}
 	config := &tls.Config{
