--- a/cmd/cairnworksd/main.go
+++ b/cmd/cairnworksd/main.go
@@ -59,6 +59,7 @@
 				},
 				Action: run,
 			},
+			routedCommand(),
 			{
 				Name:  "settings",
 				Usage: "print every setting with its unit, default and effect",
--- /dev/null
+++ b/decision/quota/quota.go
@@ -0,0 +1,365 @@
+// Package quota holds the organisations' token rates over the whole fleet without
+// a place that all requests must pass.
+//
+// Every instance tells the others how much it has admitted of each organisation's
+// quota, and each takes what it hears off a bucket of its own. While all hear one
+// another, every instance sees the whole fleet's use and any of them may spend all
+// that is left.
+//
+// Load pattern: an organisation's requests arrive unevenly at the instances, since
+// the balancer spreads connections by a hash, and one organisation at times sends
+// several times its rate. Instances die, freeze and lose one another meanwhile.
+//
+// Without it: a fixed share on each instance refuses requests within the rate
+// wherever more than that share arrives (with shares of a ninth, two of three
+// long requests of an organisation that stays below its rate are refused;
+// TestUnevenArrivals measures it), and no common count at all lets an organisation
+// spend its rate once an instance.
+//
+// Rules:
+//   - A member that is not heard for Silence may be at work behind a partition.
+//     Its fair share, the rate divided by the members, is set aside for it. When it
+//     is heard again its true use is settled against what was set aside.
+//   - An instance that cannot be sure that the others count its use spends its
+//     fair share only: when a member that it hears says that it does not hear this
+//     instance, or when a member that it does not hear is heard by another.
+//   - An instance that hears nobody sets aside the shares of all others, which
+//     leaves it its own.
+//
+// Two groups of instances that hear nothing of each other so spend at most their
+// members' shares each, and their sum is the rate. What can go wrong is bounded by
+// Silence: within it after a cut, both sides may spend the same tokens.
+//
+// Grounds for the figures:
+//   - Silence 700 ms: reports come at least every 200 ms and one in forty is lost
+//     on a bad link; three lost in a row are one in 64,000. An organisation at six
+//     times its rate sends some ten long requests in that time, which is what a
+//     bound with a slack of five such requests and a tenth of the rate leaves.
+//   - Fresher 500 ms: a member counts as heard by another when that one heard it
+//     this much later than this instance did; twice the interval of reports and
+//     their delay.
+package quota
+
+import "time"
+
+// Config holds the figures; see the package comment for their grounds.
+type Config struct {
+	Silence time.Duration
+	Fresher time.Duration
+}
+
+// DefaultConfig returns the figures of the package comment.
+func DefaultConfig() Config {
+	return Config{Silence: 700 * time.Millisecond, Fresher: 500 * time.Millisecond}
+}
+
+// Limit is an organisation's quota. A Rate of 0 means no limit.
+type Limit struct {
+	// Rate in tokens a second, Burst in tokens.
+	Rate, Burst float64
+}
+
+// MemberID identifies one run of one instance.
+type MemberID struct {
+	Name        string
+	Incarnation uint64
+}
+
+// Heard is when one instance last heard another.
+type Heard struct {
+	Member MemberID
+	At     time.Duration
+}
+
+// Report is what an instance tells the others.
+type Report struct {
+	From MemberID
+	// Spent is what it has admitted in its run, by organisation.
+	Spent map[string]int64
+	// Level is the share of the burst that it believes to be left, 0 to 1.
+	Level map[string]float64
+	Heard []Heard
+}
+
+// member is another instance of the fleet.
+type member struct {
+	id MemberID
+	// heard is when its last report arrived; ever tells whether one did.
+	heard time.Duration
+	ever  bool
+	// hears is when the member last heard this instance, in this instance's time.
+	hears time.Duration
+	// others is when it last heard other members.
+	others map[MemberID]time.Duration
+	// spent by organisation, as last told.
+	spent map[string]int64
+	// listed tells that the member stands in the store's list.
+	listed bool
+}
+
+// account is an organisation's quota as this instance sees it.
+type account struct {
+	limit Limit
+	// level is what the whole fleet may still spend at once, own what this instance
+	// may spend while it is restricted to its share.
+	level, own float64
+	// spent is what this instance has admitted since it started.
+	spent int64
+	at    time.Duration
+	// aside is what was set aside for members that are not heard.
+	aside map[MemberID]float64
+}
+
+// Ledger counts the use of all organisations. It is not safe for concurrent use.
+// Times are of a clock that counts through suspensions.
+type Ledger struct {
+	cfg      Config
+	self     MemberID
+	members  map[MemberID]*member
+	accounts map[string]*account
+	// initial is the share of a full burst that an account starts with.
+	initial func(Limit) float64
+	// settled tells that the levels were learnt from another member.
+	settled bool
+	started time.Duration
+}
+
+// New returns a ledger that knows no other member. initial gives the tokens that
+// an account starts with where no other instance tells how much is left.
+func New(cfg Config, self MemberID, now time.Duration, initial func(Limit) float64) *Ledger {
+	return &Ledger{cfg: cfg, self: self, members: make(map[MemberID]*member), accounts: make(map[string]*account), initial: initial, started: now}
+}
+
+// SetLimit sets an organisation's quota. What is left stays, cut to the new burst:
+// a change creates no tokens.
+func (l *Ledger) SetLimit(now time.Duration, organisation string, limit Limit) {
+	a, known := l.accounts[organisation]
+	if !known {
+		start := min(l.initial(limit), limit.Burst)
+		a = &account{at: now, aside: make(map[MemberID]float64), level: start, own: start / l.size()}
+		l.accounts[organisation] = a
+	}
+	l.refill(now, a)
+	a.limit = limit
+	a.level = min(a.level, limit.Burst)
+	a.own = min(a.own, limit.Burst/l.size())
+}
+
+// KeepOnly forgets organisations that are not named.
+func (l *Ledger) KeepOnly(names map[string]bool) {
+	for name := range l.accounts {
+		if !names[name] {
+			delete(l.accounts, name)
+		}
+	}
+}
+
+// SetMembers names the instances that the store lists, this one not among them.
+// Only the newest run of a name is a member.
+func (l *Ledger) SetMembers(now time.Duration, ids []MemberID) {
+	listed := make(map[MemberID]bool, len(ids))
+	for _, id := range ids {
+		listed[id] = true
+		m := l.member(now, id)
+		m.listed = true
+	}
+	for id := range l.members {
+		if !listed[id] {
+			delete(l.members, id)
+			for _, a := range l.accounts {
+				delete(a.aside, id)
+			}
+		}
+	}
+}
+
+// member returns a member, new ones with the time from which they count as silent.
+func (l *Ledger) member(now time.Duration, id MemberID) *member {
+	m, known := l.members[id]
+	if !known {
+		m = &member{id: id, heard: now, hears: now, others: make(map[MemberID]time.Duration), spent: make(map[string]int64)}
+		l.members[id] = m
+	}
+	return m
+}
+
+// size is the number of instances, this one included.
+func (l *Ledger) size() float64 { return float64(len(l.members) + 1) }
+
+// Hear takes in a report that arrived now.
+func (l *Ledger) Hear(now time.Duration, r Report) {
+	for _, a := range l.accounts {
+		l.refill(now, a)
+	}
+	m := l.member(now, r.From)
+	first := !m.ever
+	m.heard, m.ever = now, true
+	for _, h := range r.Heard {
+		if h.Member == l.self {
+			m.hears = h.At
+			continue
+		}
+		m.others[h.Member] = h.At
+	}
+	for name, total := range r.Spent {
+		l.settle(now, m, name, total, first)
+	}
+	l.adopt(now, r)
+}
+
+// settle takes a member's use off the bucket, less what was set aside for it.
+func (l *Ledger) settle(now time.Duration, m *member, name string, total int64, first bool) {
+	a, known := l.accounts[name]
+	before, told := m.spent[name]
+	m.spent[name] = total
+	if !known || first || !told {
+		// The first report of a run that this instance did not see begin: what it
+		// spent before is part of the level that is adopted.
+		return
+	}
+	set := a.aside[m.id]
+	delete(a.aside, m.id)
+	a.level = min(a.level+set-float64(total-before), a.limit.Burst)
+}
+
+// adopt takes over the lowest level that others tell, as long as this instance is
+// too young to know the use of the last seconds by itself.
+func (l *Ledger) adopt(now time.Duration, r Report) {
+	const learning = 2 * time.Second
+	if now-l.started > learning {
+		return
+	}
+	for name, share := range r.Level {
+		if a, known := l.accounts[name]; known {
+			a.level = min(a.level, share*a.limit.Burst)
+		}
+	}
+}
+
+// silent reports whether a member has not been heard for a while.
+func (l *Ledger) silent(now time.Duration, m *member) bool {
+	return !m.ever || now-m.heard > l.cfg.Silence
+}
+
+// Restricted reports whether this instance may spend its fair share only, since
+// others may not count what it spends.
+func (l *Ledger) Restricted(now time.Duration) bool {
+	for _, m := range l.members {
+		if !l.silent(now, m) {
+			if now-m.hears > 2*l.cfg.Silence {
+				return true
+			}
+			continue
+		}
+		if l.heardElsewhere(now, m) {
+			return true
+		}
+	}
+	return false
+}
+
+// heardElsewhere reports whether a member that is silent here is heard by another
+// one that is heard here.
+func (l *Ledger) heardElsewhere(now time.Duration, silent *member) bool {
+	for _, m := range l.members {
+		if m == silent || l.silent(now, m) {
+			continue
+		}
+		at, told := m.others[silent.id]
+		if !told || now-at > l.cfg.Silence {
+			continue
+		}
+		if !silent.ever || at-silent.heard > l.cfg.Fresher {
+			return true
+		}
+	}
+	return false
+}
+
+// refill adds what has flowed in since the last time, and sets the share of silent
+// members aside.
+func (l *Ledger) refill(now time.Duration, a *account) {
+	elapsed := (now - a.at).Seconds()
+	if elapsed <= 0 {
+		return
+	}
+	a.at = now
+	share := a.limit.Rate / l.size()
+	a.level += elapsed * a.limit.Rate
+	for id, m := range l.members {
+		if l.silent(now, m) {
+			a.aside[id] += elapsed * share
+			a.level -= elapsed * share
+		}
+	}
+	a.level = min(a.level, a.limit.Burst)
+	a.own = min(a.own+elapsed*share, a.limit.Burst/l.size())
+}
+
+// Admit takes tokens of an organisation's quota, all or none. When there are too
+// few it returns the time until there are enough, if nobody else takes them. An
+// organisation that is not known is refused: its quota is not known either.
+func (l *Ledger) Admit(now time.Duration, organisation string, tokens int64) (bool, time.Duration) {
+	a, known := l.accounts[organisation]
+	if !known {
+		return false, time.Second
+	}
+	l.refill(now, a)
+	if a.limit.Rate <= 0 {
+		return true, 0
+	}
+	need := float64(tokens)
+	have, rate := a.level, a.limit.Rate
+	if l.Restricted(now) {
+		have, rate = min(a.level, a.own), a.limit.Rate/l.size()
+	}
+	// A request larger than the whole burst passes when the bucket is full, since
+	// it could never pass otherwise.
+	if have < min(need, a.limit.Burst) {
+		return false, time.Duration((min(need, a.limit.Burst) - have) / rate * float64(time.Second))
+	}
+	a.level -= need
+	a.own -= need
+	a.spent += tokens
+	return true, 0
+}
+
+// Refund gives back tokens of a request that did not run.
+func (l *Ledger) Refund(now time.Duration, organisation string, tokens int64) {
+	a, known := l.accounts[organisation]
+	if !known || a.limit.Rate <= 0 {
+		return
+	}
+	l.refill(now, a)
+	a.level = min(a.level+float64(tokens), a.limit.Burst)
+	a.own = min(a.own+float64(tokens), a.limit.Burst/l.size())
+	a.spent -= tokens
+}
+
+// Report returns what to tell the others.
+func (l *Ledger) Report(now time.Duration) Report {
+	r := Report{From: l.self, Spent: make(map[string]int64, len(l.accounts)), Level: make(map[string]float64, len(l.accounts))}
+	for name, a := range l.accounts {
+		l.refill(now, a)
+		r.Spent[name] = a.spent
+		if a.limit.Burst > 0 {
+			r.Level[name] = max(a.level, 0) / a.limit.Burst
+		}
+	}
+	for id, m := range l.members {
+		if m.ever {
+			r.Heard = append(r.Heard, Heard{Member: id, At: m.heard})
+		}
+	}
+	return r
+}
+
+// Level is what may be spent at once of an organisation's quota.
+func (l *Ledger) Level(now time.Duration, organisation string) float64 {
+	a, known := l.accounts[organisation]
+	if !known {
+		return 0
+	}
+	l.refill(now, a)
+	return a.level
+}
--- /dev/null
+++ b/decision/room/room.go
@@ -0,0 +1,166 @@
+// Package room decides at which engine a request's memory is claimed.
+//
+// Load pattern: a decode engine holds some ten long requests, each of which grows
+// from its prompt to twice that while it runs, and bursts bring two to four times
+// the usual load. All instances place work on the same engines.
+//
+// Without it: requests are sent where few run, and as they grow the engine's memory
+// runs out. It then throws the newest run out in the middle of its stream and reads
+// its prompt again, or refuses a request whose prompt was just prefilled; either
+// way the prompt was read in vain. TestClaimsPreventOverflow measures both.
+//
+// Rules:
+//   - A request claims the memory of its whole course when it is placed, and the
+//     claim ends with it. What all instances claim at an engine stays below its
+//     memory.
+//   - Among the engines with room the one with the lowest load is taken, load being
+//     the higher of the used shares of memory and slots; equal ones in the own data
+//     centre go first, since a transfer between data centres takes twice as long.
+package room
+
+import (
+	"math"
+	"slices"
+)
+
+// Engine is one engine that may be given work.
+type Engine struct {
+	ID string
+	// Memory is its memory for KV cache and Slots the requests that it runs at once.
+	Memory, Slots int
+	// Near engines are in the own data centre.
+	Near bool
+}
+
+// Load is what one instance has placed at an engine.
+type Load struct {
+	Requests, Tokens int
+}
+
+// Room knows the engines of one pool and what is claimed there. It is not safe for
+// concurrent use.
+type Room struct {
+	engines []Engine
+	own     map[string]Load
+	peers   map[string]map[string]Load
+	// shut engines refused a claim that should have fitted; they get none until
+	// they are opened again.
+	shut map[string]bool
+}
+
+// New returns a room without engines.
+func New() *Room {
+	return &Room{own: make(map[string]Load), peers: make(map[string]map[string]Load), shut: make(map[string]bool)}
+}
+
+// SetEngines replaces the engines that may be given work.
+func (r *Room) SetEngines(engines []Engine) { r.engines = slices.Clone(engines) }
+
+// Engines lists the engines that may be given work.
+func (r *Room) Engines() []Engine { return r.engines }
+
+// SetPeer replaces what another instance has placed, by engine id. nil forgets it.
+func (r *Room) SetPeer(instance string, loads map[string]Load) {
+	if loads == nil {
+		delete(r.peers, instance)
+		return
+	}
+	r.peers[instance] = loads
+}
+
+// Own returns what this instance has placed, by engine id.
+func (r *Room) Own() map[string]Load { return r.own }
+
+// Load is what all instances have placed at an engine.
+func (r *Room) Load(id string) Load {
+	sum := r.own[id]
+	for _, loads := range r.peers {
+		sum.Requests += loads[id].Requests
+		sum.Tokens += loads[id].Tokens
+	}
+	return sum
+}
+
+// Shut keeps claims away from an engine until Open.
+func (r *Room) Shut(id string) { r.shut[id] = true }
+
+// Open lets an engine have claims again.
+func (r *Room) Open(id string) { delete(r.shut, id) }
+
+// nearBonus is the difference of load up to which an engine of the own data centre
+// goes before one with less: a twentieth, about half of one request's share.
+const nearBonus = 0.05
+
+// Claim places a request of a size in tokens, leaving a share of each engine's
+// memory and slots unused, and returns the engine. Engines in except are left out.
+func (r *Room) Claim(tokens int, spare float64, except map[string]bool) (string, bool) {
+	best, bestLoad := "", math.Inf(1)
+	for _, e := range r.engines {
+		if except[e.ID] || r.shut[e.ID] {
+			continue
+		}
+		load := r.Load(e.ID)
+		used := loadAfter(e, load, tokens)
+		if used > 1-spare && !(load.Requests == 0 && spare == 0) {
+			continue
+		}
+		if e.Near {
+			used -= nearBonus
+		}
+		if used < bestLoad {
+			best, bestLoad = e.ID, used
+		}
+	}
+	if best == "" {
+		return "", false
+	}
+	r.add(best, 1, tokens)
+	return best, true
+}
+
+// loadAfter is the used share of an engine once a request has been added.
+func loadAfter(e Engine, load Load, tokens int) float64 {
+	slots := float64(load.Requests+1) / float64(max(e.Slots, 1))
+	if e.Memory <= 0 {
+		return slots
+	}
+	return max(slots, float64(load.Tokens+tokens)/float64(e.Memory))
+}
+
+// Release ends a claim.
+func (r *Room) Release(id string, tokens int) { r.add(id, -1, -tokens) }
+
+// Resize changes a claim's size.
+func (r *Room) Resize(id string, by int) { r.add(id, 0, by) }
+
+func (r *Room) add(id string, requests, tokens int) {
+	load := r.own[id]
+	load.Requests += requests
+	load.Tokens += tokens
+	if load.Requests <= 0 {
+		delete(r.own, id)
+		return
+	}
+	r.own[id] = load
+}
+
+// Free is the share of the whole pool's memory or slots, whichever is scarcer, that
+// is not claimed.
+func (r *Room) Free() float64 {
+	var memory, slots, tokens, requests int
+	for _, e := range r.engines {
+		load := r.Load(e.ID)
+		memory += e.Memory
+		slots += e.Slots
+		tokens += load.Tokens
+		requests += load.Requests
+	}
+	if slots == 0 {
+		return 0
+	}
+	free := 1 - float64(requests)/float64(slots)
+	if memory > 0 {
+		free = min(free, 1-float64(tokens)/float64(memory))
+	}
+	return max(free, 0)
+}
--- /dev/null
+++ b/fleet/exchange.go
@@ -0,0 +1,208 @@
+package fleet
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cairnworks/cairnworks/boottime"
+)
+
+// Figures of the exchange of reports.
+const (
+	// reportInterval is the longest time between two reports.
+	reportInterval = 200 * time.Millisecond
+	// reportSpacing is the least time between two reports; what changes within it is
+	// told by one.
+	reportSpacing = 15 * time.Millisecond
+	// stallGap is the pause of the sending loop from which the process counts as
+	// having stood still. Reports that waited in the socket meanwhile are as old as
+	// the pause, though they arrive now.
+	stallGap = 700 * time.Millisecond
+	// stallDrop is how long reports are dropped after it; what waits in the socket is
+	// read in far less.
+	stallDrop = 30 * time.Millisecond
+	// maxDatagram bounds a report in bytes.
+	maxDatagram = 60 << 10
+)
+
+// Handler fills and takes reports.
+type Handler interface {
+	// Fill completes a report that is about to be sent.
+	Fill(now time.Duration, r *Report)
+	// Take takes in a report that has just arrived.
+	Take(now time.Duration, r *Report)
+}
+
+// Exchange sends this instance's reports to all others and takes theirs.
+type Exchange struct {
+	self    Member
+	conn    *net.UDPConn
+	handler Handler
+	logger  *zap.Logger
+	kick    chan struct{}
+
+	mu      sync.Mutex
+	targets map[string]netip.AddrPort
+	// last is the newest sequence taken from each run of an instance.
+	last map[string]lastReport
+	// awake is when the sending loop last ran, dropUntil the end of a stall's reports.
+	awake, dropUntil time.Duration
+	sequence         uint64
+	leaving          bool
+}
+
+type lastReport struct{ incarnation, sequence uint64 }
+
+// Listen opens the address for reports.
+func Listen(self Member, handler Handler, logger *zap.Logger) (*Exchange, error) {
+	address, err := net.ResolveUDPAddr("udp4", self.Address)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := net.ListenUDP("udp4", address)
+	if err != nil {
+		return nil, err
+	}
+	return &Exchange{
+		self: self, conn: conn, handler: handler, logger: logger, kick: make(chan struct{}, 1),
+		targets: make(map[string]netip.AddrPort), last: make(map[string]lastReport), awake: boottime.Now(),
+	}, nil
+}
+
+// SetMembers names the instances that reports go to.
+func (x *Exchange) SetMembers(members []Member) {
+	targets := make(map[string]netip.AddrPort, len(members))
+	for _, m := range members {
+		address, err := netip.ParseAddrPort(m.Address)
+		if err != nil {
+			x.logger.Warn("unreadable address of an instance", zap.String("peer", m.Name), zap.Error(err))
+			continue
+		}
+		targets[m.Name] = address
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.targets = targets
+	for name := range x.last {
+		if _, listed := targets[name]; !listed {
+			delete(x.last, name)
+		}
+	}
+}
+
+// Kick asks for a report soon, since something changed.
+func (x *Exchange) Kick() {
+	select {
+	case x.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Leave makes further reports say that this instance is about to stop.
+func (x *Exchange) Leave() {
+	x.mu.Lock()
+	x.leaving = true
+	x.mu.Unlock()
+	x.Kick()
+}
+
+// Run sends and takes reports until ctx ends.
+func (x *Exchange) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = x.conn.Close() })
+	defer stop()
+	go x.receive(ctx)
+	timer := time.NewTimer(reportInterval)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-timer.C:
+		case <-x.kick:
+		}
+		x.send()
+		time.Sleep(reportSpacing)
+		timer.Reset(reportInterval)
+	}
+}
+
+// send tells all members what holds now.
+func (x *Exchange) send() {
+	now := x.wake()
+	x.mu.Lock()
+	x.sequence++
+	r := &Report{Instance: x.self.Name, Incarnation: x.self.Incarnation, Sequence: x.sequence, Leaving: x.leaving}
+	targets := x.targets
+	x.mu.Unlock()
+	x.handler.Fill(now, r)
+	data, err := r.marshal()
+	if err != nil || len(data) > maxDatagram {
+		x.logger.Error("report not sent", zap.Int("bytes", len(data)), zap.Error(err))
+		return
+	}
+	for name, target := range targets {
+		if _, err := x.conn.WriteToUDPAddrPort(data, target); err != nil {
+			x.logger.Debug("report not sent", zap.String("peer", name), zap.Error(err))
+		}
+	}
+}
+
+// wake notes that the process runs, and whether it stood still before.
+func (x *Exchange) wake() time.Duration {
+	now := boottime.Now()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if now-x.awake > stallGap {
+		x.dropUntil = now + stallDrop
+		x.logger.Warn("process stood still", zap.Duration("gap", now-x.awake))
+	}
+	x.awake = now
+	return now
+}
+
+// receive takes reports until the socket is closed.
+func (x *Exchange) receive(ctx context.Context) {
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, _, err := x.conn.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			if ctx.Err() == nil {
+				x.logger.Error("reports not received", zap.Error(err))
+			}
+			return
+		}
+		r, err := unmarshal(buffer[:n])
+		if err != nil {
+			x.logger.Warn("unreadable report", zap.Error(err))
+			continue
+		}
+		now := boottime.Now()
+		if x.accept(now, r) {
+			x.handler.Take(now, r)
+		}
+	}
+}
+
+// accept drops reports of unknown instances, those overtaken by newer ones, and
+// those that waited while the process stood still.
+func (x *Exchange) accept(now time.Duration, r *Report) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if now < x.dropUntil || now-x.awake > stallGap {
+		return false
+	}
+	if _, listed := x.targets[r.Instance]; !listed {
+		return false
+	}
+	last := x.last[r.Instance]
+	if last.incarnation == r.Incarnation && r.Sequence <= last.sequence {
+		return false
+	}
+	x.last[r.Instance] = lastReport{r.Incarnation, r.Sequence}
+	return true
+}
--- /dev/null
+++ b/gateway/admit.go
@@ -0,0 +1,188 @@
+package gateway
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cairnworks/cairnworks/object"
+	"github.com/cairnworks/cairnworks/verdict"
+)
+
+// Figures of admission.
+const (
+	// staleRetry is when a caller is told to come back that was refused since this
+	// instance cannot tell which keys hold: by then the balancer has taken it out,
+	// and the caller reaches another.
+	staleRetry = 500 * time.Millisecond
+	// certainAge is the age of the configuration's proof up to which an unknown route
+	// or key is refused for good. An older one may lack what was just added, and the
+	// caller would be told never to ask again.
+	certainAge = 1700 * time.Millisecond
+	// minQuotaRetry keeps callers from coming back before other requests that were
+	// admitted in the same moment are counted.
+	minQuotaRetry = 100 * time.Millisecond
+)
+
+// admitted is a request that may run.
+type admitted struct {
+	call    *Call
+	route   *object.Route
+	service *object.Service
+	index   *object.Index
+	// charge is what was taken of the organisation's quota.
+	charge int64
+}
+
+// find finds the route, the organisation and the service of a call.
+func (g *Gateway) find(c *Call, key string) (*admitted, *verdict.Verdict) {
+	index := g.state.Index()
+	if index == nil {
+		return nil, verdict.Refuse(verdict.ReasonNoConfiguration, staleRetry, "this instance has no configuration yet")
+	}
+	route, ok := index.Route(hostName(c.Host), c.Path)
+	if !ok {
+		return nil, g.denied(verdict.ReasonUnknownService, "no route for this host and path")
+	}
+	a := &admitted{call: c, route: route, index: index}
+	c.prio = route.Priority
+	if !route.Public {
+		if v := g.identify(a, key); v != nil {
+			return nil, v
+		}
+	}
+	name := route.Pick(hashPoint(c.ID))
+	if a.service, ok = index.Service(name); !ok {
+		return nil, verdict.Refuse(verdict.ReasonNoUpstream, time.Second, "the route's service %s is not configured", name)
+	}
+	g.setDeadline(c, route)
+	return a, nil
+}
+
+// identify finds the organisation by the key.
+func (g *Gateway) identify(a *admitted, key string) *verdict.Verdict {
+	if !g.state.Fresh() {
+		return g.stale()
+	}
+	if key == "" {
+		return g.denied(verdict.ReasonUnauthenticated, "a key is needed")
+	}
+	hash := object.HashKey(key)
+	k, organisation, ok := a.index.KeyByHash(hash)
+	if !ok || k.Withdrawn {
+		return g.denied(verdict.ReasonUnauthenticated, "the key is not known")
+	}
+	a.call.Organisation, a.call.keyHash = organisation.Name, hash
+	if organisation.Priority != nil {
+		a.call.prio = *organisation.Priority
+	}
+	return nil
+}
+
+// denied refuses for good what the configuration does not allow, if this instance
+// is sure of it.
+func (g *Gateway) denied(reason verdict.Reason, detail string) *verdict.Verdict {
+	if g.state.Age() > certainAge {
+		return g.stale()
+	}
+	return verdict.Refuse(reason, 0, "%s", detail)
+}
+
+func (g *Gateway) stale() *verdict.Verdict {
+	return verdict.Refuse(verdict.ReasonNoConfiguration, staleRetry, "this instance has not reached the store for %v", g.state.Age().Round(time.Millisecond))
+}
+
+// setDeadline sets the time by which the request must have its final answer.
+func (g *Gateway) setDeadline(c *Call, route *object.Route) {
+	limit := defaultPatience
+	if c.Patience > 0 {
+		limit = c.Patience
+	}
+	if route.TimeoutMS > 0 {
+		limit = min(limit, time.Duration(route.TimeoutMS)*time.Millisecond)
+	}
+	c.Deadline = c.Arrived.Add(limit)
+}
+
+// defaultPatience bounds requests whose caller and route name no limit.
+const defaultPatience = time.Minute
+
+// charge takes the request's tokens off its organisation's quota.
+func (g *Gateway) charge(a *admitted) *verdict.Verdict {
+	c := a.call
+	if c.Organisation == "" {
+		return nil
+	}
+	a.charge = int64(c.PromptTokens) + int64(c.MaxOutput)
+	if !c.Counted {
+		a.charge = 1
+		if limit, ok := a.index.Limit(c.Organisation); ok {
+			a.charge = limit.CallTokens
+		}
+	}
+	ok, retry := g.quotas.Admit(c.Organisation, a.charge)
+	if !ok {
+		a.charge = 0
+		return verdict.Refuse(verdict.ReasonRateLimited, max(retry, minQuotaRetry), "the organisation's quota is used up")
+	}
+	g.changed()
+	return nil
+}
+
+// refund gives the charge of a request that did not run back.
+func (g *Gateway) refund(a *admitted) {
+	if a.charge > 0 {
+		g.quotas.Refund(a.call.Organisation, a.charge)
+		a.charge = 0
+	}
+}
+
+// mayRun checks, right before a request is sent to an upstream, that what allowed
+// it still holds: a request may have waited for long, or the machine may have been
+// suspended, since its key was checked.
+func (g *Gateway) mayRun(a *admitted) *verdict.Verdict {
+	if a.call.Organisation == "" {
+		return nil
+	}
+	if !g.state.Fresh() {
+		return g.stale()
+	}
+	k, _, ok := g.state.Index().KeyByHash(a.call.keyHash)
+	if !ok || k.Withdrawn {
+		return verdict.Refuse(verdict.ReasonKeyWithdrawn, 0, "the key was withdrawn")
+	}
+	return nil
+}
+
+// hostName strips the port off a host.
+func hostName(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		return host[:i]
+	}
+	return host
+}
+
+// statusOf is the HTTP status of a verdict. 429 and 503 promise that the request
+// has not run and will not; 502 and 504 promise nothing.
+func statusOf(v *verdict.Verdict) int {
+	if v.Ran != verdict.NotRun {
+		if v.Reason == verdict.ReasonTimeout {
+			return http.StatusGatewayTimeout
+		}
+		return http.StatusBadGateway
+	}
+	switch v.Reason {
+	case verdict.ReasonBadRequest:
+		return http.StatusBadRequest
+	case verdict.ReasonBodyTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case verdict.ReasonUnauthenticated, verdict.ReasonKeyWithdrawn:
+		return http.StatusUnauthorized
+	case verdict.ReasonUnknownService:
+		return http.StatusNotFound
+	case verdict.ReasonRateLimited:
+		return http.StatusTooManyRequests
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
--- /dev/null
+++ b/gateway/budget.go
@@ -0,0 +1,82 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cairnworks/cairnworks/boottime"
+)
+
+// RetryBudget bounds what repeated sends add to a service's load, over the fleet.
+type RetryBudget struct {
+	// Ratio of repeated sends to requests in a window.
+	Ratio  float64
+	Window time.Duration
+	// Slack is how many repeated sends a window may hold besides.
+	Slack float64
+}
+
+// budgetShare is the part of the budget that is used. The rest is for sends that
+// upstreams reject and that were not known to be repeats when they were sent.
+const budgetShare = 0.7
+
+// budgets counts requests and repeated sends of each service at this instance. Each
+// instance keeps to the ratio by its own requests and to its share of the slack, so
+// that the fleet keeps to both whoever is cut off. It is safe for concurrent use.
+type budgets struct {
+	limit   RetryBudget
+	members func() int
+	mu      sync.Mutex
+	byName  map[string]*budget
+}
+
+type budget struct {
+	asks, repeats []time.Duration
+}
+
+func newBudgets(limit RetryBudget, members func() int) *budgets {
+	return &budgets{limit: limit, members: members, byName: make(map[string]*budget)}
+}
+
+func (b *budgets) service(name string) *budget {
+	s, known := b.byName[name]
+	if !known {
+		s = &budget{}
+		b.byName[name] = s
+	}
+	return s
+}
+
+// asked counts a request.
+func (b *budgets) asked(service string) {
+	now := boottime.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.service(service)
+	s.asks = append(since(s.asks, now-b.limit.Window), now)
+}
+
+// repeat takes one repeated send off the budget, if there is one left.
+func (b *budgets) repeat(service string) bool {
+	now := boottime.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.service(service)
+	s.asks = since(s.asks, now-b.limit.Window)
+	s.repeats = since(s.repeats, now-b.limit.Window)
+	slack := b.limit.Slack / float64(max(b.members(), 1))
+	if float64(len(s.repeats)+1) > budgetShare*(b.limit.Ratio*float64(len(s.asks))+slack) {
+		return false
+	}
+	s.repeats = append(s.repeats, now)
+	return true
+}
+
+// since drops times before from.
+func since(times []time.Duration, from time.Duration) []time.Duration {
+	i := 0
+	for i < len(times) && times[i] < from {
+		i++
+	}
+	return times[i:]
+}
--- /dev/null
+++ b/gateway/desk.go
@@ -0,0 +1,299 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"go.uber.org/zap"
+
+	"github.com/cairnworks/cairnworks/boottime"
+	"github.com/cairnworks/cairnworks/decision/room"
+	"github.com/cairnworks/cairnworks/decision/waiting"
+	"github.com/cairnworks/cairnworks/fleet"
+	"github.com/cairnworks/cairnworks/object"
+	"github.com/cairnworks/cairnworks/observe"
+	"github.com/cairnworks/cairnworks/upstream"
+	"github.com/cairnworks/cairnworks/verdict"
+)
+
+// Figures of the desks.
+const (
+	// deskTick is how often waiting requests are looked at when nothing else happens.
+	deskTick = 25 * time.Millisecond
+	// shutTime is how long a decode engine gets no claims after it refused a
+	// reservation that should have fitted: another instance was faster and its report
+	// is on the way, or a run grew beyond its claim.
+	shutTime = 60 * time.Millisecond
+)
+
+// desks hold one desk for each model service.
+type desks struct {
+	gateway *Gateway
+	system  *actor.ActorSystem
+	mu      sync.Mutex
+	byName  map[string]*desk
+}
+
+func newDesks(g *Gateway) *desks {
+	return &desks{gateway: g, system: observe.NewActorSystem(), byName: make(map[string]*desk)}
+}
+
+func (d *desks) get(service *object.Service) *desk {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	k, known := d.byName[service.Name]
+	if !known {
+		k = newDesk(d.gateway, service.Name)
+		k.pid = d.system.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return k }))
+		d.byName[service.Name] = k
+	}
+	k.setPool(service.Pool)
+	return k
+}
+
+func (d *desks) all() []*desk {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := make([]*desk, 0, len(d.byName))
+	for _, k := range d.byName {
+		out = append(out, k)
+	}
+	return out
+}
+
+func (d *desks) fill(loads map[fleet.Hash]fleet.Load) {
+	for _, k := range d.all() {
+		k.decode.fill(loads)
+		k.prefill.fill(loads)
+	}
+}
+
+func (d *desks) take(r *fleet.Report) {
+	now := boottime.Now()
+	for _, k := range d.all() {
+		k.decode.take(now, r)
+		k.prefill.take(now, r)
+		k.look()
+	}
+}
+
+func (d *desks) close() {
+	for _, k := range d.all() {
+		d.system.Root.Stop(k.pid)
+	}
+	d.system.Shutdown()
+}
+
+// Messages to a desk.
+type (
+	// submit asks for a place at a decode engine.
+	submit struct{ ticket *ticket }
+	// withdraw ends a request's wait.
+	withdraw struct{ ticket *ticket }
+	// look asks to look at the waiting requests, since room may have come free.
+	look struct{}
+	// tick asks the same after a while in which nothing else happened.
+	tick struct{}
+)
+
+// ticket is one request that waits for a place.
+type ticket struct {
+	item *waiting.Item
+	// grant receives the place, or nothing when the wait is over.
+	grant chan grant
+	// except are engines that refused the request.
+	except map[string]bool
+}
+
+// grant is the answer to a ticket.
+type grant struct {
+	entry   upstream.Entry
+	refused *verdict.Verdict
+}
+
+// desk is the actor that decides which of a service's waiting requests gets which
+// decode engine. Requests submit tickets and wait for their grants.
+type desk struct {
+	gateway *Gateway
+	service string
+	pid     *actor.PID
+	decode  *pool
+	prefill *pool
+
+	mu   sync.Mutex
+	pool object.Pool
+
+	// What follows belongs to the actor.
+	queue   *waiting.Queue
+	tickets map[*waiting.Item]*ticket
+	ticking bool
+}
+
+func newDesk(g *Gateway, service string) *desk {
+	return &desk{
+		gateway: g, service: service, decode: newPool(), prefill: newPool(),
+		queue: waiting.New(waiting.DefaultConfig()), tickets: make(map[*waiting.Item]*ticket),
+	}
+}
+
+func (k *desk) setPool(p *object.Pool) {
+	if p == nil {
+		return
+	}
+	k.mu.Lock()
+	k.pool = *p
+	k.mu.Unlock()
+}
+
+func (k *desk) shape() object.Pool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.pool
+}
+
+// look asks the actor to look at the waiting requests.
+func (k *desk) look() { k.gateway.desks.system.Root.Send(k.pid, look{}) }
+
+// Receive implements actor.Actor.
+func (k *desk) Receive(ctx actor.Context) {
+	switch message := ctx.Message().(type) {
+	case submit:
+		k.queue.Add(message.ticket.item)
+		k.tickets[message.ticket.item] = message.ticket
+	case withdraw:
+		k.queue.Remove(message.ticket.item)
+		delete(k.tickets, message.ticket.item)
+		return
+	case look:
+	case tick:
+		k.ticking = false
+	default:
+		return
+	}
+	if k.queue.Len() == 0 {
+		return
+	}
+	k.serve()
+	k.lookLater(ctx.Self())
+}
+
+// lookLater looks again soon while requests wait.
+func (k *desk) lookLater(self *actor.PID) {
+	if k.ticking || k.queue.Len() == 0 {
+		return
+	}
+	k.ticking = true
+	system := k.gateway.desks.system
+	time.AfterFunc(deskTick, func() { system.Root.Send(self, tick{}) })
+}
+
+// serve gives places to waiting requests and refuses those whose wait is over.
+func (k *desk) serve() {
+	k.sync()
+	entries := k.gateway.state.Directory.Service(k.service)
+	suspects := k.gateway.suspects.among(entries)
+	now := time.Now()
+	k.queue.Serve(now, func(item *waiting.Item, spare float64) bool {
+		t := k.tickets[item]
+		entry, ok := k.decode.claim(item.Tokens, spare, union(suspects, t.except))
+		if !ok {
+			return false
+		}
+		delete(k.tickets, item)
+		t.grant <- grant{entry: entry}
+		return true
+	}, func(item *waiting.Item, retry time.Duration) {
+		t := k.tickets[item]
+		delete(k.tickets, item)
+		t.grant <- grant{refused: verdict.Refuse(verdict.ReasonQueueTimeout, retry, "no room at a decode engine within %v", now.Sub(item.Arrived).Round(time.Millisecond))}
+	})
+	k.gateway.changed()
+}
+
+// sync takes over the engines that may be given work.
+func (k *desk) sync() {
+	shape := k.shape()
+	near := k.gateway.DataCentre
+	k.decode.sync(k.gateway.state.Directory, k.service, upstream.Decode, func(e upstream.Entry) room.Engine {
+		return room.Engine{ID: e.ID, Memory: shape.MemoryTokens, Slots: e.Slots, Near: e.DataCentre == near}
+	})
+	k.prefill.sync(k.gateway.state.Directory, k.service, upstream.Prefill, func(e upstream.Entry) room.Engine {
+		return room.Engine{ID: e.ID, Memory: prefillDepth, Slots: e.Slots, Near: e.DataCentre == near}
+	})
+}
+
+// union of two sets, either of which may be nil.
+func union(a, b map[string]bool) map[string]bool {
+	if len(a) == 0 {
+		return b
+	}
+	out := make(map[string]bool, len(a)+len(b))
+	for id := range a {
+		out[id] = true
+	}
+	for id := range b {
+		out[id] = true
+	}
+	return out
+}
+
+// place waits for a place at a decode engine.
+func (k *desk) place(ctx context.Context, item *waiting.Item, except map[string]bool) (upstream.Entry, *verdict.Verdict) {
+	t := &ticket{item: item, grant: make(chan grant, 1), except: except}
+	root := k.gateway.desks.system.Root
+	root.Send(k.pid, submit{t})
+	select {
+	case g := <-t.grant:
+		return g.entry, g.refused
+	case <-ctx.Done():
+	}
+	root.Send(k.pid, withdraw{t})
+	// The place may have been given in the same moment.
+	select {
+	case g := <-t.grant:
+		if g.refused == nil {
+			k.leave(g.entry, item.Tokens)
+		}
+	case <-time.After(deskTick):
+		go k.collect(t)
+	}
+	return upstream.Entry{}, gone(ctx)
+}
+
+// collect gives back a place that was given after its request had left.
+func (k *desk) collect(t *ticket) {
+	select {
+	case g := <-t.grant:
+		if g.refused == nil {
+			k.leave(g.entry, t.item.Tokens)
+		}
+	case <-time.After(time.Second):
+	}
+}
+
+// leave ends a claim at a decode engine.
+func (k *desk) leave(entry upstream.Entry, tokens int) {
+	k.decode.release(entry.ID, tokens)
+	k.gateway.changed()
+	k.look()
+}
+
+// shut keeps claims away from an engine for a moment.
+func (k *desk) shut(entry upstream.Entry) {
+	k.decode.shut(entry.ID, false)
+	time.AfterFunc(shutTime, func() {
+		k.decode.shut(entry.ID, true)
+		k.look()
+	})
+	k.gateway.log.Debug("engine full", zap.String("upstream", entry.ID), zap.Float64("pool_free", k.decode.free()))
+}
+
+// gone is the verdict of a request whose context ended before it was sent.
+func gone(ctx context.Context) *verdict.Verdict {
+	if context.Cause(ctx) == context.DeadlineExceeded {
+		return verdict.Refuse(verdict.ReasonDeadlineUnmeetable, time.Second, "the deadline passed before the request was sent")
+	}
+	return verdict.Refuse(verdict.ReasonCancelled, 0, "the caller left")
+}
--- /dev/null
+++ b/gateway/handler.go
@@ -0,0 +1,199 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"github.com/cairnworks/cairnworks/boottime"
+	"github.com/cairnworks/cairnworks/fleet"
+	"github.com/cairnworks/cairnworks/object"
+	"github.com/cairnworks/cairnworks/observe"
+	"github.com/cairnworks/cairnworks/verdict"
+)
+
+// Options of a gateway.
+type Options struct {
+	Codec     Codec
+	Upstreams Upstreams
+	State     *State
+	Quotas    *Quotas
+	Log       *zap.Logger
+	Metrics   *observe.Metrics
+	// DataCentre of this instance.
+	DataCentre string
+	// Kick asks for a report to the other instances, since something changed.
+	Kick func()
+	// MaxBodies is the most bytes of request bodies held at once.
+	MaxBodies int64
+	// Budget is what repeated sends may add to an upstream service's load.
+	Budget RetryBudget
+	// Members is how many instances share the budget.
+	Members func() int
+}
+
+// Gateway is the callers' door for routed requests.
+type Gateway struct {
+	Options
+	state    *State
+	quotas   *Quotas
+	log      *zap.Logger
+	desks    *desks
+	plain    *plainRooms
+	suspects *suspects
+	budget   *budgets
+	bodies   atomic.Int64
+	draining atomic.Bool
+}
+
+// New returns a gateway. Close ends its parts.
+func New(o Options) *Gateway {
+	g := &Gateway{Options: o, state: o.State, quotas: o.Quotas, log: o.Log}
+	g.suspects = newSuspects(boottime.Now)
+	g.plain = newPlainRooms()
+	g.desks = newDesks(g)
+	g.budget = newBudgets(o.Budget, o.Members)
+	return g
+}
+
+// Close ends the gateway's parts.
+func (g *Gateway) Close() { g.desks.close() }
+
+// Drain makes answers tell callers to open another connection.
+func (g *Gateway) Drain() { g.draining.Store(true) }
+
+// changed asks for a report to the others.
+func (g *Gateway) changed() {
+	if g.Kick != nil {
+		g.Kick()
+	}
+}
+
+// ServeHTTP serves one request.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	if g.draining.Load() || len(r.TransferEncoding) > 0 {
+		// Of two lengths in one message the server takes the chunks and drops the other
+		// without a word. What follows the chunks may then be a request that was hidden
+		// in a body, so that a connection is not read on after a chunked one.
+		w.Header().Set("Connection", "close")
+	}
+	call, key, err := g.Codec.Decode(r)
+	if err != nil {
+		g.refuse(w, nil, verdict.From(err))
+		return
+	}
+	call.Arrived = arrived
+	a, v := g.find(call, key)
+	if v != nil {
+		g.refuse(w, call, v)
+		return
+	}
+	release, v := g.readBody(r, a)
+	defer release()
+	if v != nil {
+		g.refuse(w, call, v)
+		return
+	}
+	if v := g.charge(a); v != nil {
+		g.refuse(w, call, v)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), call.Deadline)
+	defer cancel()
+	g.serve(ctx, w, a)
+}
+
+// serve runs an admitted request.
+func (g *Gateway) serve(ctx context.Context, w http.ResponseWriter, a *admitted) {
+	g.budget.asked(a.service.Name)
+	var v *verdict.Verdict
+	if a.service.Kind == object.KindModel {
+		v = g.serveModel(ctx, w, a)
+	} else {
+		v = g.servePlain(ctx, w, a)
+	}
+	if v == nil {
+		return
+	}
+	if v.Ran == verdict.NotRun {
+		g.refund(a)
+	}
+	g.refuse(w, a.call, v)
+}
+
+// bodyChunk is the unit in which bodies without a length are counted, in bytes.
+const bodyChunk = 64 << 10
+
+// readBody reads the request's body. Several upstreams may be sent it, so that it is
+// kept; what all requests keep together is bounded, since bodies of megabytes on
+// thousands of connections would otherwise pass the process's memory. The returned
+// function ends the count and is never nil.
+func (g *Gateway) readBody(r *http.Request, a *admitted) (func(), *verdict.Verdict) {
+	if r.ContentLength == 0 {
+		return func() {}, nil
+	}
+	limit := maxBody(a)
+	if r.ContentLength > limit {
+		return func() {}, verdict.Refuse(verdict.ReasonBodyTooLarge, 0, "the body has %d bytes, allowed are %d", r.ContentLength, limit)
+	}
+	counted := r.ContentLength
+	if counted < 0 {
+		counted = bodyChunk
+	}
+	g.bodies.Add(counted)
+	release := func() { g.bodies.Add(-counted) }
+	if g.bodies.Load() > g.MaxBodies {
+		return release, verdict.Refuse(verdict.ReasonQueueTimeout, time.Second, "too many request bodies at once")
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if err != nil {
+		return release, g.bodyError(err)
+	}
+	if int64(len(body)) > limit {
+		return release, verdict.Refuse(verdict.ReasonBodyTooLarge, 0, "the body has more than %d bytes", limit)
+	}
+	if extra := int64(len(body)) - counted; extra > 0 {
+		g.bodies.Add(extra)
+		counted += extra
+	}
+	a.call.Body = body
+	return release, nil
+}
+
+func (g *Gateway) bodyError(err error) *verdict.Verdict {
+	if errors.Is(err, context.Canceled) {
+		return verdict.Refuse(verdict.ReasonCancelled, 0, "the caller left")
+	}
+	return &verdict.Verdict{Ran: verdict.NotRun, Reason: verdict.ReasonBadRequest, Detail: "the body cannot be read", Cause: err}
+}
+
+// maxBody is the largest body of a request's service in bytes.
+func maxBody(a *admitted) int64 { return a.service.MaxBodyBytes }
+
+// hashPoint spreads requests evenly over a route's targets.
+func hashPoint(id string) uint64 { return xxhash.Sum64String(id) }
+
+// Fill completes a report to the other instances.
+func (g *Gateway) Fill(now time.Duration, r *fleet.Report) {
+	g.quotas.Fill(now, r)
+	r.Loads = make(map[fleet.Hash]fleet.Load)
+	g.plain.fill(r.Loads)
+	g.desks.fill(r.Loads)
+	if index := g.state.Index(); index != nil {
+		r.ConfigVersion = index.Version()
+	}
+}
+
+// Take takes in a report of another instance.
+func (g *Gateway) Take(now time.Duration, r *fleet.Report) {
+	g.quotas.Take(now, r)
+	g.plain.take(r)
+	g.desks.take(r)
+}
--- /dev/null
+++ b/gateway/model.go
@@ -0,0 +1,295 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cairnworks/cairnworks/decision/waiting"
+	"github.com/cairnworks/cairnworks/upstream"
+	"github.com/cairnworks/cairnworks/verdict"
+)
+
+// Figures of model requests.
+const (
+	// prefillDepth is the prompt tokens that may wait at a prefill engine, all
+	// instances together: at 55 tokens a millisecond some 600 ms, after which the
+	// first event would be late.
+	prefillDepth = 32_000
+	// prefillTries is how many prefill engines are asked, as reading a prompt runs
+	// nothing.
+	prefillTries = 2
+	// prefillPatience bounds one prefill. The longest prompts take 200 ms beside
+	// others; an engine that is silent for longer is ill or gone.
+	prefillPatience = 900 * time.Millisecond
+	// reserveTries is how many decode engines are asked for room before the request
+	// waits again.
+	reserveTries = 3
+	// reservePatience bounds one reservation, which takes a round trip.
+	reservePatience = 250 * time.Millisecond
+	// reservationSlack is added to the time that a reservation is to last beyond the
+	// prefill.
+	reservationTime = 1500 * time.Millisecond
+	// fullRetry is when a caller is told to come back after engines had no room.
+	fullRetry = 1500 * time.Millisecond
+	// cleanPatience bounds the calls that give memory back.
+	cleanPatience = 500 * time.Millisecond
+)
+
+// modelRun is a model request on its way.
+type modelRun struct {
+	gateway  *Gateway
+	admitted *admitted
+	desk     *desk
+	// tokens is the engine memory that the request claims.
+	tokens int
+	sent   int
+	// ran is the strongest verdict of all sends so far.
+	ran verdict.Ran
+	// except are decode engines that are not asked again.
+	except map[string]bool
+}
+
+// serveModel has the prompt read at a prefill engine and the answer generated at a
+// decode engine.
+func (g *Gateway) serveModel(ctx context.Context, w http.ResponseWriter, a *admitted) *verdict.Verdict {
+	run := &modelRun{gateway: g, admitted: a, desk: g.desks.get(a.service), except: make(map[string]bool)}
+	run.tokens = a.call.PromptTokens + a.call.MaxOutput
+	out := &stream{gateway: g, admitted: a, w: w, lastID: a.call.LastEventID}
+	for {
+		v := run.attempt(ctx, out)
+		if v == nil {
+			g.ended(a, out.status, nil)
+			return nil
+		}
+		run.ran = max(run.ran, v.Ran)
+		if run.mayGoOn(ctx, out, v) {
+			g.Metrics.Retried(a.service.Name, v.Reason)
+			g.log.Info("retried", zap.String("request", a.call.ID), zap.String("reason", string(v.Reason)),
+				zap.Int("sent", run.sent), zap.String("after_event", out.lastID))
+			continue
+		}
+		if out.started {
+			g.ended(a, out.status, v)
+			panic(http.ErrAbortHandler)
+		}
+		v.Ran = max(v.Ran, run.ran)
+		return v
+	}
+}
+
+// mayGoOn decides whether the request is sent to a further decode engine.
+func (r *modelRun) mayGoOn(ctx context.Context, out *stream, v *verdict.Verdict) bool {
+	route := r.admitted.route
+	if ctx.Err() != nil || r.sent == 0 || r.sent >= route.Attempts() {
+		return false
+	}
+	if v.Ran != verdict.NotRun && !route.MayRepeat() {
+		return false
+	}
+	if out.started && !out.resumable() {
+		return false
+	}
+	return r.gateway.budget.repeat(r.admitted.service.Name)
+}
+
+// attempt places the request, has its prompt read and its answer generated.
+func (r *modelRun) attempt(ctx context.Context, out *stream) *verdict.Verdict {
+	g := r.gateway
+	r.desk.sync()
+	place, v := r.place(ctx)
+	if v != nil {
+		return v
+	}
+	defer r.desk.leave(place.entry, r.tokens)
+	source, from, v := r.prefill(ctx)
+	if v != nil {
+		r.drop(place)
+		return v
+	}
+	if v := r.ready(place); v != nil {
+		r.drop(place)
+		r.free(from, source)
+		return v
+	}
+	r.sent++
+	answer, err := g.Upstreams.Run(ctx, place.entry, r.admitted.call, RunOptions{
+		Source: source, Reservation: place.reservation, LastEventID: out.lastID, Priority: r.admitted.call.prio,
+	})
+	if err != nil {
+		v := verdict.From(err)
+		r.except[place.entry.ID] = true
+		g.blame(ctx, r.admitted.call, place.entry, v)
+		if v.Ran == verdict.NotRun {
+			r.free(from, source)
+			r.drop(place)
+			if v.RetryAfter == 0 {
+				v.RetryAfter = fullRetry
+			}
+		}
+		return v
+	}
+	g.suspects.succeed(place.entry)
+	v = out.copy(answer)
+	if v != nil && ctx.Err() == nil {
+		r.except[place.entry.ID] = true
+		g.blame(ctx, r.admitted.call, place.entry, v)
+	}
+	return v
+}
+
+// ready checks, right before the request is sent, that what allowed it still holds.
+func (r *modelRun) ready(p place) *verdict.Verdict {
+	if v := r.gateway.mayRun(r.admitted); v != nil {
+		return v
+	}
+	if _, ok := r.gateway.state.Directory.Current(p.entry.ID); !ok {
+		return verdict.Refuse(verdict.ReasonNoUpstream, plainRetry, "the decode engine is leaving")
+	}
+	return nil
+}
+
+// place is a claim at a decode engine, with the engine's own reservation.
+type place struct {
+	entry       upstream.Entry
+	reservation string
+}
+
+// place waits for room at a decode engine and reserves it there. The claims of all
+// instances are known here some milliseconds late; the engine's reservation is
+// exact, and a request whose prompt is read without one may find the engine full.
+func (r *modelRun) place(ctx context.Context) (place, *verdict.Verdict) {
+	c := r.admitted.call
+	item := &waiting.Item{
+		Organisation: c.Organisation, Priority: c.prio, Tokens: r.tokens, Arrived: c.Arrived,
+		Objective: time.Duration(r.admitted.route.ObjectiveMS) * time.Millisecond, Deadline: c.Deadline, Point: hashPoint(c.ID),
+	}
+	for try := 1; ; try++ {
+		entry, v := r.desk.place(ctx, item, r.except)
+		if v != nil {
+			return place{}, v
+		}
+		if r.desk.shape().ReservationMS <= 0 {
+			return place{entry: entry}, nil
+		}
+		reservation, v := r.reserve(ctx, entry)
+		if v == nil {
+			return place{entry, reservation}, nil
+		}
+		r.desk.shut(entry)
+		r.desk.leave(entry, r.tokens)
+		if ctx.Err() != nil {
+			return place{}, gone(ctx)
+		}
+		if v.Reason != verdict.ReasonUpstreamRefused {
+			r.gateway.blame(ctx, c, entry, v)
+		}
+	}
+}
+
+// reserve sets memory aside at a decode engine.
+func (r *modelRun) reserve(ctx context.Context, entry upstream.Entry) (string, *verdict.Verdict) {
+	ctx, cancel := context.WithTimeout(ctx, reservePatience)
+	defer cancel()
+	ttl := min(reservationTime, time.Duration(r.desk.shape().ReservationMS)*time.Millisecond)
+	reservation, err := r.gateway.Upstreams.Reserve(ctx, entry, r.tokens, ttl)
+	return reservation, verdict.From(err)
+}
+
+// drop gives reserved memory back that will not be used.
+func (r *modelRun) drop(p place) {
+	if p.reservation == "" {
+		return
+	}
+	r.clean(p.entry, "reservation", func(ctx context.Context) error {
+		return r.gateway.Upstreams.DropReservation(ctx, p.entry, p.reservation)
+	})
+}
+
+// free drops a KV cache that will not be fetched.
+func (r *modelRun) free(from upstream.Entry, source Source) {
+	r.clean(from, "handle", func(ctx context.Context) error {
+		return r.gateway.Upstreams.FreeHandle(ctx, from, source.Handle)
+	})
+}
+
+// clean makes a call beside the request that gives memory back; if it fails, the
+// engine frees the memory itself in some seconds.
+func (r *modelRun) clean(entry upstream.Entry, what string, call func(context.Context) error) {
+	log, id := r.gateway.log, r.admitted.call.ID
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), cleanPatience)
+		defer cancel()
+		if err := call(ctx); err != nil {
+			log.Debug("memory not given back", zap.String("request", id), zap.String("upstream", entry.ID), zap.String("what", what), zap.Error(err))
+		}
+	}()
+}
+
+// prefill has the prompt read. A failure leaves the request not run: reading a
+// prompt runs nothing.
+func (r *modelRun) prefill(ctx context.Context) (Source, upstream.Entry, *verdict.Verdict) {
+	g, c := r.gateway, r.admitted.call
+	tried := make(map[string]bool)
+	var last *verdict.Verdict
+	for try := range prefillTries {
+		if ctx.Err() != nil {
+			return Source{}, upstream.Entry{}, gone(ctx)
+		}
+		if try > 0 && !g.budget.repeat(r.admitted.service.Name) {
+			break
+		}
+		if v := g.mayRun(r.admitted); v != nil {
+			return Source{}, upstream.Entry{}, v
+		}
+		entry, ok := r.prefillEngine(tried)
+		if !ok {
+			break
+		}
+		tried[entry.ID] = true
+		handle, v := r.prefillAt(ctx, entry)
+		if v == nil {
+			return Source{Address: entry.Address, Handle: handle}, entry, nil
+		}
+		g.blame(ctx, c, entry, v)
+		last = v
+	}
+	if ctx.Err() != nil {
+		return Source{}, upstream.Entry{}, gone(ctx)
+	}
+	refusal := verdict.Refuse(verdict.ReasonNoUpstream, fullRetry, "no prefill engine took the prompt")
+	if last != nil {
+		refusal.Cause = last
+	}
+	return Source{}, upstream.Entry{}, refusal
+}
+
+// prefillEngine claims a place at the prefill engine with the least to read.
+func (r *modelRun) prefillEngine(tried map[string]bool) (upstream.Entry, bool) {
+	entries := r.gateway.state.Directory.Service(r.admitted.service.Name)
+	suspects := r.gateway.suspects.among(entries)
+	tokens := r.admitted.call.PromptTokens
+	if entry, ok := r.desk.prefill.claim(tokens, 0, union(suspects, tried)); ok {
+		return entry, true
+	}
+	return r.desk.prefill.claim(tokens, 0, tried)
+}
+
+func (r *modelRun) prefillAt(ctx context.Context, entry upstream.Entry) (string, *verdict.Verdict) {
+	tokens := r.admitted.call.PromptTokens
+	r.gateway.changed()
+	defer func() {
+		r.desk.prefill.release(entry.ID, tokens)
+		r.gateway.changed()
+	}()
+	ctx, cancel := context.WithTimeout(ctx, prefillPatience)
+	defer cancel()
+	handle, err := r.gateway.Upstreams.Prefill(ctx, entry, r.admitted.call)
+	if err != nil {
+		return "", verdict.From(err)
+	}
+	r.gateway.suspects.succeed(entry)
+	return handle, nil
+}
--- /dev/null
+++ b/gateway/pool.go
@@ -0,0 +1,123 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cairnworks/cairnworks/boottime"
+	"github.com/cairnworks/cairnworks/decision/room"
+	"github.com/cairnworks/cairnworks/fleet"
+	"github.com/cairnworks/cairnworks/upstream"
+)
+
+// peerLoadAge is how long another instance's placements count without a new report.
+// Reports come every 200 ms; an instance that died no longer holds anything once
+// upstreams have seen its connections end.
+const peerLoadAge = 1200 * time.Millisecond
+
+// pool is the upstreams of one service and role with what all instances have placed
+// there. It is safe for concurrent use.
+type pool struct {
+	mu   sync.Mutex
+	room *room.Room
+	// entries by id, and ids by their short form in reports.
+	entries map[string]upstream.Entry
+	ids     map[fleet.Hash]string
+	heard   map[string]time.Duration
+	version uint64
+}
+
+func newPool() *pool {
+	return &pool{room: room.New(), entries: make(map[string]upstream.Entry), ids: make(map[fleet.Hash]string), heard: make(map[string]time.Duration)}
+}
+
+// sync takes over the upstreams that may be given work. shape tells an entry's size.
+func (p *pool) sync(directory *upstream.Directory, service string, role upstream.Role, shape func(upstream.Entry) room.Engine) {
+	version := directory.Version()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.version == version {
+		return
+	}
+	p.version = version
+	var engines []room.Engine
+	p.entries = make(map[string]upstream.Entry)
+	p.ids = make(map[fleet.Hash]string)
+	for _, e := range directory.Service(service) {
+		if e.Role != role {
+			continue
+		}
+		p.entries[e.ID] = e
+		p.ids[fleet.HashOf(e.ID)] = e.ID
+		if !e.Leaving {
+			engines = append(engines, shape(e))
+		}
+	}
+	p.room.SetEngines(engines)
+}
+
+// claim places a request of a size; see room.Room.Claim.
+func (p *pool) claim(tokens int, spare float64, except map[string]bool) (upstream.Entry, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dropSilent()
+	id, ok := p.room.Claim(tokens, spare, except)
+	return p.entries[id], ok
+}
+
+// dropSilent forgets the placements of instances that report no more.
+func (p *pool) dropSilent() {
+	now := boottime.Now()
+	for instance, at := range p.heard {
+		if now-at > peerLoadAge {
+			delete(p.heard, instance)
+			p.room.SetPeer(instance, nil)
+		}
+	}
+}
+
+func (p *pool) release(id string, tokens int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.room.Release(id, tokens)
+}
+
+func (p *pool) shut(id string, open bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if open {
+		p.room.Open(id)
+		return
+	}
+	p.room.Shut(id)
+}
+
+// free is the share of the pool that nobody has claimed.
+func (p *pool) free() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.room.Free()
+}
+
+// fill adds this instance's placements to a report.
+func (p *pool) fill(loads map[fleet.Hash]fleet.Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, l := range p.room.Own() {
+		loads[fleet.HashOf(id)] = fleet.Load{Requests: l.Requests, Tokens: l.Tokens}
+	}
+}
+
+// take takes over another instance's placements.
+func (p *pool) take(now time.Duration, r *fleet.Report) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	loads := make(map[string]room.Load)
+	for hash, l := range r.Loads {
+		if id, known := p.ids[hash]; known {
+			loads[id] = room.Load{Requests: l.Requests, Tokens: l.Tokens}
+		}
+	}
+	p.heard[r.Instance] = now
+	p.room.SetPeer(r.Instance, loads)
+}
--- /dev/null
+++ b/gateway/quota.go
@@ -0,0 +1,149 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cairnworks/cairnworks/boottime"
+	"github.com/cairnworks/cairnworks/decision/quota"
+	"github.com/cairnworks/cairnworks/fleet"
+	"github.com/cairnworks/cairnworks/object"
+)
+
+// Quotas keeps the organisations' quotas with the other instances. It is safe for
+// concurrent use.
+type Quotas struct {
+	now boottime.Clock
+
+	mu     sync.Mutex
+	ledger *quota.Ledger
+	self   quota.MemberID
+	// names and members resolve the short forms in reports.
+	names   map[fleet.Hash]string
+	members map[fleet.Hash]quota.MemberID
+}
+
+// QuotaBound is what the fleet may pass a quota by, in total over a window.
+type QuotaBound struct {
+	Window time.Duration
+	// Over is a share of what the quota allows in the window, Slack is in tokens.
+	Over, Slack float64
+}
+
+// initialShare is the part of the bound that a fleet without any memory of the
+// last seconds may use up by starting with filled buckets; the rest is for what
+// instances spend before they hear of one another.
+const initialShare = 0.5
+
+// initial is what an account starts with when all instances start together: what
+// was spent just before is not known to anybody any more.
+func (b QuotaBound) initial(limit quota.Limit) float64 {
+	allowed := limit.Rate*b.Window.Seconds() + limit.Burst
+	return initialShare * (allowed*b.Over + b.Slack)
+}
+
+// NewQuotas returns quotas without organisations. With firstStart the buckets start
+// full, since nothing can have been spent before.
+func NewQuotas(now boottime.Clock, self fleet.Member, bound QuotaBound, firstStart bool) *Quotas {
+	initial := bound.initial
+	if firstStart {
+		initial = func(limit quota.Limit) float64 { return limit.Burst }
+	}
+	id := quota.MemberID{Name: self.Name, Incarnation: self.Incarnation}
+	return &Quotas{
+		now: now, self: id, ledger: quota.New(quota.DefaultConfig(), id, now(), initial),
+		names: make(map[fleet.Hash]string), members: make(map[fleet.Hash]quota.MemberID),
+	}
+}
+
+// SetLimits takes the organisations' limits from a configuration.
+func (q *Quotas) SetLimits(index *object.Index) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.now()
+	kept := make(map[string]bool)
+	q.names = make(map[fleet.Hash]string)
+	for _, o := range index.Set().Organisations {
+		limit, ok := index.Limit(o.Name)
+		if !ok {
+			continue
+		}
+		kept[o.Name] = true
+		q.names[fleet.HashOf(o.Name)] = o.Name
+		q.ledger.SetLimit(now, o.Name, quota.Limit{Rate: float64(limit.TokensPerSecond), Burst: float64(limit.Burst)})
+	}
+	q.ledger.KeepOnly(kept)
+}
+
+// SetMembers names the other instances.
+func (q *Quotas) SetMembers(members []fleet.Member) {
+	ids := make([]quota.MemberID, 0, len(members))
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.members = map[fleet.Hash]quota.MemberID{fleet.HashOf(q.self.Name): q.self}
+	for _, m := range members {
+		id := quota.MemberID{Name: m.Name, Incarnation: m.Incarnation}
+		ids = append(ids, id)
+		q.members[fleet.HashOf(m.Name)] = id
+	}
+	q.ledger.SetMembers(q.now(), ids)
+}
+
+// Admit takes tokens of an organisation's quota, or returns when to come back.
+func (q *Quotas) Admit(organisation string, tokens int64) (bool, time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.ledger.Admit(q.now(), organisation, tokens)
+}
+
+// Refund gives back tokens of a request that did not run.
+func (q *Quotas) Refund(organisation string, tokens int64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.ledger.Refund(q.now(), organisation, tokens)
+}
+
+// View is what the quota's decision for an organisation rests on.
+func (q *Quotas) View(organisation string) (level float64, restricted bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.now()
+	return q.ledger.Level(now, organisation), q.ledger.Restricted(now)
+}
+
+// Fill adds this instance's use to a report.
+func (q *Quotas) Fill(now time.Duration, r *fleet.Report) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	own := q.ledger.Report(now)
+	r.Spends = make(map[fleet.Hash]fleet.Spend, len(own.Spent))
+	for name, tokens := range own.Spent {
+		r.Spends[fleet.HashOf(name)] = fleet.Spend{Tokens: tokens, Level: own.Level[name]}
+	}
+	for _, h := range own.Heard {
+		r.Heard = append(r.Heard, fleet.Heard{Instance: fleet.HashOf(h.Member.Name), Incarnation: h.Member.Incarnation, Age: now - h.At})
+	}
+}
+
+// Take takes in another instance's use.
+func (q *Quotas) Take(now time.Duration, r *fleet.Report) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	in := quota.Report{
+		From:  quota.MemberID{Name: r.Instance, Incarnation: r.Incarnation},
+		Spent: make(map[string]int64, len(r.Spends)), Level: make(map[string]float64, len(r.Spends)),
+	}
+	for hash, s := range r.Spends {
+		if name, known := q.names[hash]; known {
+			in.Spent[name], in.Level[name] = s.Tokens, s.Level
+		}
+	}
+	for _, h := range r.Heard {
+		id, known := q.members[h.Instance]
+		if !known || id.Incarnation != h.Incarnation {
+			continue
+		}
+		in.Heard = append(in.Heard, quota.Heard{Member: id, At: now - h.Age})
+	}
+	q.ledger.Hear(now, in)
+}
--- /dev/null
+++ b/gateway/state.go
@@ -0,0 +1,63 @@
+package gateway
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/cairnworks/cairnworks/boottime"
+	"github.com/cairnworks/cairnworks/object"
+	"github.com/cairnworks/cairnworks/upstream"
+)
+
+// State is what an instance believes of the configuration. It is safe for
+// concurrent use.
+type State struct {
+	now   boottime.Clock
+	index atomic.Pointer[object.Index]
+	// proof is when the read was begun that showed that no newer version exists.
+	proof atomic.Int64
+	// maxAge is the age of the proof from which requests with a key are refused.
+	maxAge time.Duration
+
+	Directory *upstream.Directory
+}
+
+// NewState returns a state without a configuration.
+func NewState(now boottime.Clock, maxAge time.Duration) *State {
+	return &State{now: now, maxAge: maxAge, Directory: upstream.NewDirectory()}
+}
+
+// Apply puts a configuration in force unless a newer one is. It reports whether it
+// did.
+func (s *State) Apply(index *object.Index) bool {
+	for {
+		old := s.index.Load()
+		if old != nil && old.Version() >= index.Version() {
+			return false
+		}
+		if s.index.CompareAndSwap(old, index) {
+			return true
+		}
+	}
+}
+
+// Index returns the configuration in force, nil while there is none.
+func (s *State) Index() *object.Index { return s.index.Load() }
+
+// Prove notes that no newer configuration existed when a read was begun.
+func (s *State) Prove(begun time.Duration) {
+	for {
+		old := s.proof.Load()
+		if int64(begun) <= old || s.proof.CompareAndSwap(old, int64(begun)) {
+			return
+		}
+	}
+}
+
+// Age is how old the proof is that the configuration in force is the newest.
+func (s *State) Age() time.Duration { return s.now() - time.Duration(s.proof.Load()) }
+
+// Fresh reports whether keys may be relied on: a key that was withdrawn since the
+// proof would still work here, and a machine that was suspended or cut off cannot
+// know.
+func (s *State) Fresh() bool { return s.Index() != nil && s.Age() < s.maxAge }
--- a/object/apply.go
+++ b/object/apply.go
@@ -38,6 +38,7 @@
 		Services:      merge(kept.Services, e.Put.Services, Service.name),
 		Upstreams:     merge(kept.Upstreams, e.Put.Upstreams, Upstream.name),
 		Limits:        merge(kept.Limits, e.Put.Limits, Limit.name),
+		Routes:        merge(kept.Routes, e.Put.Routes, Route.name),
 	}
 }
 
@@ -46,6 +47,7 @@
 func (s Service) name() string      { return s.Name }
 func (u Upstream) name() string     { return u.Name }
 func (l Limit) name() string        { return l.Name }
+func (r Route) name() string        { return r.Name }
 
 // filter returns the objects that keep wants, in new lists.
 func (s Set) filter(keep func(Ref) bool) Set {
@@ -55,6 +57,7 @@
 		Services:      filterList(s.Services, TypeService, Service.name, keep),
 		Upstreams:     filterList(s.Upstreams, TypeUpstream, Upstream.name, keep),
 		Limits:        filterList(s.Limits, TypeLimit, Limit.name, keep),
+		Routes:        filterList(s.Routes, TypeRoute, Route.name, keep),
 	}
 }
 
--- a/object/check.go
+++ b/object/check.go
@@ -20,7 +20,7 @@
 // set without faults can be published and indexed.
 //
 // References run from keys to organisations, from organisations to limits and
-// services, and from upstreams to services. Objects of no type can reach their
+// services, and from upstreams and routes to services. Objects of no type can reach their
 // own type this way, so that names cannot form a cycle; a test holds the types
 // to it.
 func Check(set Set) []Fault {
@@ -31,6 +31,7 @@
 	c.services()
 	c.upstreams()
 	c.keys()
+	c.routes()
 	sortFaults(c.faults)
 	return c.faults
 }
@@ -72,7 +73,7 @@
 
 // Len is the number of objects of the set.
 func (s Set) Len() int {
-	return len(s.Organisations) + len(s.Keys) + len(s.Services) + len(s.Upstreams) + len(s.Limits)
+	return len(s.Organisations) + len(s.Keys) + len(s.Services) + len(s.Upstreams) + len(s.Limits) + len(s.Routes)
 }
 
 // refs lists the names of all objects of a set.
@@ -93,6 +94,9 @@
 	for _, l := range set.Limits {
 		out = append(out, Ref{TypeLimit, l.Name})
 	}
+	for _, r := range set.Routes {
+		out = append(out, Ref{TypeRoute, r.Name})
+	}
 	return out
 }
 
@@ -119,6 +123,11 @@
 	for _, u := range set.Upstreams {
 		out = append(out, reference{Ref{TypeUpstream, u.Name}, "service", Ref{TypeService, u.Service}})
 	}
+	for _, r := range set.Routes {
+		for _, t := range r.Targets {
+			out = append(out, reference{Ref{TypeRoute, r.Name}, "targets", Ref{TypeService, t.Service}})
+		}
+	}
 	return out
 }
 
@@ -132,7 +141,7 @@
 		case !c.named[r.to]:
 			c.add(Fault{Kind: FaultDangling, Object: r.from, Other: r.to, Field: r.field, Given: r.to.Name,
 				Allowed: fmt.Sprintf("the name of a %s of the set", r.to.Type)})
-		case r.field != "services":
+		case r.field != "services" && r.field != "targets":
 		case listed[r]:
 			c.add(Fault{Kind: FaultDuplicate, Object: r.from, Other: r.to, Field: r.field, Given: r.to.Name, Allowed: "each service once"})
 		default:
--- a/object/check_limits.go
+++ b/object/check_limits.go
@@ -36,7 +36,7 @@
 	for _, s := range c.set.Services {
 		pair := [2]string{limit.Name, s.Name}
 		need := s.leastBurst()
-		if limit.Burst >= need || reported[pair] || !o.MayUse(s.Name) {
+		if s.Discovered || limit.Burst >= need || reported[pair] || !o.MayUse(s.Name) {
 			continue
 		}
 		reported[pair] = true
--- a/object/check_services.go
+++ b/object/check_services.go
@@ -54,7 +54,7 @@
 }
 
 func (c *checker) models(ref Ref, s Service, claimed map[string]Ref) {
-	if len(s.Models) == 0 {
+	if len(s.Models) == 0 && !s.Discovered {
 		c.add(Fault{Kind: FaultMissing, Object: ref, Field: "models", Allowed: "at least one model name"})
 	}
 	for _, model := range s.Models {
@@ -134,6 +134,9 @@
 // upstreams count: a service that is being retired passes through a state in
 // which all of its upstreams leave.
 func (c *checker) neededRoles(ref Ref, s Service) {
+	if s.Discovered {
+		return
+	}
 	for _, role := range rolesOf(s.Kind) {
 		has := slices.ContainsFunc(c.set.Upstreams, func(u Upstream) bool {
 			return u.Service == s.Name && u.Role == role
--- a/object/defaults.go
+++ b/object/defaults.go
@@ -63,6 +63,10 @@
 		Services:      append([]Service(nil), s.Services...),
 		Upstreams:     append([]Upstream(nil), s.Upstreams...),
 		Limits:        append([]Limit(nil), s.Limits...),
+		Routes:        append([]Route(nil), s.Routes...),
+	}
+	for i := range out.Routes {
+		out.Routes[i].Targets = append([]Target(nil), out.Routes[i].Targets...)
 	}
 	for i := range out.Organisations {
 		out.Organisations[i].Services = append([]string(nil), out.Organisations[i].Services...)
@@ -83,5 +87,6 @@
 		Services:      append(s.Services, other.Services...),
 		Upstreams:     append(s.Upstreams, other.Upstreams...),
 		Limits:        append(s.Limits, other.Limits...),
+		Routes:        append(s.Routes, other.Routes...),
 	}
 }
--- a/object/diff.go
+++ b/object/diff.go
@@ -67,6 +67,7 @@
 	collect(out, TypeService, set.Services, Service.name)
 	collect(out, TypeUpstream, set.Upstreams, Upstream.name)
 	collect(out, TypeLimit, set.Limits, Limit.name)
+	collect(out, TypeRoute, set.Routes, Route.name)
 	return out
 }
 
--- a/object/fault.go
+++ b/object/fault.go
@@ -17,6 +17,7 @@
 	TypeService      Type = "service"
 	TypeUpstream     Type = "upstream"
 	TypeLimit        Type = "limit"
+	TypeRoute        Type = "route"
 	// TypeFile is used by faults found while a file is parsed.
 	TypeFile Type = "file"
 )
--- a/object/index.go
+++ b/object/index.go
@@ -16,6 +16,8 @@
 	upstreams     map[string]*Upstream
 	byService     map[string][]*Upstream
 	limits        map[string]*Limit
+	// routes by host and prefix; see Route.
+	routes map[routeKey]*Route
 }
 
 // NewIndex indexes a set that Check found no fault in, with defaults filled in.
@@ -24,6 +26,7 @@
 	x := &Index{version: version, published: set.clone(), set: set.WithDefaults()}
 	x.indexTenants()
 	x.indexServices()
+	x.indexRoutes()
 	return x
 }
 
--- a/object/object.go
+++ b/object/object.go
@@ -10,6 +10,8 @@
 	Services      []Service      `json:"services"`
 	Upstreams     []Upstream     `json:"upstreams"`
 	Limits        []Limit        `json:"limits"`
+	// Routes send requests by host and path to services; see Route.
+	Routes []Route `json:"routes,omitempty"`
 }
 
 // Organisation is a customer: the unit of fairness and of rates.
@@ -19,6 +21,9 @@
 	Limit string `json:"limit"`
 	// Services names the services the organisation may use; empty means all.
 	Services []string `json:"services,omitempty"`
+	// Priority ranks the organisation's requests before those of others on a full
+	// service, 0 first; absent means that the route's priority holds.
+	Priority *int `json:"priority,omitempty"`
 }
 
 // Key is a credential of one organisation. Only its hash is kept.
@@ -65,6 +70,34 @@
 	Calls []Call `json:"calls,omitempty"`
 	// MaxBodyBytes bounds a request body; 0 means 1 MiB.
 	MaxBodyBytes int64 `json:"max_body_bytes,omitempty"`
+	// Discovered services have no upstream objects: their upstreams register
+	// themselves in the platform's store.
+	Discovered bool `json:"discovered,omitempty"`
+	// MaxConnections is how many connections one upstream accepts from all
+	// instances together; 0 means that no bound is known.
+	MaxConnections int `json:"max_connections,omitempty"`
+	// Pool describes the engines of a discovered model service.
+	Pool *Pool `json:"pool,omitempty"`
+}
+
+// Pool is what all engines of a discovered model service have in common.
+type Pool struct {
+	// Slots is how many requests an engine runs at once.
+	Slots int `json:"slots"`
+	// MemoryTokens is the engine memory for KV cache, in tokens.
+	MemoryTokens int `json:"memory_tokens"`
+	// EventTokens is the most tokens that one event of a stream carries.
+	EventTokens int `json:"event_tokens,omitempty"`
+	// HandleMS is how long a prefill result is kept until it is fetched, in
+	// milliseconds.
+	HandleMS int `json:"handle_ms,omitempty"`
+	// RoleChangeMS is how long an engine serves nobody while it changes its role,
+	// in milliseconds.
+	RoleChangeMS int `json:"role_change_ms,omitempty"`
+	// ReservationMS is the longest time that an engine keeps memory reserved for a
+	// request that is still to come, in milliseconds; 0 means that engines take no
+	// reservations.
+	ReservationMS int `json:"reservation_ms,omitempty"`
 }
 
 // Call is a rule for some calls of a plain service.
@@ -120,4 +153,6 @@
 	TokensPerSecond int64 `json:"tokens_per_second"`
 	// Burst is the most tokens that may be used at once.
 	Burst int64 `json:"burst"`
+	// CallTokens is the charge of a routed request that states no token counts.
+	CallTokens int64 `json:"call_tokens,omitempty"`
 }
--- a/object/parse.go
+++ b/object/parse.go
@@ -56,6 +56,8 @@
 		p.object(raw, t, path)
 	case reflect.Slice:
 		p.array(raw, t, path)
+	case reflect.Pointer:
+		p.value(raw, t.Elem(), path)
 	default:
 		p.scalar(raw, t, path)
 	}
--- /dev/null
+++ b/settings/routed.go
@@ -0,0 +1,109 @@
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"reflect"
+	"text/tabwriter"
+)
+
+// Routed is the settings file of an instance that serves routed requests.
+type Routed struct {
+	Instance   string `json:"instance" doc:"name of this instance, unique in the fleet" unit:"name" default:"required"`
+	DataCentre string `json:"data_centre" doc:"data centre of this instance; upstreams in it are preferred when all else is equal" unit:"name" default:"required"`
+	// FirstStart tells that the whole system starts for the first time.
+	FirstStart bool `json:"first_start" doc:"the whole system starts for the first time: nothing of any quota can have been used" unit:"true or false" default:"false"`
+
+	Callers   string `json:"callers" doc:"address for callers" unit:"IP:port" default:"required"`
+	Readiness string `json:"readiness" doc:"address at which the balancer asks whether callers may come" unit:"IP:port" default:"required"`
+	Reports   string `json:"reports" doc:"address for other instances' reports, UDP" unit:"IP:port" default:"required"`
+	Metrics   string `json:"metrics" doc:"address that serves /metrics" unit:"IP:port" default:"none"`
+	Store     string `json:"store" doc:"address of the platform's store" unit:"IP:port" default:"required"`
+
+	MemoryMB int `json:"memory_mb" doc:"memory that the process may use; the runtime collects garbage harder from half of it on" unit:"MB" default:"no bound"`
+	// RevokeMS is the platform's bound on how long a withdrawn key may go on working.
+	RevokeMS   int     `json:"revoke_ms" doc:"longest time that a withdrawn key may still work, also on an instance that is cut off" unit:"ms" default:"5000"`
+	GraceS     float64 `json:"grace_s" doc:"time from SIGTERM until the process is killed" unit:"seconds" default:"8"`
+	RetryRatio float64 `json:"retry_ratio" doc:"repeated sends to a service, relative to its requests in a window" unit:"share" default:"0.1"`
+	RetryS     float64 `json:"retry_window_s" doc:"window of the retry budget" unit:"seconds" default:"10"`
+	RetrySlack float64 `json:"retry_slack" doc:"repeated sends that a window may hold besides, over the fleet" unit:"sends" default:"20"`
+	QuotaS     float64 `json:"quota_window_s" doc:"window over which quotas are judged" unit:"seconds" default:"8"`
+	QuotaOver  float64 `json:"quota_over" doc:"share by which a quota may be passed in a window" unit:"share" default:"0"`
+	QuotaSlack float64 `json:"quota_slack" doc:"tokens by which a quota may be passed in a window besides" unit:"tokens" default:"0"`
+	LogLevel   string  `json:"log_level" doc:"least severe level that is logged" unit:"debug, info, warn or error" default:"info"`
+}
+
+// DefaultRouted returns the settings that hold where a file says nothing.
+func DefaultRouted() Routed {
+	return Routed{RevokeMS: 5000, GraceS: 8, RetryRatio: 0.1, RetryS: 10, RetrySlack: 20, QuotaS: 8, LogLevel: "info"}
+}
+
+// LoadRouted reads and checks a settings file. The error joins every Fault found.
+func LoadRouted(file string) (Routed, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return Routed{}, err
+	}
+	return ParseRouted(file, data)
+}
+
+// ParseRouted checks the settings in data; file only names them in errors.
+func ParseRouted(file string, data []byte) (Routed, error) {
+	s := DefaultRouted()
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&s); err != nil {
+		return Routed{}, decodeFault(file, err)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return Routed{}, Fault{file, "(file)", "more than one JSON value", "one object"}
+	}
+	return s, s.check(file)
+}
+
+func (s *Routed) check(file string) error {
+	c := &checker{file: file}
+	c.required("instance", s.Instance)
+	c.required("data_centre", s.DataCentre)
+	c.address("callers", s.Callers, true)
+	c.address("readiness", s.Readiness, true)
+	c.address("reports", s.Reports, true)
+	c.address("metrics", s.Metrics, false)
+	c.address("store", s.Store, true)
+	c.level(s.LogLevel)
+	for _, n := range []struct {
+		field string
+		value float64
+	}{
+		{"memory_mb", float64(s.MemoryMB)}, {"retry_ratio", s.RetryRatio}, {"retry_slack", s.RetrySlack},
+		{"quota_over", s.QuotaOver}, {"quota_slack", s.QuotaSlack},
+	} {
+		if n.value < 0 {
+			c.fault(n.field, fmt.Sprint(n.value), "0 or more")
+		}
+	}
+	for _, n := range []struct {
+		field string
+		value float64
+	}{
+		{"revoke_ms", float64(s.RevokeMS)}, {"grace_s", s.GraceS}, {"retry_window_s", s.RetryS}, {"quota_window_s", s.QuotaS},
+	} {
+		if n.value <= 0 {
+			c.fault(n.field, fmt.Sprint(n.value), "above 0")
+		}
+	}
+	return errors.Join(c.faults...)
+}
+
+// DescribeRouted writes every setting of an instance that serves routed requests
+// with its unit, default and effect.
+func DescribeRouted(w io.Writer) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "SETTING\tUNIT\tDEFAULT\tEFFECT")
+	describe(table, "", reflect.TypeFor[Routed]())
+	return table.Flush()
+}
--- a/verdict/reason.go
+++ b/verdict/reason.go
@@ -41,6 +41,11 @@
 	ReasonTransferExpired     Reason = "transfer_expired"
 	ReasonTruncated           Reason = "truncated"
 	ReasonTimeout             Reason = "timeout"
+	// ReasonWrongUpstream means that another upstream answers at the address.
+	ReasonWrongUpstream Reason = "wrong_upstream"
+	// ReasonForeignAnswer means that what came back belongs to no request of this
+	// connection, or is no answer at all.
+	ReasonForeignAnswer Reason = "foreign_answer"
 )
 
 // Reasons of the at-most-once guard.
