--- a/decision/quota/quota.go
+++ b/decision/quota/quota.go
@@ -119,8 +119,6 @@
 	accounts map[string]*account
 	// initial is the share of a full burst that an account starts with.
 	initial func(Limit) float64
-	// settled tells that the levels were learnt from another member.
-	settled bool
 	started time.Duration
 }
 
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -24,13 +24,10 @@
 	// prefillPatience bounds one prefill. The longest prompts take 200 ms beside
 	// others; an engine that is silent for longer is ill or gone.
 	prefillPatience = 900 * time.Millisecond
-	// reserveTries is how many decode engines are asked for room before the request
-	// waits again.
-	reserveTries = 3
 	// reservePatience bounds one reservation, which takes a round trip.
 	reservePatience = 250 * time.Millisecond
-	// reservationSlack is added to the time that a reservation is to last beyond the
-	// prefill.
+	// reservationTime is how long an engine keeps memory set aside: the longest
+	// prefill and its transfer.
 	reservationTime = 1500 * time.Millisecond
 	// fullRetry is when a caller is told to come back after engines had no room.
 	fullRetry = 1500 * time.Millisecond
@@ -166,7 +163,7 @@
 		Organisation: c.Organisation, Priority: c.prio, Tokens: r.tokens, Arrived: c.Arrived,
 		Objective: time.Duration(r.admitted.route.ObjectiveMS) * time.Millisecond, Deadline: c.Deadline, Point: hashPoint(c.ID),
 	}
-	for try := 1; ; try++ {
+	for {
 		entry, v := r.desk.place(ctx, item, r.except)
 		if v != nil {
 			return place{}, v
