Claims of engine memory follow what answers turn out to be

Cause: a claim of the stated most output (9,360 tokens for all) leaves nearly half of the decode engines' memory unused; callers' hints are off by a factor. Change: a fit of the logarithms of length on hint, learnt from finished requests, sizes the claim; a run that passes it raises its claim; the engine's own reservation covers the prompt and the start only.

--- a/gateway/desk.go
+++ b/gateway/desk.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cairnworks/cairnworks/boottime"
+	"github.com/cairnworks/cairnworks/decision/length"
 	"github.com/cairnworks/cairnworks/decision/room"
 	"github.com/cairnworks/cairnworks/decision/waiting"
 	"github.com/cairnworks/cairnworks/fleet"
@@ -22,6 +23,9 @@
 const (
 	// deskTick is how often waiting requests are looked at when nothing else happens.
 	deskTick = 25 * time.Millisecond
+	// claimDeviations is how far above the middle of what is known of an answer's length
+	// its claim lies.
+	claimDeviations = 0.25
 	// shutTime is how long a decode engine gets no claims after it refused a
 	// reservation that should have fitted: another instance was faster and its report
 	// is on the way, or a run grew beyond its claim.
@@ -122,8 +126,9 @@
 	decode  *pool
 	prefill *pool
 
-	mu   sync.Mutex
-	pool object.Pool
+	mu      sync.Mutex
+	pool    object.Pool
+	lengths *length.Estimator
 
 	// What follows belongs to the actor.
 	queue   *waiting.Queue
@@ -134,7 +139,8 @@
 func newDesk(g *Gateway, service string) *desk {
 	return &desk{
 		gateway: g, service: service, decode: newPool(), prefill: newPool(),
-		queue: waiting.New(waiting.DefaultConfig()), tickets: make(map[*waiting.Item]*ticket),
+		lengths: length.New(length.DefaultConfig()),
+		queue:   waiting.New(waiting.DefaultConfig()), tickets: make(map[*waiting.Item]*ticket),
 	}
 }
 
@@ -153,6 +159,20 @@
 	return k.pool
 }
 
+// estimate is the number of output tokens that are claimed for a request.
+func (k *desk) estimate(c *Call) int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.lengths.Estimate(c.LengthHint, c.MaxOutput, claimDeviations)
+}
+
+// finished learns from a request that was answered whole.
+func (k *desk) finished(c *Call, tokens int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.lengths.Observe(c.LengthHint, tokens)
+}
+
 // look asks the actor to look at the waiting requests.
 func (k *desk) look() { k.gateway.desks.system.Root.Send(k.pid, look{}) }
 
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -24,6 +24,13 @@
 	// prefillPatience bounds one prefill. The longest prompts take 200 ms beside
 	// others; an engine that is silent for longer is ill or gone.
 	prefillPatience = 900 * time.Millisecond
+	// growEvents is by how many events the claim of a request grows that runs over its
+	// estimate: about half a second of its run.
+	growEvents = 10
+	// reservedOutput is the tokens of output that are reserved at the engine besides
+	// the prompt. What is reserved there nobody else can use, so that it covers the
+	// start only; that the rest fits is what claims are for.
+	reservedOutput = 720
 	// reservePatience bounds one reservation, which takes a round trip.
 	reservePatience = 250 * time.Millisecond
 	// reservationTime is how long an engine keeps memory set aside: the longest
@@ -40,9 +47,10 @@
 	gateway  *Gateway
 	admitted *admitted
 	desk     *desk
-	// tokens is the engine memory that the request claims.
-	tokens int
-	sent   int
+	// tokens is the engine memory that the request claims, output the part of it that
+	// is for the answer.
+	tokens, output int
+	sent           int
 	// ran is the strongest verdict of all sends so far.
 	ran verdict.Ran
 	// except are decode engines that are not asked again.
@@ -53,7 +61,8 @@
 // decode engine.
 func (g *Gateway) serveModel(ctx context.Context, w http.ResponseWriter, a *admitted) *verdict.Verdict {
 	run := &modelRun{gateway: g, admitted: a, desk: g.desks.get(a.service), except: make(map[string]bool)}
-	run.tokens = a.call.PromptTokens + a.call.MaxOutput
+	run.output = run.desk.estimate(a.call)
+	run.tokens = a.call.PromptTokens + run.output
 	out := &stream{gateway: g, admitted: a, w: w, lastID: a.call.LastEventID}
 	for {
 		v := run.attempt(ctx, out)
@@ -100,7 +109,8 @@
 	if v != nil {
 		return v
 	}
-	defer r.desk.leave(place.entry, r.tokens)
+	defer func() { r.desk.leave(place.entry, r.tokens) }()
+	out.progress = func(events int) { r.grow(place.entry, events) }
 	source, from, v := r.prefill(ctx)
 	if v != nil {
 		r.drop(place)
@@ -130,6 +140,9 @@
 	}
 	g.suspects.succeed(place.entry)
 	v = out.copy(answer)
+	if v == nil && answer.Status == http.StatusOK {
+		r.desk.finished(r.admitted.call, out.events*r.desk.shape().EventTokens)
+	}
 	if v != nil && ctx.Err() == nil {
 		r.except[place.entry.ID] = true
 		g.blame(ctx, r.admitted.call, place.entry, v)
@@ -137,6 +150,20 @@
 	return v
 }
 
+// grow raises the claim of a request whose answer is longer than was estimated, by
+// some events at a time.
+func (r *modelRun) grow(entry upstream.Entry, events int) {
+	per := r.desk.shape().EventTokens
+	if per <= 0 || (events+1)*per <= r.output || r.output >= r.admitted.call.MaxOutput {
+		return
+	}
+	by := min(growEvents*per, r.admitted.call.MaxOutput-r.output)
+	r.output += by
+	r.tokens += by
+	r.desk.decode.resize(entry.ID, by)
+	r.gateway.changed()
+}
+
 // ready checks, right before the request is sent, that what allowed it still holds.
 func (r *modelRun) ready(p place) *verdict.Verdict {
 	if v := r.gateway.mayRun(r.admitted); v != nil {
@@ -191,7 +218,7 @@
 	ctx, cancel := context.WithTimeout(ctx, reservePatience)
 	defer cancel()
 	ttl := min(reservationTime, time.Duration(r.desk.shape().ReservationMS)*time.Millisecond)
-	reservation, err := r.gateway.Upstreams.Reserve(ctx, entry, r.tokens, ttl)
+	reservation, err := r.gateway.Upstreams.Reserve(ctx, entry, r.admitted.call.PromptTokens+min(reservedOutput, r.output), ttl)
 	return reservation, verdict.From(err)
 }
 
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -82,6 +82,12 @@
 	p.room.Release(id, tokens)
 }
 
+func (p *pool) resize(id string, by int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.room.Resize(id, by)
+}
+
 func (p *pool) shut(id string, open bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -37,6 +37,27 @@
 	lastID string
 	// partial is the event that is not yet whole.
 	partial []byte
+	// events counts the events handed on; progress is told of each more, if set.
+	events   int
+	progress func(events int)
+	// newline tells that the last byte ended a line.
+	newline bool
+}
+
+// count counts the events that end in data.
+func (s *stream) count(data []byte) {
+	before := s.events
+	for _, b := range data {
+		ends := b == '\n'
+		if ends && s.newline {
+			s.events++
+			ends = false
+		}
+		s.newline = ends
+	}
+	if s.events > before && s.progress != nil {
+		s.progress(s.events)
+	}
 }
 
 // resumable reports whether another engine may go on with what the caller has got.
@@ -60,6 +81,7 @@
 	for {
 		n, err := answer.Body.Read(buffer)
 		if n > 0 {
+			s.count(buffer[:n])
 			if failed := s.write(buffer[:n]); failed != nil {
 				return verdict.Fail(verdict.HasRun, verdict.ReasonCancelled, failed, "the caller left")
 			}
