Quotas: a third of the platform's tolerance joins the burst

Cause: in bursts a bucket of the bare burst refuses requests that the judged window has room for; callers of such requests were owed an answer. Change: 0.3 of the tolerance is added to the burst, half stays for a fleet that has lost its memory, a fifth for reports on their way.

--- a/decision/quota/quota.go
+++ b/decision/quota/quota.go
@@ -352,12 +352,28 @@
 	return r
 }
 
-// Level is what may be spent at once of an organisation's quota.
-func (l *Ledger) Level(now time.Duration, organisation string) float64 {
-	a, known := l.accounts[organisation]
-	if !known {
-		return 0
+// View is what a decision for an organisation rests on.
+type View struct {
+	Limit Limit
+	// Level and Own are the tokens that the fleet, and this instance while it is
+	// restricted, may spend at once.
+	Level, Own float64
+	// Members is the number of instances, this one included, Silent of them unheard.
+	Members, Silent int
+	Restricted      bool
+}
+
+// View returns what a decision for an organisation rests on now.
+func (l *Ledger) View(now time.Duration, organisation string) View {
+	v := View{Members: len(l.members) + 1, Restricted: l.Restricted(now)}
+	for _, m := range l.members {
+		if l.silent(now, m) {
+			v.Silent++
+		}
 	}
-	l.refill(now, a)
-	return a.level
+	if a, known := l.accounts[organisation]; known {
+		l.refill(now, a)
+		v.Limit, v.Level, v.Own = a.limit, a.level, a.own
+	}
+	return v
 }
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -122,8 +122,9 @@
 	}
 	ok, retry := g.quotas.Admit(c.Organisation, a.charge)
 	if !ok {
+		tokens := a.charge
 		a.charge = 0
-		return verdict.Refuse(verdict.ReasonRateLimited, max(retry, minQuotaRetry), "the organisation's quota is used up")
+		return verdict.Refuse(verdict.ReasonRateLimited, max(retry, minQuotaRetry), "the organisation's quota is used up: %s", g.quotas.Describe(c.Organisation, tokens))
 	}
 	g.changed()
 	return nil
--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"sync"
 	"time"
 
@@ -17,6 +18,7 @@
 
 	mu     sync.Mutex
 	ledger *quota.Ledger
+	bound  QuotaBound
 	self   quota.MemberID
 	// names and members resolve the short forms in reports.
 	names   map[fleet.Hash]string
@@ -30,20 +32,35 @@
 	Over, Slack float64
 }
 
-// initialShare is the part of the bound that a fleet without any memory of the
-// last seconds may use up by starting with filled buckets; the rest is for what
-// instances spend before they hear of one another.
-const initialShare = 0.5
+// How the bound is used up. What is left of it, a fifth, is for what instances spend
+// before they hear of one another.
+const (
+	// extraShare is the part that is added to every organisation's burst. The bound is
+	// on what upstreams see in a window; a bucket of the bare burst refuses requests
+	// that the window has room for.
+	extraShare = 0.3
+	// initialShare is the part that a fleet without any memory of the last seconds may
+	// use up by what its buckets start with.
+	initialShare = 0.5
+)
+
+// tolerance is what a quota may be passed by in a window, in tokens.
+func (b QuotaBound) tolerance(limit quota.Limit) float64 {
+	return (limit.Rate*b.Window.Seconds()+limit.Burst)*b.Over + b.Slack
+}
+
+// widen returns a limit with the burst that the bound leaves room for.
+func (b QuotaBound) widen(limit quota.Limit) quota.Limit {
+	limit.Burst += extraShare * b.tolerance(limit)
+	return limit
+}
 
 // initial is what an account starts with when all instances start together: what
 // was spent just before is not known to anybody any more.
-func (b QuotaBound) initial(limit quota.Limit) float64 {
-	allowed := limit.Rate*b.Window.Seconds() + limit.Burst
-	return initialShare * (allowed*b.Over + b.Slack)
-}
+func (b QuotaBound) initial(limit quota.Limit) float64 { return initialShare * b.tolerance(limit) }
 
-// NewQuotas returns quotas without organisations. With firstStart the buckets start
-// full, since nothing can have been spent before.
+// NewQuotas returns quotas without organisations. With firstStart the quotas start
+// unused, since nothing can have been spent before.
 func NewQuotas(now boottime.Clock, self fleet.Member, bound QuotaBound, firstStart bool) *Quotas {
 	initial := bound.initial
 	if firstStart {
@@ -51,7 +68,7 @@
 	}
 	id := quota.MemberID{Name: self.Name, Incarnation: self.Incarnation}
 	return &Quotas{
-		now: now, self: id, ledger: quota.New(quota.DefaultConfig(), id, now(), initial),
+		now: now, self: id, bound: bound, ledger: quota.New(quota.DefaultConfig(), id, now(), initial),
 		names: make(map[fleet.Hash]string), members: make(map[fleet.Hash]quota.MemberID),
 	}
 }
@@ -70,7 +87,7 @@
 		}
 		kept[o.Name] = true
 		q.names[fleet.HashOf(o.Name)] = o.Name
-		q.ledger.SetLimit(now, o.Name, quota.Limit{Rate: float64(limit.TokensPerSecond), Burst: float64(limit.Burst)})
+		q.ledger.SetLimit(now, o.Name, q.bound.widen(quota.Limit{Rate: float64(limit.TokensPerSecond), Burst: float64(limit.Burst)}))
 	}
 	q.ledger.KeepOnly(kept)
 }
@@ -103,14 +120,6 @@
 	q.ledger.Refund(q.now(), organisation, tokens)
 }
 
-// View is what the quota's decision for an organisation rests on.
-func (q *Quotas) View(organisation string) (level float64, restricted bool) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	now := q.now()
-	return q.ledger.Level(now, organisation), q.ledger.Restricted(now)
-}
-
 // Fill adds this instance's use to a report.
 func (q *Quotas) Fill(now time.Duration, r *fleet.Report) {
 	q.mu.Lock()
@@ -147,3 +156,12 @@
 	}
 	q.ledger.Hear(now, in)
 }
+
+// Describe tells what a refusal for an organisation rests on, for the log.
+func (q *Quotas) Describe(organisation string, tokens int64) string {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	v := q.ledger.View(q.now(), organisation)
+	return fmt.Sprintf("%d tokens asked, %.0f left, %.0f own, rate %.0f, burst %.0f, %d instances, %d silent, restricted %v",
+		tokens, v.Level, v.Own, v.Limit.Rate, v.Limit.Burst, v.Members, v.Silent, v.Restricted)
+}
