--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,142 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/cairnworks/cairnworks/boottime"
+	"github.com/cairnworks/cairnworks/port"
+)
+
+func TestReportSurvivesTheWire(t *testing.T) {
+	r := &Report{
+		Instance: "a", Incarnation: 3, Sequence: 4, ConfigVersion: 5, Leaving: true,
+		Spends: map[Hash]Spend{1: {Tokens: -6, Level: 0.5}}, Loads: map[Hash]Load{2: {Requests: 7, Tokens: 8}},
+		Heard: []Heard{{9, 10, 11 * time.Millisecond}}, Crashes: []Crash{{12, 13, 14 * time.Millisecond}},
+	}
+	data, err := r.marshal()
+	assert.NilError(t, err)
+	got, err := unmarshal(data)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, r)
+	_, err = unmarshal([]byte("not a report"))
+	assert.Assert(t, err != nil)
+}
+
+// taker notes the reports that it takes.
+type taker struct {
+	mu    sync.Mutex
+	taken []*Report
+	got   chan struct{}
+}
+
+func (k *taker) Fill(_ time.Duration, r *Report) { r.Spends = map[Hash]Spend{1: {Tokens: 1}} }
+
+func (k *taker) Take(_ time.Duration, r *Report) {
+	k.mu.Lock()
+	k.taken = append(k.taken, r)
+	k.mu.Unlock()
+	select {
+	case k.got <- struct{}{}:
+	default:
+	}
+}
+
+func newExchange(t *testing.T, name string) (*Exchange, *taker) {
+	t.Helper()
+	k := &taker{got: make(chan struct{}, 1)}
+	x, err := Listen(Member{Name: name, Incarnation: 1, Address: "127.0.0.1:0"}, k, zap.NewNop())
+	assert.NilError(t, err)
+	x.self.Address = x.conn.LocalAddr().String()
+	return x, k
+}
+
+// An instance that has just started reports to others that have not read its entry
+// yet. They must know it at once: what it spends counts.
+func TestInstancesLearnOfOneAnotherByReports(t *testing.T) {
+	a, _ := newExchange(t, "a")
+	b, taken := newExchange(t, "b")
+	introduced := make(chan string, 10)
+	b.OnReport(func(name string, _ uint64, address string) { introduced <- name + address })
+	a.SetMembers([]Member{{Name: "b", Address: b.self.Address}})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = a.Run(ctx) }()
+	go func() { _ = b.Run(ctx) }()
+	<-taken.got
+	assert.Equal(t, <-introduced, "a"+a.self.Address)
+}
+
+// A report is overtaken by the next, or waits in the socket while the machine is
+// suspended. Its figures are old, and its sender may be gone.
+func TestOldReportsAreDropped(t *testing.T) {
+	x, _ := newExchange(t, "a")
+	defer x.conn.Close()
+	now := boottime.Now()
+	x.awake = now
+	assert.Assert(t, x.accept(now, &Report{Instance: "b", Incarnation: 1, Sequence: 2}))
+	assert.Assert(t, !x.accept(now, &Report{Instance: "b", Incarnation: 1, Sequence: 1}))
+	assert.Assert(t, x.accept(now, &Report{Instance: "b", Incarnation: 2, Sequence: 1}))
+	late := now + stallGap + time.Millisecond
+	assert.Assert(t, !x.accept(late, &Report{Instance: "b", Incarnation: 2, Sequence: 2}), "the process stood still")
+	x.awake = now - stallGap - time.Second
+	x.wake()
+	assert.Assert(t, !x.accept(x.awake+stallDrop/2, &Report{Instance: "b", Incarnation: 2, Sequence: 3}))
+	assert.Assert(t, x.accept(x.awake+stallDrop, &Report{Instance: "b", Incarnation: 2, Sequence: 4}))
+}
+
+func record(name string, incarnation, beat uint64) port.KeyedRecord {
+	value, _ := json.Marshal(Member{Incarnation: incarnation, Address: "1.2.3.4:5", Beat: beat})
+	return port.KeyedRecord{Key: name, Value: value}
+}
+
+// The store was away for a minute and nobody could renew an entry. If all entries
+// lapsed at its return, each instance would believe to be alone.
+func TestEntriesOutlastAnOutage(t *testing.T) {
+	var last []Member
+	m := NewMembers(Member{Name: "a"}, nil, zap.NewNop(), func(list []Member) { last = list })
+	m.Replace([]port.KeyedRecord{record("a", 1, 1), record("b", 1, 1), record("c", 1, 1), {Key: "d", Value: []byte("{")}})
+	m.Proven(0)
+	assert.Equal(t, len(last), 2)
+	old := m.others["b"]
+	old.changed -= Lapse + time.Second
+	m.others["b"] = old
+	m.Lost()
+	m.Proven(0)
+	assert.Equal(t, len(last), 2)
+	old.changed = boottime.Now() - Lapse - time.Second
+	m.others["b"] = old
+	m.Proven(0)
+	assert.Equal(t, len(last), 1)
+	m.Add(port.KeyedRecord{Key: "c"})
+	m.Proven(0)
+	assert.Equal(t, len(last), 0)
+}
+
+func TestIntroducedRunReplacesTheOlder(t *testing.T) {
+	var last []Member
+	m := NewMembers(Member{Name: "a"}, nil, zap.NewNop(), func(list []Member) { last = list })
+	m.Add(record("b", 1, 1))
+	m.Introduce("b", 2, "1.2.3.4:6")
+	assert.Equal(t, len(last), 1)
+	assert.Equal(t, last[0].Incarnation, uint64(2))
+	m.Introduce("a", 9, "1.2.3.4:7")
+	assert.Equal(t, len(last), 1)
+}
+
+func TestBadAddressIsRefused(t *testing.T) {
+	_, err := Listen(Member{Address: "nowhere"}, nil, zap.NewNop())
+	assert.Assert(t, err != nil)
+	taken, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer taken.Close()
+	_, err = Listen(Member{Address: taken.LocalAddr().String()}, nil, zap.NewNop())
+	assert.Assert(t, err != nil)
+}
--- /dev/null
+++ b/upstream/directory_test.go
@@ -0,0 +1,54 @@
+package upstream
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func entry(id string, started, seq int64) Entry {
+	return Entry{ID: id, Started: started, Sequence: seq, Service: "s", Address: "1.2.3.4:5", Role: Decode}
+}
+
+// An engine's last words, that it is leaving, are followed by an older entry whose
+// write was delayed. Taken for new, it would bring requests to an engine that is gone.
+func TestOlderEntryChangesNothing(t *testing.T) {
+	d := NewDirectory()
+	leaving := entry("a", 1, 5)
+	leaving.Leaving = true
+	assert.Assert(t, d.Put(leaving))
+	assert.Assert(t, !d.Put(entry("a", 1, 4)))
+	_, ok := d.Current("a")
+	assert.Assert(t, !ok)
+	assert.Assert(t, d.Put(entry("a", 2, 0)), "a new run starts counting anew")
+	_, ok = d.Current("a")
+	assert.Assert(t, ok)
+}
+
+// An address was given to another engine, which refuses the request. The entry still
+// stands in the list; until it changes nothing more may be sent there.
+func TestGoneUntilTheEntryChanges(t *testing.T) {
+	d := NewDirectory()
+	d.Put(entry("a", 1, 1))
+	d.MarkGone(entry("a", 1, 1))
+	d.Put(entry("a", 1, 2))
+	_, ok := d.Current("a")
+	assert.Assert(t, !ok)
+	assert.Equal(t, len(d.Service("s")), 0)
+	changed := entry("a", 1, 3)
+	changed.Role = Prefill
+	d.Put(changed)
+	assert.Equal(t, len(d.Service("s")), 1)
+}
+
+func TestRenewalsAreNoChanges(t *testing.T) {
+	d := NewDirectory()
+	assert.Assert(t, d.Put(entry("a", 1, 1)))
+	v := d.Version()
+	assert.Assert(t, !d.Put(entry("a", 1, 2)))
+	assert.Equal(t, d.Version(), v)
+	assert.Assert(t, d.Put(entry("b", 1, 1)))
+	assert.DeepEqual(t, d.Keep(map[string]bool{"a": true}), []string{"b"})
+	assert.Assert(t, d.Remove("a") && !d.Remove("a"))
+	assert.Equal(t, d.Len(), 0)
+}
