--- a/decision/quota/quota.go
+++ b/decision/quota/quota.go
@@ -59,6 +59,21 @@
 	return Config{Silence: 700 * time.Millisecond, Fresher: 500 * time.Millisecond}
 }
 
+// reportFleet is the number of instances up to which all report to one another at full
+// pace. Reports from each to each grow with the square of the fleet: at 9 instances
+// each sends and takes some 80 a second, at 62 it would be 600, more than a fifth of a
+// core can do. Beyond, the pace falls so that an instance's reports stay the same.
+const reportFleet = 12
+
+// Stretch is by how much the times between reports, and those that follow from them,
+// grow in a fleet of a number of instances.
+func Stretch(instances int) float64 { return max(1, float64(instances)/reportFleet) }
+
+// stretched returns a time of the configuration as it is in a fleet of this size.
+func (l *Ledger) stretched(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * Stretch(len(l.members)+1))
+}
+
 // Limit is an organisation's quota. A Rate of 0 means no limit.
 type Limit struct {
 	// Rate in tokens a second, Burst in tokens.
@@ -250,7 +265,7 @@
 
 // silent reports whether a member has not been heard for a while.
 func (l *Ledger) silent(now time.Duration, m *member) bool {
-	return !m.ever || now-m.heard > l.cfg.Silence
+	return !m.ever || now-m.heard > l.stretched(l.cfg.Silence)
 }
 
 // Audible lists the members that are heard.
@@ -269,7 +284,7 @@
 func (l *Ledger) Restricted(now time.Duration) bool {
 	for _, m := range l.members {
 		if !l.silent(now, m) {
-			if now-m.hears > l.cfg.Silence {
+			if now-m.hears > l.stretched(l.cfg.Silence) {
 				return true
 			}
 			continue
@@ -289,10 +304,10 @@
 			continue
 		}
 		at, told := m.others[silent.id]
-		if !told || now-at > l.cfg.Silence {
+		if !told || now-at > l.stretched(l.cfg.Silence) {
 			continue
 		}
-		if !silent.ever || at-silent.heard > l.cfg.Fresher {
+		if !silent.ever || at-silent.heard > l.stretched(l.cfg.Fresher) {
 			return true
 		}
 	}
@@ -352,7 +367,7 @@
 	if have < min(need, most) {
 		return Decision{Retry: time.Duration((min(need, most) - have) / rate * float64(time.Second))}
 	}
-	if open := l.unconfirmed(now, a); open > 0 && open+need > unconfirmedShares*a.limit.Burst/l.size() {
+	if open := l.unconfirmed(now, a); open > 0 && need > smallShare*a.limit.Burst && open+need > unconfirmedShares*a.limit.Burst/l.size() {
 		return Decision{Retry: confirmTime, Unconfirmed: true}
 	}
 	a.level -= need
@@ -370,6 +385,9 @@
 	// unconfirmedShares is how many fair shares of the burst an instance may have spent
 	// that others have not confirmed to know.
 	unconfirmedShares = 2
+	// smallShare is the part of the burst up to which a request does not wait for
+	// confirmations: what such requests add up to before reports tell of them is little.
+	smallShare = 0.02
 	// confirmTime is when a confirmation that is missing will have come.
 	confirmTime = 200 * time.Millisecond
 	// reportTime is the time from an admission until the report that tells of it has
--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cairnworks/cairnworks/boottime"
+	"github.com/cairnworks/cairnworks/decision/quota"
 )
 
 // Figures of the exchange of reports.
@@ -136,32 +137,40 @@
 		case <-timer.C:
 		case <-x.kick:
 		}
-		x.send()
-		time.Sleep(reportSpacing)
-		timer.Reset(reportInterval)
+		stretch := x.send()
+		time.Sleep(scaled(reportSpacing, stretch*stretch))
+		timer.Reset(scaled(reportInterval, stretch))
 	}
 }
 
-// send tells all members what holds now.
-func (x *Exchange) send() {
+// scaled returns a time multiplied by a factor.
+func scaled(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
+
+// stretch is by how much the pace of reports is slowed down; the lock is held.
+func (x *Exchange) stretch() float64 { return quota.Stretch(len(x.targets) + 1) }
+
+// send tells all members what holds now, and returns by how much the pace is slowed
+// down.
+func (x *Exchange) send() float64 {
 	now := x.wake()
 	x.mu.Lock()
 	x.sequence++
 	x.confirming = false
 	r := &Report{Instance: x.self.Name, Incarnation: x.self.Incarnation, Sequence: x.sequence, Leaving: x.leaving}
-	targets := x.targets
+	targets, stretch := x.targets, x.stretch()
 	x.mu.Unlock()
 	x.handler.Fill(now, r)
 	data, err := r.marshal()
 	if err != nil || len(data) > maxDatagram {
 		x.logger.Error("report not sent", zap.Int("bytes", len(data)), zap.Error(err))
-		return
+		return stretch
 	}
 	for name, target := range targets {
 		if _, err := x.conn.WriteToUDPAddrPort(data, target); err != nil {
 			x.logger.Debug("report not sent", zap.String("peer", name), zap.Error(err))
 		}
 	}
+	return stretch
 }
 
 // wake notes that the process runs, and whether it stood still before.
@@ -169,7 +178,7 @@
 	now := boottime.Now()
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if now-x.awake > stallGap {
+	if now-x.awake > scaled(stallGap, x.stretch()) {
 		x.dropUntil = now + stallDrop
 		x.logger.Warn("process stood still", zap.Duration("gap", now-x.awake))
 	}
@@ -231,7 +240,7 @@
 		return
 	}
 	x.confirming = true
-	time.AfterFunc(confirmDelay, x.Kick)
+	time.AfterFunc(scaled(confirmDelay, x.stretch()), x.Kick)
 }
 
 // OnReport sets what is told of every report's sender. It must be called before Run.
@@ -244,7 +253,7 @@
 func (x *Exchange) accept(now time.Duration, r *Report) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if now < x.dropUntil || now-x.awake > stallGap {
+	if now < x.dropUntil || now-x.awake > scaled(stallGap, x.stretch()) {
 		return false
 	}
 	last := x.last[r.Instance]
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cairnworks/cairnworks/boottime"
+	"github.com/cairnworks/cairnworks/decision/quota"
 	"github.com/cairnworks/cairnworks/decision/room"
 	"github.com/cairnworks/cairnworks/fleet"
 	"github.com/cairnworks/cairnworks/upstream"
@@ -76,7 +77,7 @@
 func (p *pool) dropSilent() {
 	now := boottime.Now()
 	for instance, at := range p.heard {
-		if now-at > peerLoadAge {
+		if now-at > time.Duration(float64(peerLoadAge)*quota.Stretch(len(p.heard)+1)) {
 			delete(p.heard, instance)
 			p.room.SetPeer(instance, nil)
 		}
