--- a/decision/quota/quota.go
+++ b/decision/quota/quota.go
@@ -46,7 +46,10 @@
 //     their delay.
 package quota
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Config holds the figures; see the package comment for their grounds.
 type Config struct {
@@ -279,21 +282,30 @@
 	return out
 }
 
+// strayShare is the part of the members whose word alone restricts nobody: in a large
+// fleet there is always one that is slow. What they spend unseen is their share of the
+// requests.
+const strayShare = 0.05
+
+// strays is how many members may differ from the others.
+func (l *Ledger) strays() int { return int(strayShare * l.size()) }
+
 // Restricted reports whether this instance may spend its fair share only, since
 // others may not count what it spends.
 func (l *Ledger) Restricted(now time.Duration) bool {
+	count := 0
 	for _, m := range l.members {
-		if !l.silent(now, m) {
-			if now-m.hears > l.stretched(l.cfg.Silence) {
-				return true
-			}
-			continue
+		unheard := false
+		if l.silent(now, m) {
+			unheard = l.heardElsewhere(now, m)
+		} else {
+			unheard = now-m.hears > l.stretched(l.cfg.Silence)
 		}
-		if l.heardElsewhere(now, m) {
-			return true
+		if unheard {
+			count++
 		}
 	}
-	return false
+	return count > l.strays()
 }
 
 // heardElsewhere reports whether a member that is silent here is heard by another
@@ -367,7 +379,7 @@
 	if have < min(need, most) {
 		return Decision{Retry: time.Duration((min(need, most) - have) / rate * float64(time.Second))}
 	}
-	if open := l.unconfirmed(now, a); open > 0 && need > smallShare*a.limit.Burst && open+need > unconfirmedShares*a.limit.Burst/l.size() {
+	if open := l.unconfirmed(now, a); open > 0 && need > smallShare*a.limit.Burst && open+need > l.unconfirmedMost(a) {
 		return Decision{Retry: confirmTime, Unconfirmed: true}
 	}
 	a.level -= need
@@ -395,6 +407,14 @@
 	reportTime = 25 * time.Millisecond
 )
 
+// unconfirmedMost is what this instance may have spent without confirmation. Reports
+// of a large fleet are slow, while few of its instances get a request of the same
+// organisation between two of them.
+func (l *Ledger) unconfirmedMost(a *account) float64 {
+	stretch := Stretch(len(l.members) + 1)
+	return unconfirmedShares * stretch * stretch * a.limit.Burst / l.size()
+}
+
 // most is what a full bucket holds: the burst without the shares of members that are
 // not heard.
 func (l *Ledger) most(now time.Duration, a *account) float64 {
@@ -411,11 +431,16 @@
 // has told to have heard since.
 func (l *Ledger) unconfirmed(now time.Duration, a *account) float64 {
 	confirmed := now
+	var heard []time.Duration
 	for _, m := range l.members {
 		if !l.silent(now, m) {
-			confirmed = min(confirmed, m.hears-reportTime)
+			heard = append(heard, m.hears-reportTime)
 		}
 	}
+	slices.Sort(heard)
+	if len(heard) > l.strays() {
+		confirmed = min(confirmed, heard[l.strays()])
+	}
 	open := 0.0
 	kept := a.recent[:0]
 	for _, r := range a.recent {
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -54,6 +54,8 @@
 	Pace   Pace
 	Reader Reader
 	Logger *zap.Logger
+	// Slow multiplies the gap, if set; all instances' calls together are bounded.
+	Slow func() float64
 
 	next   uint64
 	known  bool
@@ -71,11 +73,18 @@
 		}
 		f.regained()
 		f.Reader.Proven(begun)
-		sleep(ctx, f.Pace.Gap)
+		sleep(ctx, f.gap())
 	}
 	return ctx.Err()
 }
 
+func (f *Follower) gap() time.Duration {
+	if f.Slow == nil {
+		return f.Pace.Gap
+	}
+	return time.Duration(float64(f.Pace.Gap) * f.Slow())
+}
+
 // step makes one call and hands on what it brought.
 func (f *Follower) step(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, f.Pace.Wait+callSlack)
--- a/instance/routed/readers.go
+++ b/instance/routed/readers.go
@@ -17,13 +17,22 @@
 	// proof's age is at most the wait and the gap, a quarter of what a withdrawn key
 	// may go on working.
 	configPace = follow.Pace{Wait: 900 * time.Millisecond, Gap: 50 * time.Millisecond}
-	// Upstreams renew their entries all the time. A leaving one must get nothing new
-	// after two seconds, and prompts that are just being read take some of that.
-	upstreamPace = follow.Pace{Gap: 700 * time.Millisecond}
-	// Instances seldom come and go.
+	// Instances seldom come and go, and most are known by their reports before their
+	// entry is read.
 	memberPace = follow.Pace{Gap: 1500 * time.Millisecond}
 )
 
+// leavingShare is the part of the time in which a leaving upstream may still get work
+// that passes between two reads of the list. Prompts that are just being read take
+// some of the rest.
+const leavingShare = 0.35
+
+// upstreamPace is how often the list of upstreams is read; they renew their entries
+// all the time, so that a waiting call would return with each of them.
+func (i *Instance) upstreamPace() follow.Pace {
+	return follow.Pace{Gap: time.Duration(leavingShare*float64(i.settings.LeaveMS)) * time.Millisecond}
+}
+
 // configReader takes in configurations.
 type configReader struct{ instance *Instance }
 
--- a/instance/routed/routed.go
+++ b/instance/routed/routed.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cairnworks/cairnworks/boottime"
+	"github.com/cairnworks/cairnworks/decision/quota"
 	"github.com/cairnworks/cairnworks/fleet"
 	"github.com/cairnworks/cairnworks/follow"
 	"github.com/cairnworks/cairnworks/gateway"
@@ -151,6 +152,9 @@
 	}
 }
 
+// slow is by how much what all instances do beside requests is slowed down.
+func (i *Instance) slow() float64 { return quota.Stretch(i.fleetSize()) }
+
 func (i *Instance) fleetSize() int {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -224,8 +228,8 @@
 func (i *Instance) startFollowing(ctx context.Context, group *errgroup.Group) {
 	for _, f := range []*follow.Follower{
 		{Topic: port.TopicConfiguration, Pace: configPace, Reader: &configReader{instance: i}},
-		{Topic: port.TopicUpstreams, Pace: upstreamPace, Reader: &upstreamReader{instance: i}},
-		{Topic: port.TopicInstances, Pace: memberPace, Reader: i.members},
+		{Topic: port.TopicUpstreams, Pace: i.upstreamPace(), Reader: &upstreamReader{instance: i}},
+		{Topic: port.TopicInstances, Pace: memberPace, Reader: i.members, Slow: i.slow},
 	} {
 		f.Log, f.Logger = i.outside.Log, i.log
 		group.Go(func() error { return ignoreEnd(ctx, f.Run(ctx)) })
