Requests that crash upstreams are stopped on all instances at the second crash

Cause: a request that ends each engine that runs it comes again at any instance; each crash also ends some ten others. Change: a broken request whose upstream no longer listens is charged with its crash; instances tell one another; the quarantine that the scheduler uses decides. A lost answer, which looks the same, is told apart by trying the address.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -99,6 +99,8 @@
 	FreeHandle(ctx context.Context, to upstream.Entry, handle string) error
 	// Reserve sets engine memory aside for a request that follows within ttl.
 	Reserve(ctx context.Context, to upstream.Entry, tokens int, ttl time.Duration) (reservation string, err error)
+	// Reach fails where nobody listens at an upstream's address.
+	Reach(ctx context.Context, to upstream.Entry) error
 	// DropReservation gives reserved memory back.
 	DropReservation(ctx context.Context, to upstream.Entry, reservation string) error
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -29,6 +29,7 @@
 	run      func(ctx context.Context, to upstream.Entry, c *Call, o RunOptions) (*Answer, error)
 	prefill  func(to upstream.Entry) (string, error)
 	reserve  func(to upstream.Entry) (string, error)
+	reach    error
 	sends    []string
 	options  []RunOptions
 	released []string
@@ -76,6 +77,8 @@
 	return f.reserve(to)
 }
 
+func (f *fakes) Reach(context.Context, upstream.Entry) error { return f.reach }
+
 func (f *fakes) DropReservation(_ context.Context, _ upstream.Entry, reservation string) error {
 	f.note(reservation)
 	return nil
@@ -486,6 +489,35 @@
 	assert.Equal(t, w.gateway.bodies.Load(), int64(0))
 }
 
+// A request crashes each upstream that runs it and comes again at any instance. Told
+// by the instance that saw the second crash, the others must not send it to a third;
+// one whose answers were lost has crashed nothing.
+func TestRequestThatCrashesUpstreamsIsStopped(t *testing.T) {
+	for _, gone := range []bool{false, true} {
+		w, other := newWorld(t), newWorld(t)
+		if gone {
+			w.reach = errors.New("nobody listens")
+		}
+		w.always(crashed())
+		other.always(crashed())
+		for _, path := range []string{"/read/x", "/read/other"} {
+			w.ask(path, nil)
+		}
+		time.Sleep(5 * probeDelay)
+		var r fleet.Report
+		w.gateway.crashes.fill(boottime.Now(), &r)
+		other.gateway.crashes.take(boottime.Now(), &r)
+		for _, g := range []*world{w, other} {
+			sends := len(g.sends)
+			rec, _ := g.ask("/read/x", nil)
+			assert.Equal(t, len(g.sends) == sends, gone)
+			if gone {
+				assert.Equal(t, rec.Code, http.StatusServiceUnavailable)
+			}
+		}
+	}
+}
+
 // Retries are bounded by what was asked, so that a failing service does not get three
 // times its load.
 func TestRetryBudget(t *testing.T) {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -48,6 +48,7 @@
 	plain    *plainRooms
 	suspects *suspects
 	budget   *budgets
+	crashes  *crashes
 	bodies   atomic.Int64
 	draining atomic.Bool
 }
@@ -58,6 +59,7 @@
 	g.suspects = newSuspects(boottime.Now)
 	g.plain = newPlainRooms()
 	g.desks = newDesks(g)
+	g.crashes = newCrashes(g.log, g.Upstreams.Reach)
 	g.budget = newBudgets(o.Budget, o.Members)
 	return g
 }
@@ -101,6 +103,10 @@
 		g.refuse(w, call, v)
 		return
 	}
+	if v := g.crashes.blocked(call); v != nil {
+		g.refuse(w, call, v)
+		return
+	}
 	if v := g.charge(r.Context(), a); v != nil {
 		g.refuse(w, call, v)
 		return
@@ -186,6 +192,7 @@
 	r.Loads = make(map[fleet.Hash]fleet.Load)
 	g.plain.fill(r.Loads)
 	g.desks.fill(r.Loads)
+	g.crashes.fill(now, r)
 	if index := g.state.Index(); index != nil {
 		r.ConfigVersion = index.Version()
 	}
@@ -196,4 +203,5 @@
 	g.quotas.Take(now, r)
 	g.plain.take(r)
 	g.desks.take(r)
+	g.crashes.take(now, r)
 }
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -144,6 +144,7 @@
 	g.suspects.succeed(place.entry)
 	v = out.copy(answer)
 	if v == nil && answer.Status == http.StatusOK {
+		g.crashes.succeeded(r.admitted.call)
 		r.desk.finished(r.admitted.call, out.events*r.desk.shape().EventTokens, r.tokens, time.Since(placed))
 	}
 	if v != nil && ctx.Err() == nil {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -222,6 +222,7 @@
 		return nil, v
 	}
 	g.suspects.succeed(entry)
+	g.crashes.succeeded(a.call)
 	return response, nil
 }
 
@@ -259,6 +260,9 @@
 	if ctx.Err() != nil && v.Reason != verdict.ReasonTimeout {
 		return
 	}
+	if v.Ran != verdict.NotRun && (v.Reason == verdict.ReasonUpstreamCrashed || v.Reason == verdict.ReasonTruncated) {
+		g.crashes.broke(c, entry, g.changed)
+	}
 	switch v.Reason {
 	case verdict.ReasonUpstreamUnreachable, verdict.ReasonUpstreamCrashed, verdict.ReasonTimeout:
 		g.suspects.fail(entry)
--- a/httpconn/pool.go
+++ b/httpconn/pool.go
@@ -110,6 +110,16 @@
 	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
 }
 
+// Reach opens a connection and keeps it for a request. It fails where nobody listens.
+func (p *Pool) Reach(ctx context.Context, address string) error {
+	c, err := p.open(ctx, address)
+	if err != nil {
+		return err
+	}
+	p.put(c, DefaultIdle)
+	return nil
+}
+
 // put keeps a connection for another request.
 func (p *Pool) put(c *conn, idle time.Duration) {
 	c.used = true
