Quotas: what flows in while a member is silent is not lost

Cause: tokens set aside for silent members, and what a member had spent meanwhile, were both taken off; an instance that had been cut off stayed far below the others' level while its organisation used all that flowed in, and refused what they admitted (log: -67,166 tokens left at one instance, 9,017 at another). Change: the bucket itself ignores silence, a second, tighter one holds while it lasts; after it the lower of both levels holds.

--- a/decision/quota/quota.go
+++ b/decision/quota/quota.go
@@ -19,8 +19,10 @@
 // Rules:
 //
 //   - A member that is not heard for Silence may be at work behind a partition.
-//     Its fair share, the rate divided by the members, is set aside for it. When it
-//     is heard again its true use is settled against what was set aside.
+//     Its fair share, the rate and the burst divided by the members, is set aside for
+//     it until it is heard again. Then the lower of both levels holds: what it has
+//     spent meanwhile was spent while tokens flowed in that this instance took for
+//     overflow, so that taking it off at once would count it twice.
 //
 //   - An instance that cannot be sure that the others count its use spends its
 //     fair share only: when a member that it hears says that it does not hear this
@@ -124,14 +126,13 @@
 // account is an organisation's quota as this instance sees it.
 type account struct {
 	limit Limit
-	// level is what the whole fleet may still spend at once, own what this instance
-	// may spend while it is restricted to its share.
-	level, own float64
+	// level is what the whole fleet may still spend at once, tight the same without the
+	// shares of members that are not heard, and own what this instance may spend while
+	// it is restricted to its share.
+	level, tight, own float64
 	// spent is what this instance has admitted since it started.
 	spent int64
 	at    time.Duration
-	// aside is what was set aside for members that are not heard.
-	aside map[MemberID]float64
 	// recent are this instance's admissions of the last moments, oldest first.
 	recent []admission
 }
@@ -166,12 +167,13 @@
 	a, known := l.accounts[organisation]
 	if !known {
 		start := min(l.initial(limit), limit.Burst)
-		a = &account{at: now, aside: make(map[MemberID]float64), level: start, own: start / l.size()}
+		a = &account{at: now, level: start, tight: start, own: start / l.size()}
 		l.accounts[organisation] = a
 	}
 	l.refill(now, a)
 	a.limit = limit
 	a.level = min(a.level, limit.Burst)
+	a.tight = min(a.tight, limit.Burst)
 	a.own = min(a.own, limit.Burst/l.size())
 }
 
@@ -196,9 +198,6 @@
 	for id := range l.members {
 		if !listed[id] {
 			delete(l.members, id)
-			for _, a := range l.accounts {
-				delete(a.aside, id)
-			}
 		}
 	}
 }
@@ -222,7 +221,7 @@
 		l.refill(now, a)
 	}
 	m := l.member(now, r.From)
-	first := !m.ever
+	lost := l.silent(now, m)
 	m.heard, m.ever = now, true
 	for _, h := range r.Heard {
 		if h.Member == l.self {
@@ -232,36 +231,37 @@
 		m.others[h.Member] = h.At
 	}
 	for name, total := range r.Spent {
-		l.settle(now, m, name, total, first)
+		l.settle(m, name, total, lost)
+	}
+	if lost || now-l.started <= learning {
+		l.adopt(r)
 	}
-	l.adopt(now, r)
 }
 
-// settle takes a member's use off the bucket, less what was set aside for it.
-func (l *Ledger) settle(now time.Duration, m *member, name string, total int64, first bool) {
+// settle takes a member's use off the bucket. What a member has spent while it was not
+// heard is part of the level that is adopted.
+func (l *Ledger) settle(m *member, name string, total int64, lost bool) {
 	a, known := l.accounts[name]
 	before, told := m.spent[name]
 	m.spent[name] = total
-	if !known || first || !told {
-		// The first report of a run that this instance did not see begin: what it
-		// spent before is part of the level that is adopted.
+	if !known || lost || !told {
 		return
 	}
-	set := a.aside[m.id]
-	delete(a.aside, m.id)
-	a.level = min(a.level+set-float64(total-before), a.limit.Burst)
+	spent := float64(total - before)
+	a.level = min(a.level-spent, a.limit.Burst)
+	a.tight = min(a.tight-spent, a.limit.Burst)
 }
 
-// adopt takes over the lowest level that others tell, as long as this instance is
-// too young to know the use of the last seconds by itself.
-func (l *Ledger) adopt(now time.Duration, r Report) {
-	const learning = 2 * time.Second
-	if now-l.started > learning {
-		return
-	}
+// learning is how long after its start an instance takes over what others know of the
+// use before it.
+const learning = 2 * time.Second
+
+// adopt takes over the level that a member tells, if it is lower.
+func (l *Ledger) adopt(r Report) {
 	for name, share := range r.Level {
 		if a, known := l.accounts[name]; known {
 			a.level = min(a.level, share*a.limit.Burst)
+			a.tight = min(a.tight, a.level)
 		}
 	}
 }
@@ -326,24 +326,33 @@
 	return false
 }
 
-// refill adds what has flowed in since the last time, and sets the share of silent
-// members aside.
+// refill adds what has flowed in since the last time.
 func (l *Ledger) refill(now time.Duration, a *account) {
 	elapsed := (now - a.at).Seconds()
 	if elapsed <= 0 {
 		return
 	}
 	a.at = now
-	share := a.limit.Rate / l.size()
-	a.level += elapsed * a.limit.Rate
-	for id, m := range l.members {
+	flow := elapsed * a.limit.Rate
+	a.level = min(a.level+flow, a.limit.Burst)
+	a.own = min(a.own+flow/l.size(), a.limit.Burst/l.size())
+	heard := l.heardShare(now)
+	if heard == 1 {
+		a.tight = a.level
+		return
+	}
+	a.tight = min(a.tight+flow*heard, a.limit.Burst*heard, a.level)
+}
+
+// heardShare is the part of the instances that are heard, this one included.
+func (l *Ledger) heardShare(now time.Duration) float64 {
+	silent := 0.0
+	for _, m := range l.members {
 		if l.silent(now, m) {
-			a.aside[id] += elapsed * share
-			a.level -= elapsed * share
+			silent++
 		}
 	}
-	a.level = min(a.level, l.most(now, a))
-	a.own = min(a.own+elapsed*share, a.limit.Burst/l.size())
+	return (l.size() - silent) / l.size()
 }
 
 // Decision is the answer to a request for tokens.
@@ -368,11 +377,11 @@
 		return Decision{Admitted: true}
 	}
 	need := float64(tokens)
-	most := l.most(now, a)
-	have, rate := a.level, a.limit.Rate
+	most := a.limit.Burst * l.heardShare(now)
+	have, rate := a.tight, a.limit.Rate
 	if l.Restricted(now) {
 		most = a.limit.Burst / l.size()
-		have, rate = min(a.level, a.own), a.limit.Rate/l.size()
+		have, rate = min(a.tight, a.own), a.limit.Rate/l.size()
 	}
 	// A request larger than the whole burst passes when the bucket is full, since
 	// it could never pass otherwise.
@@ -383,6 +392,7 @@
 		return Decision{Retry: confirmTime, Unconfirmed: true}
 	}
 	a.level -= need
+	a.tight -= need
 	a.own -= need
 	a.spent += tokens
 	a.recent = append(a.recent, admission{now, need})
@@ -415,18 +425,6 @@
 	return unconfirmedShares * stretch * stretch * a.limit.Burst / l.size()
 }
 
-// most is what a full bucket holds: the burst without the shares of members that are
-// not heard.
-func (l *Ledger) most(now time.Duration, a *account) float64 {
-	silent := 0.0
-	for _, m := range l.members {
-		if l.silent(now, m) {
-			silent++
-		}
-	}
-	return a.limit.Burst * (l.size() - silent) / l.size()
-}
-
 // unconfirmed is what this instance has admitted and not every member that it hears
 // has told to have heard since.
 func (l *Ledger) unconfirmed(now time.Duration, a *account) float64 {
@@ -461,6 +459,7 @@
 	}
 	l.refill(now, a)
 	a.level = min(a.level+float64(tokens), a.limit.Burst)
+	a.tight = min(a.tight+float64(tokens), a.level)
 	a.own = min(a.own+float64(tokens), a.limit.Burst/l.size())
 	a.spent -= tokens
 }
@@ -504,7 +503,7 @@
 	}
 	if a, known := l.accounts[organisation]; known {
 		l.refill(now, a)
-		v.Limit, v.Level, v.Own = a.limit, a.level, a.own
+		v.Limit, v.Level, v.Own = a.limit, a.tight, a.own
 	}
 	return v
 }
