--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -19,7 +19,7 @@
 	// certainAge is the age of the configuration's proof up to which an unknown route
 	// or key is refused for good. An older one may lack what was just added, and the
 	// caller would be told never to ask again.
-	certainAge = 1800 * time.Millisecond
+	certainAge = 1700 * time.Millisecond
 	// minQuotaRetry keeps callers from coming back before other requests that were
 	// admitted in the same moment are counted.
 	minQuotaRetry = 100 * time.Millisecond
@@ -35,6 +35,8 @@
 	route   *object.Route
 	service *object.Service
 	index   *object.Index
+	// upstream is the id of the one that was sent the request last.
+	upstream string
 	// charge is what was taken of the organisation's quota.
 	charge int64
 }
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -110,6 +110,10 @@
 		return v
 	}
 	placed := time.Now()
+	waited := placed.Sub(r.admitted.call.Arrived)
+	g.Metrics.Took("placement", r.admitted.service.Name, waited)
+	g.log.Info("placed", zap.String("request", r.admitted.call.ID), zap.String("upstream", place.entry.ID), zap.Int("tokens", r.tokens),
+		zap.Duration("waited", waited), zap.Float64("pool_free", r.desk.decode.free()), zap.Uint64("list", g.state.Directory.Version()))
 	defer func() { r.desk.leave(place.entry, r.tokens) }()
 	out.progress = func(events int) { r.grow(place.entry, events) }
 	source, from, v := r.prefill(ctx)
@@ -123,6 +127,7 @@
 		return v
 	}
 	r.sent++
+	r.admitted.upstream = place.entry.ID
 	answer, err := g.Upstreams.Run(ctx, place.entry, r.admitted.call, RunOptions{
 		Source: source, Reservation: place.reservation, LastEventID: out.lastID, Priority: r.admitted.call.prio,
 	})
@@ -326,6 +331,7 @@
 		return "", verdict.From(err)
 	}
 	r.desk.prefilled(tokens, time.Since(begun))
+	r.gateway.Metrics.Took("prefill", r.admitted.service.Name, time.Since(begun))
 	r.gateway.suspects.succeed(entry)
 	return handle, nil
 }
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -193,6 +193,7 @@
 	g.changed()
 	defer r.pool.release(entry.ID, 0)
 	r.tried[entry.ID] = true
+	a.upstream = entry.ID
 	if v := g.mayRun(a); v != nil {
 		return nil, v
 	}
@@ -344,5 +345,6 @@
 		g.log.Info("answer broken off", zap.String("request", a.call.ID), zap.Int("status", status), zap.Duration("took", took), zap.Error(err))
 		return
 	}
-	g.log.Debug("answered", zap.String("request", a.call.ID), zap.Int("status", status), zap.Duration("took", took))
+	g.Metrics.Took("answer", a.service.Name, took)
+	g.log.Info("answered", zap.String("request", a.call.ID), zap.String("upstream", a.upstream), zap.Int("status", status), zap.Duration("took", took))
 }
--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -19,7 +19,11 @@
 	mu     sync.Mutex
 	ledger *quota.Ledger
 	bound  QuotaBound
-	self   quota.MemberID
+	// OnRestricted is told when this instance is restricted to its share, and when no
+	// more; it must not call back. Nil is allowed.
+	OnRestricted func(restricted bool)
+	restricted   bool
+	self         quota.MemberID
 	// names and members resolve the short forms in reports.
 	names   map[fleet.Hash]string
 	members map[fleet.Hash]quota.MemberID
@@ -138,6 +142,12 @@
 func (q *Quotas) Fill(now time.Duration, r *fleet.Report) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if restricted := q.ledger.Restricted(now); restricted != q.restricted {
+		q.restricted = restricted
+		if q.OnRestricted != nil {
+			q.OnRestricted(restricted)
+		}
+	}
 	own := q.ledger.Report(now)
 	r.Spends = make(map[fleet.Hash]fleet.Spend, len(own.Spent))
 	for name, tokens := range own.Spent {
--- a/instance/routed/routed.go
+++ b/instance/routed/routed.go
@@ -117,6 +117,9 @@
 	i.holder = fmt.Sprintf("%s/%x", self.Name, self.Incarnation)
 	bound := gateway.QuotaBound{Window: seconds(s.QuotaS), Over: s.QuotaOver, Slack: s.QuotaSlack}
 	i.quotas = gateway.NewQuotas(boottime.Now, self, bound, s.FirstStart)
+	i.quotas.OnRestricted = func(restricted bool) {
+		log.Info("quota shares", zap.Bool("restricted", restricted), zap.Int("instances", i.fleetSize()))
+	}
 	i.gateway = gateway.New(gateway.Options{
 		Codec: outside.Codec, Upstreams: outside.Upstreams, State: i.state, Quotas: i.quotas, Log: log, Metrics: i.metrics,
 		DataCentre: s.DataCentre, Kick: i.kick, MaxBodies: i.bodyLimit(),
--- a/observe/metrics.go
+++ b/observe/metrics.go
@@ -85,6 +85,15 @@
 	return counts
 }
 
+// latencyBuckets are the bounds of all latency histograms: from a connection on the
+// same machine, a millisecond, to the longest that callers wait.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 15)
+
+// Took records how long a stage of a request took.
+func (m *Metrics) Took(stage, service string, d time.Duration) {
+	m.Scope.Tagged(map[string]string{"stage": stage, "service": service}).Histogram("stage_seconds", latencyBuckets).RecordDuration(d)
+}
+
 // Retried counts a retry by the reason of the failed attempt.
 func (m *Metrics) Retried(service string, reason verdict.Reason) {
 	m.Scope.Tagged(map[string]string{"service": service, "reason": string(reason)}).Counter("retries").Inc(1)
