--- a/gateway/model.go
+++ b/gateway/model.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cairnworks/cairnworks/decision/quota"
 	"github.com/cairnworks/cairnworks/decision/waiting"
 	"github.com/cairnworks/cairnworks/upstream"
 	"github.com/cairnworks/cairnworks/verdict"
@@ -227,10 +228,21 @@
 	ctx, cancel := context.WithTimeout(ctx, reservePatience)
 	defer cancel()
 	ttl := min(reservationTime, time.Duration(r.desk.shape().ReservationMS)*time.Millisecond)
-	reservation, err := r.gateway.Upstreams.Reserve(ctx, entry, r.admitted.call.PromptTokens+min(reservedOutput, r.output), ttl)
+	reservation, err := r.gateway.Upstreams.Reserve(ctx, entry, r.admitted.call.PromptTokens+r.reservedOutput(), ttl)
 	return reservation, verdict.From(err)
 }
 
+// reservedOutput is the tokens of output that are reserved at the engine.
+func (r *modelRun) reservedOutput() int {
+	if quota.Stretch(r.gateway.Members()) > 1 {
+		// What the others have placed is known late in a large fleet, so that claims do not
+		// keep an engine from being filled by several instances at once; its own
+		// reservations do.
+		return r.output
+	}
+	return min(reservedOutput, r.output)
+}
+
 // drop gives reserved memory back that will not be used.
 func (r *modelRun) drop(p place) {
 	if p.reservation == "" {
--- a/instance/routed/readers.go
+++ b/instance/routed/readers.go
@@ -16,7 +16,7 @@
 	// The configuration seldom changes, and each call proves that it has not: the
 	// proof's age is at most the wait and the gap, a quarter of what a withdrawn key
 	// may go on working.
-	configPace = follow.Pace{Wait: 900 * time.Millisecond, Gap: 50 * time.Millisecond}
+	configPace = follow.Pace{Wait: 1200 * time.Millisecond, Gap: 50 * time.Millisecond}
 	// Instances seldom come and go, and most are known by their reports before their
 	// entry is read.
 	memberPace = follow.Pace{Gap: 1500 * time.Millisecond}
@@ -25,7 +25,7 @@
 // leavingShare is the part of the time in which a leaving upstream may still get work
 // that passes between two reads of the list. Prompts that are just being read take
 // some of the rest.
-const leavingShare = 0.35
+const leavingShare = 0.4
 
 // upstreamPace is how often the list of upstreams is read; they renew their entries
 // all the time, so that a waiting call would return with each of them.
