--- /dev/null
+++ b/gateway/roles_test.go
@@ -0,0 +1,187 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cairnworks/cairnworks/boottime"
+	"github.com/cairnworks/cairnworks/port"
+	"github.com/cairnworks/cairnworks/upstream"
+	"github.com/cairnworks/cairnworks/verdict"
+)
+
+// topic is a keyed topic in memory. lost makes writes take effect without an answer.
+type topic struct {
+	port.KeyedLog
+	records []port.KeyedRecord
+	lost    bool
+}
+
+func (k *topic) Newest(context.Context, port.Topic) ([]port.KeyedRecord, uint64, error) {
+	newest := map[string]port.KeyedRecord{}
+	for _, r := range k.records {
+		newest[r.Key] = r
+	}
+	var out []port.KeyedRecord
+	for _, r := range newest {
+		out = append(out, r)
+	}
+	return out, uint64(len(k.records)), nil
+}
+
+func (k *topic) PutAt(_ context.Context, _ port.Topic, at uint64, key string, value []byte) error {
+	if at != uint64(len(k.records)) {
+		return port.ErrConflict
+	}
+	k.records = append(k.records, port.KeyedRecord{Key: key, Value: value, Offset: at})
+	if k.lost {
+		return errors.New("no answer")
+	}
+	return nil
+}
+
+// ordered notes the orders that engines get.
+type ordered struct {
+	orders []Order
+	state  EngineState
+	err    error
+	before func()
+}
+
+func (o *ordered) State(context.Context, upstream.Entry) (EngineState, error) {
+	if o.before != nil {
+		o.before()
+	}
+	return o.state, nil
+}
+
+func (o *ordered) Order(_ context.Context, _ upstream.Entry, order Order) error {
+	o.orders = append(o.orders, order)
+	return o.err
+}
+
+func keeper(w *world, log port.KeyedLog, engines Engines, holder string) *roleKeeper {
+	return &roleKeeper{
+		RoleOptions: RoleOptions{Engines: engines, Log: log, Holder: holder, Leads: func(string) bool { return true }, Lease: time.Second},
+		gateway:     w.gateway, wanted: map[string]int{}, quiet: map[string]time.Duration{}, seen: map[string]sighting{},
+	}
+}
+
+func modelDesk(w *world) *desk {
+	service := set().Services[1]
+	d := w.gateway.desks.get(&service)
+	d.sync()
+	return d
+}
+
+// An engine changes its stage. Until its entry shows the new one it refuses what is
+// sent to it, reservations or not, so that it must get nothing.
+func TestChangingEngineGetsNothing(t *testing.T) {
+	w := newWorld(t)
+	engines := &ordered{state: EngineState{Role: upstream.Prefill, Orders: 3}}
+	d := modelDesk(w)
+	k := keeper(w, &topic{}, engines, "a/1")
+	assert.NilError(t, k.carryOut(t.Context(), d, upstream.Decode, 1))
+	assert.DeepEqual(t, engines.orders, []Order{{Role: upstream.Decode, Holder: "a/1", Token: 1, Expect: 3}})
+	assert.Equal(t, len(d.prefill.away), 1)
+	var changing string
+	for id := range d.prefill.away {
+		changing = id
+	}
+	for range 4 {
+		e, ok := d.prefill.claim(10, 0, nil)
+		assert.Assert(t, !ok || e.ID != changing)
+	}
+	e := d.prefill.entries[changing]
+	e.Role = upstream.Decode
+	w.state.Directory.Put(e)
+	d.sync()
+	assert.Equal(t, len(d.prefill.away), 0)
+	assert.Equal(t, len(d.decode.room.Engines()), 3)
+}
+
+// Two instances want to change engines at once. If both gave orders, engines would go
+// to and fro between the stages, and those that do not check tokens obey both.
+func TestOneHolderAtATime(t *testing.T) {
+	w := newWorld(t)
+	log := &topic{}
+	engines := &ordered{state: EngineState{Role: upstream.Prefill}}
+	d := modelDesk(w)
+	first, second := keeper(w, log, engines, "a/1"), keeper(w, log, engines, "b/1")
+	_, _, err := first.become(t.Context(), d.service)
+	assert.NilError(t, err)
+	_, _, err = second.become(t.Context(), d.service)
+	assert.ErrorIs(t, err, errHeld)
+	token, _, err := first.become(t.Context(), d.service)
+	assert.NilError(t, err)
+	assert.Equal(t, token, uint64(2))
+	second.seen[d.service] = sighting{offset: 1, at: boottime.Now() - takeover*time.Second - time.Millisecond}
+	token, _, err = second.become(t.Context(), d.service)
+	assert.NilError(t, err, "a holder that was not seen renewing for several leases")
+	assert.Equal(t, token, uint64(3))
+	_, _, err = first.become(t.Context(), d.service)
+	assert.ErrorIs(t, err, errHeld)
+}
+
+// The machine is suspended between the write that made it the holder and its order.
+// Another may hold by now.
+func TestLateHolderGivesNoOrder(t *testing.T) {
+	w := newWorld(t)
+	engines := &ordered{state: EngineState{Role: upstream.Prefill}}
+	k := keeper(w, &topic{}, engines, "a/1")
+	d := modelDesk(w)
+	err := k.order(t.Context(), d, upstream.Decode, 1, boottime.Now())
+	assert.ErrorContains(t, err, "lease")
+	assert.Equal(t, len(engines.orders), 0)
+	// The write's answer is lost: whether this instance holds is not known.
+	_, _, err = keeper(w, &topic{lost: true}, engines, "a/1").become(t.Context(), d.service)
+	assert.Assert(t, err != nil)
+}
+
+// An order gets no answer and may be carried out seconds later. A second one would
+// change another engine too.
+func TestUnansweredOrderIsWaitedOut(t *testing.T) {
+	w := newWorld(t)
+	d := modelDesk(w)
+	engines := &ordered{state: EngineState{Role: upstream.Prefill}, err: verdict.Fail(verdict.MayHaveRun, verdict.ReasonTimeout, nil, "no answer")}
+	k := keeper(w, &topic{}, engines, "a/1")
+	assert.NilError(t, k.carryOut(t.Context(), d, upstream.Decode, 1))
+	assert.Assert(t, k.quiet[d.service] > boottime.Now()+roleUnknown/2)
+	assert.Equal(t, len(d.prefill.away), 1)
+	refusing := &ordered{state: EngineState{Role: upstream.Prefill}, err: verdict.Refuse(verdict.ReasonUpstreamRefused, 0, "no")}
+	k = keeper(w, &topic{}, refusing, "a/1")
+	assert.NilError(t, k.carryOut(t.Context(), d, upstream.Decode, 1))
+	assert.Equal(t, len(d.prefill.away), 1, "an engine that refused the order serves on")
+	busy := &ordered{state: EngineState{Role: upstream.Prefill, Busy: true}}
+	assert.Assert(t, keeper(w, &topic{}, busy, "a/1").carryOut(t.Context(), d, upstream.Decode, 1) != nil)
+	assert.Equal(t, len(busy.orders), 0)
+}
+
+// A change is wanted by the work that was measured, twice in a row, and by the one
+// instance that leads.
+func TestChangeIsConfirmed(t *testing.T) {
+	w := newWorld(t)
+	d := modelDesk(w)
+	for range 20 {
+		d.prefilled(5_000, 10*time.Millisecond)
+		d.finished(&Call{PromptTokens: 5_000}, 100, 1000, 10*time.Second)
+	}
+	engines := &ordered{state: EngineState{Role: upstream.Prefill}}
+	k := keeper(w, &topic{}, engines, "a/1")
+	k.look(t.Context(), d)
+	assert.Equal(t, len(engines.orders), 0)
+	k.look(t.Context(), d)
+	assert.Equal(t, len(engines.orders), 1)
+	k.look(t.Context(), d)
+	k.look(t.Context(), d)
+	assert.Equal(t, len(engines.orders), 1, "ordered again at once")
+	k.quiet[d.service] = 0
+	k.Leads = func(string) bool { return false }
+	k.look(t.Context(), d)
+	k.look(t.Context(), d)
+	assert.Equal(t, len(engines.orders), 1)
+}
--- /dev/null
+++ b/instance/routed/routed_test.go
@@ -0,0 +1,231 @@
+package routed_test
+
+import (
+	"context"
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/cairnworks/cairnworks/instance/routed"
+	"github.com/cairnworks/cairnworks/platform"
+	"github.com/cairnworks/cairnworks/settings"
+)
+
+// store stands in for the platform's store: keyed topics in memory, which forget
+// nothing, and an outage.
+type store struct {
+	mu     sync.Mutex
+	topics map[string][][2]string
+	down   bool
+}
+
+func (s *store) put(topic, key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.topics[topic] = append(s.topics[topic], [2]string{key, value})
+}
+
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	topic := query.Get("topic")
+	body, _ := io.ReadAll(r.Body)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	records := s.topics[topic]
+	switch {
+	case strings.HasSuffix(r.URL.Path, "append"):
+		key := string(body[5 : 5+int(body[4])])
+		s.topics[topic] = append(records, [2]string{key, string(body[5+int(body[4]):])})
+	case strings.HasSuffix(r.URL.Path, "newest"):
+		items := []map[string]any{}
+		for i, record := range records {
+			items = append(items, map[string]any{"key": record[0], "value": base64.StdEncoding.EncodeToString([]byte(record[1])), "offset": i})
+		}
+		_ = json.NewEncoder(w).Encode(map[string]any{"items": items, "end": len(records)})
+	default:
+		from, _ := strconv.Atoi(query.Get("from"))
+		out := make([]byte, 16)
+		for _, record := range records[from:] {
+			out = binary.BigEndian.AppendUint32(out, uint32(1+len(record[0])+len(record[1])))
+			out = append(append(append(out, byte(len(record[0]))), record[0]...), record[1]...)
+		}
+		_, _ = w.Write(out)
+	}
+}
+
+const configuration = `{"version":%d,"routes":[{"name":"r","host":"h.example","path-prefix":"/x/","route-type":"unsafe","service":"s","timeout-ms":5000}],
+ "services":[{"name":"s"}],"limits":{"max-header-bytes":16384,"max-body-bytes":1000,"header-timeout-ms":3000,"idle-timeout-ms":15000},
+ "tenants":[{"name":"t","api-keys":[%s]}]}`
+
+// fleet is one instance before a stand-in store and one upstream.
+type fleet struct {
+	store    *store
+	engine   *httptest.Server
+	settings settings.Routed
+	stop     context.CancelFunc
+	done     chan error
+}
+
+func freePort(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func start(t *testing.T, engine http.HandlerFunc) *fleet {
+	t.Helper()
+	f := &fleet{store: &store{topics: map[string][][2]string{}}, engine: httptest.NewServer(engine), done: make(chan error, 1)}
+	t.Cleanup(f.engine.Close)
+	server := httptest.NewServer(f.store)
+	t.Cleanup(server.Close)
+	f.store.put("keyed.op", "config", fmt.Sprintf(configuration, 1, `"k"`))
+	f.store.put("keyed.servers", "ghost", `{"service":7}`)
+	f.store.put("keyed.servers", "i-1", fmt.Sprintf(`{"service":"s","address":%q,"zone":"z","slots":4,"state":"ready","seq":1}`, f.engine.Listener.Addr()))
+	f.settings = settings.DefaultRouted()
+	f.settings.Instance, f.settings.DataCentre, f.settings.FirstStart = "a", "z", true
+	f.settings.Callers, f.settings.Readiness, f.settings.Reports, f.settings.Metrics = freePort(t), freePort(t), freePort(t), freePort(t)
+	f.settings.Store, f.settings.GraceS = server.Listener.Addr().String(), 2
+	i, err := routed.New(f.settings, platform.Outside(f.settings), zap.NewNop())
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	f.stop = cancel
+	go func() { f.done <- i.Run(ctx) }()
+	t.Cleanup(cancel)
+	f.await(t, func() bool { return f.ready() })
+	f.await(t, func() bool { status, _, err := f.ask("k"); return err == nil && status == http.StatusOK })
+	return f
+}
+
+// await waits until something holds.
+func (f *fleet) await(t *testing.T, holds func() bool) {
+	t.Helper()
+	for range 1000 {
+		if holds() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("it never held")
+}
+
+func (f *fleet) ready() bool {
+	resp, err := http.Get("http://" + f.settings.Readiness + platform.PathReady)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (f *fleet) ask(key string) (int, *http.Response, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+f.settings.Callers+"/x/1", strings.NewReader("b"))
+	if err != nil {
+		return 0, nil, err
+	}
+	req.Host = "h.example"
+	req.Header.Set("X-Request-Id", "1")
+	req.Header.Set("Authorization", "Bearer "+key)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer resp.Body.Close()
+	_, err = io.ReadAll(resp.Body)
+	return resp.StatusCode, resp, err
+}
+
+func signed(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("X-Response-Signature", "s")
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	fmt.Fprint(w, "ok")
+}
+
+// A key is withdrawn, and the next version takes it away everywhere; an entry that
+// names no upstream is passed over; metrics are served.
+func TestConfigurationIsFollowed(t *testing.T) {
+	f := start(t, signed)
+	f.store.put("keyed.op", "config", "{not a configuration")
+	f.store.put("keyed.op", "config", fmt.Sprintf(configuration, 5, `"other"`))
+	f.await(t, func() bool { status, _, _ := f.ask("k"); return status == http.StatusUnauthorized })
+	status, _, err := f.ask("other")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+	resp, err := http.Get("http://" + f.settings.Metrics + "/metrics")
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+}
+
+// The store stays away for longer than a withdrawn key may go on working. The instance
+// cannot know which keys hold, and says so until the store is back.
+func TestLongOutageStopsKeys(t *testing.T) {
+	f := start(t, signed)
+	f.store.setDown(true)
+	f.await(t, func() bool { status, _, _ := f.ask("k"); return status == http.StatusServiceUnavailable })
+	assert.Assert(t, !f.ready())
+	f.store.setDown(false)
+	f.await(t, func() bool { status, _, _ := f.ask("k"); return status == http.StatusOK })
+}
+
+// An instance is told to stop while it answers a request and the balancer still sends
+// others. All of them are answered, and callers are told to connect elsewhere.
+func TestShutdownAnswersWhatWasRead(t *testing.T) {
+	entered, release := make(chan struct{}), make(chan struct{})
+	var slow atomic.Bool
+	f := start(t, func(w http.ResponseWriter, r *http.Request) {
+		if slow.CompareAndSwap(true, false) {
+			close(entered)
+			<-release
+		}
+		signed(w, r)
+	})
+	slow.Store(true)
+	first := make(chan error, 1)
+	go func() {
+		status, _, err := f.ask("k")
+		if err == nil && status != http.StatusOK {
+			err = fmt.Errorf("status %d", status)
+		}
+		first <- err
+	}()
+	<-entered
+	f.stop()
+	f.await(t, func() bool { return !f.ready() })
+	status, resp, err := f.ask("k")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Assert(t, resp.Close, "callers are not told to connect elsewhere")
+	close(release)
+	assert.NilError(t, <-first)
+	assert.NilError(t, <-f.done)
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	last := f.store.topics["keyed.instances"]
+	assert.Equal(t, last[len(last)-1], [2]string{"a", ""}, "the entry was not dropped")
+}
