--- a/gateway/model.go
+++ b/gateway/model.go
@@ -66,13 +66,14 @@
 	run.tokens = a.call.PromptTokens + run.output
 	out := &stream{gateway: g, admitted: a, w: w, lastID: a.call.LastEventID}
 	for {
+		before := run.sent
 		v := run.attempt(ctx, out)
 		if v == nil {
 			g.ended(a, out.status, nil)
 			return nil
 		}
 		run.ran = max(run.ran, v.Ran)
-		if run.mayGoOn(ctx, out, v) {
+		if run.sent > before && run.mayGoOn(ctx, out, v) {
 			g.Metrics.Retried(a.service.Name, v.Reason)
 			g.log.Info("retried", zap.String("request", a.call.ID), zap.String("reason", string(v.Reason)),
 				zap.Int("sent", run.sent), zap.String("after_event", out.lastID))
@@ -87,10 +88,10 @@
 	}
 }
 
-// mayGoOn decides whether the request is sent to a further decode engine.
+// mayGoOn decides, after a send that failed, whether the request is sent to a further decode engine.
 func (r *modelRun) mayGoOn(ctx context.Context, out *stream, v *verdict.Verdict) bool {
 	route := r.admitted.route
-	if ctx.Err() != nil || r.sent == 0 || r.sent >= route.Attempts() {
+	if ctx.Err() != nil || r.sent >= route.Attempts() {
 		return false
 	}
 	if v.Ran != verdict.NotRun && !route.MayRepeat() {
--- a/instance/routed/routed.go
+++ b/instance/routed/routed.go
@@ -71,8 +71,9 @@
 	// itself ready: requests that reach it then still find it certain of its keys.
 	readyShare = 0.6
 	// lingerShare is the part of the grace after SIGTERM in which new connections are
-	// still taken. The balancer notices after two questions, a second apart.
-	lingerShare = 0.4
+	// still taken: the balancer notices after two questions, a second apart, and a stream
+	// that begins later may not end within the grace.
+	lingerShare = 0.33
 	// exitMargin is left of the grace for the end of the process.
 	exitMargin = 600 * time.Millisecond
 	// sweepInterval is how often idle connections to upstreams are looked over.
