The speed of prefill engines is a quantile and not the best

Change: the speed is the 75th percentile of the last 32 prompts. A configuration's proof is young enough now to refuse what is unknown for good (waiting calls of 0.8 s).

--- a/decision/split/split.go
+++ b/decision/split/split.go
@@ -30,6 +30,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -52,23 +53,42 @@
 	// n is the weight of the samples, prompt the mean prompt in tokens, decode the mean
 	// work at decode engines in seconds of one whole engine.
 	n, prompt, decode float64
-	// speed is the fastest that a prompt was read lately, in tokens a second.
-	speed float64
+	// speeds are at what tokens a second the last prompts were read, oldest first.
+	speeds []float64
 }
 
 // New returns an advisor that has seen nothing.
 func New(cfg Config) *Advisor { return &Advisor{cfg: cfg} }
 
-// speedMemory is how much of the best speed is kept at each prompt: a fast engine
-// that is gone is forgotten after some hundred.
-const speedMemory = 0.995
+// Figures of the speed at which engines read prompts.
+const (
+	// speedMemory is how many prompts it is taken from.
+	speedMemory = 32
+	// speedQuantile is the part of them that were read no faster. Most wait behind
+	// others, so that the middle is too slow; the fastest may be one whose prompt was
+	// kept already, or an answer that belongs to none, and a single one of these made
+	// prefill engines look thirty times as fast as they are.
+	speedQuantile = 0.75
+)
 
 // Prefilled takes in how long the prompt of a request took.
 func (a *Advisor) Prefilled(tokens int, took time.Duration) {
 	if took <= 0 || tokens <= 0 {
 		return
 	}
-	a.speed = max(a.speed*speedMemory, float64(tokens)/took.Seconds())
+	if len(a.speeds) == speedMemory {
+		a.speeds = a.speeds[:copy(a.speeds, a.speeds[1:])]
+	}
+	a.speeds = append(a.speeds, float64(tokens)/took.Seconds())
+}
+
+// speed is at how many tokens a second an engine reads a prompt when it is free.
+func (a *Advisor) speed() float64 {
+	if float64(len(a.speeds)) < a.cfg.MinSamples {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(a.speeds))
+	return sorted[int(speedQuantile*float64(len(sorted)-1))]
 }
 
 // Finished takes in a request: its prompt and the share of a decode engine that it
@@ -88,15 +108,16 @@
 }
 
 // View returns what a decision rests on now.
-func (a *Advisor) View() View { return View{a.n, a.prompt, a.speed, a.decode} }
+func (a *Advisor) View() View { return View{a.n, a.prompt, a.speed(), a.decode} }
 
 // Wanted returns how many of a number of engines should prefill, between 1 and one
 // less than all, where have do now. ok is false while too little is known.
 func (a *Advisor) Wanted(engines, have int) (prefill int, ok bool) {
-	if a.n < a.cfg.MinSamples || a.speed <= 0 || a.decode <= 0 || engines < 2 {
+	speed := a.speed()
+	if a.n < a.cfg.MinSamples || speed <= 0 || a.decode <= 0 || engines < 2 {
 		return 0, false
 	}
-	work := a.prompt / a.speed / a.cfg.PrefillUse
+	work := a.prompt / speed / a.cfg.PrefillUse
 	exact := work / (work + a.decode) * float64(engines)
 	switch {
 	case exact > float64(have)+a.cfg.Margin:
--- a/decision/split/split_test.go
+++ b/decision/split/split_test.go
@@ -70,6 +70,26 @@
 	}
 }
 
+// The prompt of one request was kept by its engine already and is read at once. Taken
+// for the engines' speed it made one prefill engine look enough for all, and callers
+// waited behind it for the rest of the day.
+func TestOneFastPromptChangesNothing(t *testing.T) {
+	for before := range 8 {
+		a := New(DefaultConfig())
+		for i := range 8 {
+			took := 100 * time.Millisecond
+			if i == before {
+				took = 4 * time.Millisecond
+			}
+			a.Prefilled(5_000, took)
+			a.Finished(5_000, 0.15, 3*time.Second)
+		}
+		got, ok := a.Wanted(14, 5)
+		assert.Assert(t, ok)
+		assert.Equal(t, got, 4)
+	}
+}
+
 // Nothing is known, or there is one engine: no change can be called for.
 func TestTooLittleIsKnown(t *testing.T) {
 	_, ok := New(DefaultConfig()).Wanted(9, 3)
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -19,7 +19,7 @@
 	// certainAge is the age of the configuration's proof up to which an unknown route
 	// or key is refused for good. An older one may lack what was just added, and the
 	// caller would be told never to ask again.
-	certainAge = 1700 * time.Millisecond
+	certainAge = 1900 * time.Millisecond
 	// minQuotaRetry keeps callers from coming back before other requests that were
 	// admitted in the same moment are counted.
 	minQuotaRetry = 100 * time.Millisecond
--- a/instance/routed/readers.go
+++ b/instance/routed/readers.go
@@ -13,10 +13,11 @@
 
 // How often the store is asked, all calls being paid for.
 var (
-	// The configuration seldom changes, and each call proves that it has not: the
-	// proof's age is at most the wait and the gap, a quarter of what a withdrawn key
-	// may go on working.
-	configPace = follow.Pace{Wait: 1200 * time.Millisecond, Gap: 50 * time.Millisecond}
+	// The configuration seldom changes, and each call proves that it has not. A proof
+	// counts from the start of its call and holds until the next one's end, so that it is
+	// up to twice the wait and the gap old: 1.7 s, below the time in which a new version
+	// must be in force.
+	configPace = follow.Pace{Wait: 800 * time.Millisecond, Gap: 50 * time.Millisecond}
 	// Instances seldom come and go, and most are known by their reports before their
 	// entry is read.
 	memberPace = follow.Pace{Gap: 1500 * time.Millisecond}
