--- a/decision/split/split.go
+++ b/decision/split/split.go
@@ -110,8 +110,13 @@
 // View returns what a decision rests on now.
 func (a *Advisor) View() View { return View{a.n, a.prompt, a.speed(), a.decode} }
 
-// Wanted returns how many of a number of engines should prefill, between 1 and one
-// less than all, where have do now. ok is false while too little is known.
+// leastPrefill is the fewest prefill engines, where there are more engines than that.
+// With one, its loss leaves every prompt to decode engines until another has changed,
+// and a few long prompts in a row make all others late.
+const leastPrefill = 2
+
+// Wanted returns how many of a number of engines should prefill, between the least and
+// one less than all, where have do now. ok is false while too little is known.
 func (a *Advisor) Wanted(engines, have int) (prefill int, ok bool) {
 	speed := a.speed()
 	if a.n < a.cfg.MinSamples || speed <= 0 || a.decode <= 0 || engines < 2 {
@@ -127,5 +132,5 @@
 	default:
 		prefill = have
 	}
-	return min(max(prefill, 1), engines-1), true
+	return min(max(prefill, leastPrefill), engines-1), true
 }
