--- a/gateway/roles_test.go
+++ b/gateway/roles_test.go
@@ -165,6 +165,7 @@
 // instance that leads.
 func TestChangeIsConfirmed(t *testing.T) {
 	w := newWorld(t)
+	w.state.Directory.Put(upstream.Entry{ID: "prefill9", Service: "model", Address: "1.2.3.4:9", Role: upstream.Prefill, Slots: 4})
 	d := modelDesk(w)
 	for range 20 {
 		d.prefilled(5_000, 10*time.Millisecond)
