--- a/decision/room/room.go
+++ b/decision/room/room.go
@@ -91,9 +91,9 @@
 // goes before one with less: a twentieth, about half of one request's share.
 const nearBonus = 0.05
 
-// Claim places a request of a size in tokens, leaving a share of each engine's
-// memory and slots unused, and returns the engine. Engines in except are left out.
-func (r *Room) Claim(tokens int, spare float64, except map[string]bool) (string, bool) {
+// Claim places a request of a size in tokens and returns the engine. Engines in except
+// are left out.
+func (r *Room) Claim(tokens int, except map[string]bool) (string, bool) {
 	best, bestLoad := "", math.Inf(1)
 	for _, e := range r.engines {
 		if except[e.ID] || r.shut[e.ID] {
@@ -101,7 +101,7 @@
 		}
 		load := r.Load(e.ID)
 		used := loadAfter(e, load, tokens)
-		if used > 1-spare && !(load.Requests == 0 && spare == 0) {
+		if used > 1 && load.Requests > 0 {
 			continue
 		}
 		if e.Near {
--- a/decision/waiting/waiting.go
+++ b/decision/waiting/waiting.go
@@ -110,18 +110,17 @@
 	}
 }
 
-// Serve gives places in order. claim tries to place a request, leaving a share of
-// each engine unused, and reports whether it did; refuse ends the wait of a request
-// that can no longer be on time, with the time after which its caller is to come
-// back.
-func (q *Queue) Serve(now time.Time, claim func(i *Item, spare float64) bool, refuse func(i *Item, retry time.Duration)) {
+// Serve gives places in order. claim tries to place a request and reports whether it
+// did; refuse ends the wait of a request that can no longer be on time, with the time
+// after which its caller is to come back.
+func (q *Queue) Serve(now time.Time, claim func(i *Item) bool, refuse func(i *Item, retry time.Duration)) {
 	q.forget(now)
 	q.sort()
 	kept := q.items[:0]
 	blocked := false
 	for _, i := range q.items {
 		switch {
-		case !blocked && claim(i, 0):
+		case !blocked && claim(i):
 			q.given[i.Organisation] += float64(i.Tokens)
 		case !now.Before(q.cfg.until(i)):
 			refuse(i, q.retry(i))
--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -58,7 +58,6 @@
 	// awake is when the sending loop last ran, dropUntil the end of a stall's reports.
 	awake, dropUntil time.Duration
 	sequence         uint64
-	leaving          bool
 	// confirming tells that a report is due that confirms those of others.
 	confirming bool
 }
@@ -115,14 +114,6 @@
 	}
 }
 
-// Leave makes further reports say that this instance is about to stop.
-func (x *Exchange) Leave() {
-	x.mu.Lock()
-	x.leaving = true
-	x.mu.Unlock()
-	x.Kick()
-}
-
 // Run sends and takes reports until ctx ends.
 func (x *Exchange) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = x.conn.Close() })
@@ -156,7 +147,7 @@
 	x.mu.Lock()
 	x.sequence++
 	x.confirming = false
-	r := &Report{Instance: x.self.Name, Incarnation: x.self.Incarnation, Sequence: x.sequence, Leaving: x.leaving}
+	r := &Report{Instance: x.self.Name, Incarnation: x.self.Incarnation, Sequence: x.sequence}
 	targets, stretch := x.targets, x.stretch()
 	x.mu.Unlock()
 	x.handler.Fill(now, r)
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -17,7 +17,7 @@
 
 func TestReportSurvivesTheWire(t *testing.T) {
 	r := &Report{
-		Instance: "a", Incarnation: 3, Sequence: 4, ConfigVersion: 5, Leaving: true,
+		Instance: "a", Incarnation: 3, Sequence: 4,
 		Spends: map[Hash]Spend{1: {Tokens: -6, Level: 0.5}}, Loads: map[Hash]Load{2: {Requests: 7, Tokens: 8}},
 		Heard: []Heard{{9, 10, 11 * time.Millisecond}}, Crashes: []Crash{{12, 13, 14 * time.Millisecond}},
 	}
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -47,25 +47,20 @@
 // Report is what an instance tells the others. All figures are totals, so that a
 // lost report is made good by the next.
 type Report struct {
-	Instance      string
-	Incarnation   uint64
-	Sequence      uint64
-	Spends        map[Hash]Spend
-	Loads         map[Hash]Load
-	Heard         []Heard
-	ConfigVersion uint64
-	Crashes       []Crash
-	Leaving       bool
+	Instance    string
+	Incarnation uint64
+	Sequence    uint64
+	Spends      map[Hash]Spend
+	Loads       map[Hash]Load
+	Heard       []Heard
+	Crashes     []Crash
 }
 
 // levelUnit is the resolution of a level on the wire.
 const levelUnit = 1000
 
 func (r *Report) marshal() ([]byte, error) {
-	m := &fleetv1.Report{
-		Instance: r.Instance, Incarnation: r.Incarnation, Sequence: r.Sequence,
-		ConfigVersion: r.ConfigVersion, Leaving: r.Leaving,
-	}
+	m := &fleetv1.Report{Instance: r.Instance, Incarnation: r.Incarnation, Sequence: r.Sequence}
 	for organisation, s := range r.Spends {
 		m.Spends = append(m.Spends, &fleetv1.Spend{Organisation: uint64(organisation), Tokens: s.Tokens, Level: uint32(s.Level * levelUnit)})
 	}
@@ -89,7 +84,6 @@
 	r := &Report{
 		Instance: m.Instance, Incarnation: m.Incarnation, Sequence: m.Sequence,
 		Spends: make(map[Hash]Spend, len(m.Spends)), Loads: make(map[Hash]Load, len(m.Loads)),
-		ConfigVersion: m.ConfigVersion, Leaving: m.Leaving,
 	}
 	for _, s := range m.Spends {
 		r.Spends[Hash(s.Organisation)] = Spend{Tokens: s.Tokens, Level: float64(s.Level) / levelUnit}
--- a/gateway/desk.go
+++ b/gateway/desk.go
@@ -244,9 +244,9 @@
 	entries := k.gateway.state.Directory.Service(k.service)
 	suspects := k.gateway.suspects.among(entries)
 	now := time.Now()
-	k.queue.Serve(now, func(item *waiting.Item, spare float64) bool {
+	k.queue.Serve(now, func(item *waiting.Item) bool {
 		t := k.tickets[item]
-		entry, ok := k.decode.claim(item.Tokens, spare, union(suspects, t.except))
+		entry, ok := k.decode.claim(item.Tokens, union(suspects, t.except))
 		if !ok {
 			return false
 		}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -193,9 +193,6 @@
 	g.plain.fill(r.Loads)
 	g.desks.fill(r.Loads)
 	g.crashes.fill(now, r)
-	if index := g.state.Index(); index != nil {
-		r.ConfigVersion = index.Version()
-	}
 }
 
 // Take takes in a report of another instance.
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -323,10 +323,10 @@
 	entries := r.gateway.state.Directory.Service(r.admitted.service.Name)
 	suspects := r.gateway.suspects.among(entries)
 	tokens := r.admitted.call.PromptTokens
-	if entry, ok := r.desk.prefill.claim(tokens, 0, union(suspects, tried)); ok {
+	if entry, ok := r.desk.prefill.claim(tokens, union(suspects, tried)); ok {
 		return entry, true
 	}
-	return r.desk.prefill.claim(tokens, 0, tried)
+	return r.desk.prefill.claim(tokens, tried)
 }
 
 func (r *modelRun) prefillAt(ctx context.Context, entry upstream.Entry) (string, *verdict.Verdict) {
--- /dev/null
+++ b/gateway/model_test.go
@@ -0,0 +1,131 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cairnworks/cairnworks/object"
+	"github.com/cairnworks/cairnworks/upstream"
+)
+
+const tokens = "100 100"
+
+// events is a stream of events with ids from one number to another.
+func events(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: x\n\n", i)
+	}
+	return b.String()
+}
+
+func TestModelRequestIsPrefilledAndDecoded(t *testing.T) {
+	w := newWorld(t)
+	w.run = func(_ context.Context, to upstream.Entry, _ *Call, _ RunOptions) (*Answer, error) {
+		assert.Equal(t, to.Role, upstream.Decode)
+		return answer(http.StatusOK, events(1, 5))
+	}
+	rec, aborted := w.ask("/draft/1", map[string]string{"Tokens": tokens})
+	assert.Assert(t, !aborted)
+	assert.Equal(t, rec.Body.String(), events(1, 5))
+	assert.Equal(t, w.options[0].Reservation, "reservation")
+	assert.Equal(t, w.options[0].Source.Handle, "handle")
+	assert.Equal(t, len(w.gateway.desks.all()[0].decode.room.Own()), 0, "a claim was left behind")
+}
+
+// The engine breaks a stream off in the middle of an event. A caller whose stream may
+// be resumed gets the rest from another engine, each event once; any other must see
+// that its answer is not whole.
+func TestBrokenStream(t *testing.T) {
+	w := newWorld(t)
+	w.run = func(_ context.Context, _ upstream.Entry, _ *Call, o RunOptions) (*Answer, error) {
+		if len(w.sends)%2 == 1 {
+			return &Answer{Status: http.StatusOK, Body: &broken{events(1, 3) + "id: 4\nda"}, Length: -1}, nil
+		}
+		assert.Equal(t, o.LastEventID, "3")
+		return answer(http.StatusOK, events(4, 6))
+	}
+	rec, aborted := w.ask("/resumable/1", map[string]string{"Tokens": tokens})
+	assert.Assert(t, !aborted)
+	assert.Equal(t, rec.Body.String(), events(1, 6))
+	assert.Assert(t, w.sends[0] != w.sends[1])
+	rec, aborted = w.ask("/draft/1", map[string]string{"Tokens": tokens})
+	assert.Assert(t, aborted)
+	assert.Assert(t, strings.HasPrefix(rec.Body.String(), events(1, 3)))
+}
+
+// No prefill engine takes the prompt. The decode engine reads it itself, which is
+// slower and better than a refusal beside engines with room.
+func TestDecodeEngineReadsThePromptItself(t *testing.T) {
+	w := newWorld(t)
+	w.prefill = func(upstream.Entry) (string, error) { return "", refused() }
+	w.run = func(_ context.Context, _ upstream.Entry, _ *Call, o RunOptions) (*Answer, error) {
+		assert.Equal(t, o.Source.Handle, "")
+		return answer(http.StatusOK, events(1, 2))
+	}
+	rec, _ := w.ask("/draft/1", map[string]string{"Tokens": tokens})
+	assert.Equal(t, rec.Body.String(), events(1, 2))
+}
+
+// The decode engine refuses after the prompt was read. The caller is told truly that
+// nothing ran, and what was reserved and read is given back.
+func TestRefusedDecodeGivesMemoryBack(t *testing.T) {
+	w := newWorld(t)
+	w.always(refused())
+	rec, _ := w.ask("/draft/1", map[string]string{"Tokens": tokens})
+	assert.Equal(t, rec.Code, http.StatusServiceUnavailable)
+	assert.Assert(t, rec.Header().Get("Retry-After") != "")
+	for range 100 {
+		w.mu.Lock()
+		n := len(w.released)
+		w.mu.Unlock()
+		if n == 2 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("given back: %v", w.released)
+}
+
+// All engines are full for good. The request is refused when it can no longer be on
+// time, and not held until its deadline.
+func TestFullPoolRefusesInTime(t *testing.T) {
+	w := newWorld(t)
+	w.always(refused())
+	d := w.gateway.desks.get(&object.Service{Name: "model", Pool: set().Services[1].Pool})
+	d.sync()
+	for _, e := range d.decode.room.Engines() {
+		d.decode.withdraw(e.ID)
+	}
+	begun := time.Now()
+	rec, _ := w.ask("/draft/1", map[string]string{"Tokens": tokens})
+	assert.Equal(t, rec.Code, http.StatusServiceUnavailable)
+	assert.Equal(t, len(w.sends), 0)
+	assert.Assert(t, time.Since(begun) < 2*time.Second)
+}
+
+// The engine whose reservation is refused is full by more than is known here. Another
+// is asked before anything is read.
+func TestRefusedReservationAsksAnother(t *testing.T) {
+	w := newWorld(t)
+	asked := map[string]int{}
+	w.reserve = func(to upstream.Entry) (string, error) {
+		asked[to.ID]++
+		if len(asked) == 1 {
+			return "", refused()
+		}
+		return "r", nil
+	}
+	w.run = func(context.Context, upstream.Entry, *Call, RunOptions) (*Answer, error) {
+		return answer(http.StatusOK, events(1, 1))
+	}
+	rec, _ := w.ask("/draft/1", map[string]string{"Tokens": tokens})
+	assert.Equal(t, rec.Code, http.StatusOK)
+	assert.Equal(t, len(asked), 2)
+}
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -65,11 +65,11 @@
 }
 
 // claim places a request of a size; see room.Room.Claim.
-func (p *pool) claim(tokens int, spare float64, except map[string]bool) (upstream.Entry, bool) {
+func (p *pool) claim(tokens int, except map[string]bool) (upstream.Entry, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.dropSilent()
-	id, ok := p.room.Claim(tokens, spare, except)
+	id, ok := p.room.Claim(tokens, except)
 	return p.entries[id], ok
 }
 
--- a/gateway/roles_test.go
+++ b/gateway/roles_test.go
@@ -93,7 +93,7 @@
 		changing = id
 	}
 	for range 4 {
-		e, ok := d.prefill.claim(10, 0, nil)
+		e, ok := d.prefill.claim(10, nil)
 		assert.Assert(t, !ok || e.ID != changing)
 	}
 	e := d.prefill.entries[changing]
--- /dev/null
+++ b/gateway/world_test.go
@@ -0,0 +1,196 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/cairnworks/cairnworks/boottime"
+	"github.com/cairnworks/cairnworks/fleet"
+	"github.com/cairnworks/cairnworks/object"
+	"github.com/cairnworks/cairnworks/observe"
+	"github.com/cairnworks/cairnworks/upstream"
+	"github.com/cairnworks/cairnworks/verdict"
+)
+
+// fakes stands in for the codec and the upstreams: run answers each send.
+type fakes struct {
+	mu       sync.Mutex
+	run      func(ctx context.Context, to upstream.Entry, c *Call, o RunOptions) (*Answer, error)
+	prefill  func(to upstream.Entry) (string, error)
+	reserve  func(to upstream.Entry) (string, error)
+	reach    error
+	sends    []string
+	options  []RunOptions
+	released []string
+}
+
+func (f *fakes) Decode(r *http.Request) (*Call, string, error) {
+	c := &Call{ID: r.Header.Get("Id"), Method: r.Method, Target: r.RequestURI, Path: r.URL.Path, Host: r.Host, Header: http.Header{}, Patience: 2 * time.Second}
+	if r.Header.Get("Tokens") != "" {
+		_, err := fmt.Sscan(r.Header.Get("Tokens"), &c.PromptTokens, &c.MaxOutput)
+		c.Counted = err == nil
+	}
+	return c, r.Header.Get("Key"), nil
+}
+
+func (f *fakes) Run(ctx context.Context, to upstream.Entry, c *Call, o RunOptions) (*Answer, error) {
+	f.mu.Lock()
+	f.sends = append(f.sends, to.ID)
+	f.options = append(f.options, o)
+	f.mu.Unlock()
+	return f.run(ctx, to, c, o)
+}
+
+func (f *fakes) Prefill(_ context.Context, to upstream.Entry, _ *Call) (string, error) {
+	if f.prefill == nil {
+		return "handle", nil
+	}
+	return f.prefill(to)
+}
+
+func (f *fakes) note(what string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.released = append(f.released, what)
+}
+
+func (f *fakes) FreeHandle(_ context.Context, _ upstream.Entry, handle string) error {
+	f.note(handle)
+	return nil
+}
+
+func (f *fakes) Reserve(_ context.Context, to upstream.Entry, _ int, _ time.Duration) (string, error) {
+	if f.reserve == nil {
+		return "reservation", nil
+	}
+	return f.reserve(to)
+}
+
+func (f *fakes) Reach(context.Context, upstream.Entry) error { return f.reach }
+
+func (f *fakes) DropReservation(_ context.Context, _ upstream.Entry, reservation string) error {
+	f.note(reservation)
+	return nil
+}
+
+func answer(status int, body string) (*Answer, error) {
+	return &Answer{Status: status, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(body)), Length: int64(len(body))}, nil
+}
+
+// broken is a body that ends early.
+type broken struct{ text string }
+
+func (b *broken) Read(to []byte) (int, error) {
+	if b.text == "" {
+		return 0, io.ErrUnexpectedEOF
+	}
+	n := copy(to, b.text)
+	b.text = b.text[n:]
+	return n, nil
+}
+
+func (b *broken) Close() error { return nil }
+
+func set() object.Set {
+	limit := func(name string, rate int64) object.Limit {
+		return object.Limit{Name: name, TokensPerSecond: rate, Burst: rate, CallTokens: 1}
+	}
+	route := func(name, path string, kind object.RouteKind, service string, attempts int) object.Route {
+		return object.Route{Name: name, Host: "h", PathPrefix: path, Kind: kind, Targets: []object.Target{{Service: service, Weight: 1}},
+			TimeoutMS: 1000, ObjectiveMS: 400, MaxAttempts: attempts}
+	}
+	streams := route("resumable", "/resumable/", object.RouteStreaming, "model", 2)
+	streams.Resumable = true
+	return object.Set{
+		Limits:        []object.Limit{limit("wide", 1_000_000), limit("narrow", 10)},
+		Organisations: []object.Organisation{{Name: "wide", Limit: "wide"}, {Name: "narrow", Limit: "narrow"}},
+		Keys:          []object.Key{{Name: "k1", Organisation: "wide", Hash: object.HashKey("key")}, {Name: "k2", Organisation: "narrow", Hash: object.HashKey("small")}},
+		Services: []object.Service{
+			{Name: "plain", Kind: object.KindPlain, Discovered: true},
+			{Name: "model", Kind: object.KindModel, Discovered: true, Pool: &object.Pool{Slots: 4, MemoryTokens: 1000, EventTokens: 10, ReservationMS: 2000}},
+		},
+		Routes: []object.Route{
+			route("read", "/read/", object.RouteIdempotent, "plain", 2), route("book", "/book/", object.RouteAtMostOnce, "plain", 1),
+			route("draft", "/draft/", object.RouteStreaming, "model", 1), streams,
+		},
+	}
+}
+
+// world is a gateway before faked upstreams.
+type world struct {
+	*fakes
+	gateway *Gateway
+	state   *State
+	// clock stands in for the time since boot; it is ahead of the real one by skip.
+	skip time.Duration
+}
+
+func (w *world) now() time.Duration { return boottime.Now() + w.skip }
+
+func newWorld(t *testing.T) *world {
+	t.Helper()
+	w := &world{fakes: &fakes{}}
+	w.state = NewState(w.now, 4*time.Second)
+	index := object.NewIndex(set(), 1)
+	assert.Assert(t, w.state.Apply(index))
+	w.state.Prove(w.now())
+	for i, role := range []upstream.Role{upstream.Plain, upstream.Plain, upstream.Prefill, upstream.Prefill, upstream.Decode, upstream.Decode} {
+		service := "model"
+		if role == upstream.Plain {
+			service = "plain"
+		}
+		w.state.Directory.Put(upstream.Entry{ID: fmt.Sprint(role, i), Service: service, Address: fmt.Sprint("1.2.3.4:", i), Role: role, Slots: 4})
+	}
+	quotas := NewQuotas(w.now, fleet.Member{Name: "a"}, QuotaBound{Window: 8 * time.Second}, true)
+	quotas.SetLimits(index)
+	w.gateway = New(Options{
+		Codec: w.fakes, Upstreams: w.fakes, State: w.state, Quotas: quotas, Log: zap.NewNop(), Metrics: observe.NewMetrics(),
+		MaxBodies: 1 << 20, Budget: RetryBudget{Ratio: 1, Window: 10 * time.Second, Slack: 20}, Members: func() int { return 1 },
+	})
+	t.Cleanup(w.gateway.Close)
+	return w
+}
+
+// ask sends a request and returns the answer; aborted tells that the connection was
+// closed in the middle of it.
+func (w *world) ask(path string, header map[string]string) (rec *httptest.ResponseRecorder, aborted bool) {
+	rec = httptest.NewRecorder()
+	r := httptest.NewRequest(http.MethodPost, "http://h"+path, strings.NewReader("body"))
+	r.Header.Set("Id", "1")
+	r.Header.Set("Key", "key")
+	for name, value := range header {
+		r.Header.Set(name, value)
+	}
+	defer func() {
+		if p := recover(); p != nil {
+			if err, ok := p.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+				panic(p)
+			}
+			aborted = true
+		}
+	}()
+	w.gateway.ServeHTTP(rec, r)
+	return rec, aborted
+}
+
+func refused() error { return verdict.Refuse(verdict.ReasonUpstreamRefused, 0, "full") }
+func crashed() error {
+	return verdict.Fail(verdict.MayHaveRun, verdict.ReasonUpstreamCrashed, nil, "closed")
+}
+func unsent() error {
+	return verdict.Fail(verdict.NotRun, verdict.ReasonUpstreamUnreachable, nil, "refused")
+}
+func (w *world) always(err error) {
+	w.run = func(context.Context, upstream.Entry, *Call, RunOptions) (*Answer, error) { return nil, err }
+}
--- a/httpconn/conn.go
+++ b/httpconn/conn.go
@@ -18,8 +18,6 @@
 	// upstream or by the pool's own limit.
 	idleUntil time.Time
 	idleSince time.Time
-	// used tells that an exchange was completed on it before.
-	used bool
 }
 
 // readBuffer is the size of a connection's read buffer in bytes. Answers of plain
--- a/httpconn/exchange.go
+++ b/httpconn/exchange.go
@@ -45,8 +45,6 @@
 type Error struct {
 	// Sent tells whether a byte of the request may have reached the upstream.
 	Sent bool
-	// Kept tells that the exchange failed on a connection that had carried others.
-	Kept bool
 	Err  error
 }
 
@@ -107,7 +105,7 @@
 		if ctx.Err() != nil {
 			err = context.Cause(ctx)
 		}
-		return nil, &Error{Sent: true, Kept: c.used, Err: err}
+		return nil, &Error{Sent: true, Err: err}
 	}
 	return resp, nil
 }
--- a/httpconn/pool.go
+++ b/httpconn/pool.go
@@ -122,7 +122,6 @@
 
 // put keeps a connection for another request.
 func (p *Pool) put(c *conn, idle time.Duration) {
-	c.used = true
 	c.idleSince = time.Now()
 	c.idleUntil = c.idleSince.Add(idle)
 	p.mu.Lock()
--- a/instance/routed/routed.go
+++ b/instance/routed/routed.go
@@ -333,7 +333,6 @@
 	grace := seconds(i.settings.GraceS)
 	i.log.Info("draining", zap.Duration("grace", grace))
 	i.gateway.Drain()
-	i.exchange.Leave()
 	linger := time.Duration(float64(grace) * lingerShare)
 	time.Sleep(linger)
 	ctx, cancel := context.WithTimeout(context.Background(), grace-linger-exitMargin)
--- a/upstream/directory.go
+++ b/upstream/directory.go
@@ -5,7 +5,6 @@
 import (
 	"slices"
 	"sync"
-	"time"
 )
 
 // Role is what an upstream does.
@@ -49,13 +48,11 @@
 	Slots int
 	// Leaving upstreams take no new work.
 	Leaving bool
-	// Cold is how much longer the upstream is slow after its start.
-	Cold time.Duration
 }
 
 // unnumbered is the entry without what changes with every renewal.
 func (e Entry) unnumbered() Entry {
-	e.Sequence, e.Cold = 0, 0
+	e.Sequence = 0
 	return e
 }
 
