--- /dev/null
+++ b/observe/explain/explain_test.go
@@ -0,0 +1,40 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const first = `ts=2026-01-02T03:04:05.100Z level=info msg=placed request=7 upstream=i-1 tokens=5
+ts=2026-01-02T03:04:05.101Z level=info msg=answered request=8 status=200
+not a line of ours
+ts=2026-01-02T03:04:05.200Z level=info msg="attempt failed" request=7 upstream=i-1 reason=upstream_crashed error="reset \"by\" peer"
+ts=2026-01-02T03:04:05.150Z level=info msg=refused request=7 reason=upstream_crashed status=502
+ts=2026-01-0`
+
+// A caller complains of a request whose lines stand among others' in the logs of
+// several instances, one of which was killed while it wrote.
+func TestLinesOfOneRequest(t *testing.T) {
+	r := NewReader("7")
+	assert.NilError(t, r.Read("a", strings.NewReader(first)))
+	assert.NilError(t, r.Read("b", strings.NewReader("ts=2026-01-02T03:04:05.050Z level=info msg=retried request=7 sent=1\n")))
+	s := r.Story()
+	var events []string
+	for _, line := range s.Lines {
+		events = append(events, line.Source+" "+line.Event)
+	}
+	assert.DeepEqual(t, events, []string{"b retried", "a placed", "a attempt failed", "a refused"})
+	assert.Equal(t, s.Deciding, 3)
+	assert.Equal(t, s.Lines[s.Deciding].Field("status"), "502")
+	assert.Equal(t, s.Lines[2].Field("error"), `reset "by" peer`)
+	assert.Equal(t, s.Unreadable, 2)
+}
+
+func TestUnknownRequest(t *testing.T) {
+	r := NewReader("9")
+	assert.NilError(t, r.Read("a", strings.NewReader(first)))
+	assert.Equal(t, r.Story().Deciding, -1)
+	assert.Equal(t, len(r.Story().Lines), 0)
+}
--- a/operator/ctl/app.go
+++ b/operator/ctl/app.go
@@ -90,7 +90,7 @@
 		Commands: []*cli.Command{
 			checkCommand(env), publishCommand(env), diffCommand(env), showCommand(env), historyCommand(env),
 			keyCommand(env), statusCommand(env), upstreamsCommand(env), queuesCommand(env),
-			drainCommand(env), logLevelCommand(env), waitCommand(env),
+			drainCommand(env), logLevelCommand(env), waitCommand(env), explainCommand(env),
 		},
 	}
 	markUsageErrors(app)
--- a/operator/ctl/ctl_test.go
+++ b/operator/ctl/ctl_test.go
@@ -224,3 +224,25 @@
 	code, _ = b.run("publish", "--bsae", "0", goodFile)
 	assert.Equal(t, code, exitUsage)
 }
+
+// An on-call engineer has a request's id and the logs, and no source at hand.
+func TestExplainNamesTheDecidingLine(t *testing.T) {
+	b := newBench(t)
+	file := filepath.Join(t.TempDir(), "a.log")
+	lines := "ts=2026-01-02T03:04:05.100Z level=info msg=placed request=7 upstream=i-1\n" +
+		"ts=2026-01-02T03:04:05.300Z level=info msg=refused request=7 reason=queue_timeout detail=\"no room\"\nbroken\n"
+	assert.NilError(t, os.WriteFile(file, []byte(lines), 0o600))
+	code, out := b.run("explain", "7", file)
+	assert.Equal(t, code, 0)
+	assert.Assert(t, strings.Contains(out, `=>    +0.200s  `+file+`:2  refused reason=queue_timeout detail="no room"`), out)
+	assert.Assert(t, strings.Contains(out, "1 lines could not be read"), out)
+	code, out = b.run("--json", "explain", "7", file)
+	assert.Equal(t, code, 0)
+	assert.Assert(t, strings.Contains(out, `"deciding": 1`), out)
+	code, _ = b.run("explain", "8", file)
+	assert.Equal(t, code, 1)
+	code, _ = b.run("explain", "7", file+".none")
+	assert.Equal(t, code, exitUsage)
+	code, _ = b.run("explain")
+	assert.Equal(t, code, exitUsage)
+}
--- /dev/null
+++ b/operator/ctl/explain.go
@@ -0,0 +1,98 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/cairnworks/cairnworks/observe/explain"
+)
+
+// explainCommand tells from log files what became of a request.
+func explainCommand(env Env) *cli.Command {
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "put the log lines of one request in order and name the one that decided it",
+		ArgsUsage: "REQUEST-ID [FILE...]",
+		Description: `Reads the logs of any number of instances, or standard input. The times are by
+each instance's own clock; lines of one log keep their order. Lines that cannot
+be read are counted and skipped.`,
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			args := cmd.Args().Slice()
+			if len(args) == 0 || args[0] == "" {
+				return usageError("name the request")
+			}
+			reader := explain.NewReader(args[0])
+			if err := readLogs(reader, args[1:]); err != nil {
+				return err
+			}
+			return printStory(env.Out, reader.Story(), cmd.Bool(flagJSON))
+		},
+	}
+}
+
+// readLogs reads files, or standard input where none is named.
+func readLogs(reader *explain.Reader, files []string) error {
+	if len(files) == 0 {
+		return reader.Read("-", os.Stdin)
+	}
+	for _, file := range files {
+		f, err := os.Open(file)
+		if err != nil {
+			return usageError("%v", err)
+		}
+		err = reader.Read(file, f)
+		_ = f.Close()
+		if err != nil {
+			return usageError("%s: %v", file, err)
+		}
+	}
+	return nil
+}
+
+func printStory(out io.Writer, s explain.Story, asJSON bool) error {
+	if asJSON {
+		encoder := json.NewEncoder(out)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(s)
+	}
+	if s.Unreadable > 0 {
+		fmt.Fprintf(out, "%d lines could not be read and were skipped\n", s.Unreadable)
+	}
+	if len(s.Lines) == 0 {
+		return fmt.Errorf("no line of request %s: it was never read, or its lines are in another log", s.Request)
+	}
+	start := s.Lines[0].Time
+	for i, line := range s.Lines {
+		mark := "  "
+		if i == s.Deciding {
+			mark = "=>"
+		}
+		fmt.Fprintf(out, "%s %+9.3fs  %s:%d  %s%s\n", mark, line.Time.Sub(start).Seconds(), line.Source, line.Number, line.Event, fieldsText(line))
+	}
+	if s.Deciding < 0 {
+		fmt.Fprintln(out, "no line names the outcome: the instance ended before it, or its log was cut")
+	} else {
+		fmt.Fprintf(out, "decided by line %d of %s, written at %s by that instance's clock\n",
+			s.Lines[s.Deciding].Number, s.Lines[s.Deciding].Source, s.Lines[s.Deciding].Time.Format(time.RFC3339Nano))
+	}
+	return nil
+}
+
+func fieldsText(line explain.Line) string {
+	var b strings.Builder
+	for _, f := range line.Fields {
+		value := f.Value
+		if strings.ContainsAny(value, " \"") {
+			value = fmt.Sprintf("%q", value)
+		}
+		fmt.Fprintf(&b, " %s=%s", f.Key, value)
+	}
+	return b.String()
+}
