--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -16,10 +16,11 @@
 	// instance cannot tell which keys hold: by then the balancer has taken it out,
 	// and the caller reaches another.
 	staleRetry = 500 * time.Millisecond
-	// certainAge is the age of the configuration's proof up to which an unknown route
-	// or key is refused for good. An older one may lack what was just added, and the
-	// caller would be told never to ask again.
-	certainAge = 1900 * time.Millisecond
+	// certainMargin is how much younger than the time in which a new configuration must
+	// be in force its proof must be for an unknown route or key to be refused for good.
+	// With an older one the caller of a route that was just added would be told never to
+	// ask again.
+	certainMargin = 100 * time.Millisecond
 	// minQuotaRetry keeps callers from coming back before other requests that were
 	// admitted in the same moment are counted.
 	minQuotaRetry = 100 * time.Millisecond
@@ -89,7 +90,7 @@
 // denied refuses for good what the configuration does not allow, if this instance
 // is sure of it.
 func (g *Gateway) denied(reason verdict.Reason, detail string) *verdict.Verdict {
-	if g.state.Age() > certainAge {
+	if g.state.Age() > g.Apply-certainMargin {
 		return g.stale()
 	}
 	return verdict.Refuse(reason, 0, "%s", detail)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -26,6 +26,8 @@
 	Quotas    *Quotas
 	Log       *zap.Logger
 	Metrics   *observe.Metrics
+	// Apply is the time in which a new configuration must be in force.
+	Apply time.Duration
 	// DataCentre of this instance.
 	DataCentre string
 	// Kick asks for a report to the other instances, since something changed.
--- a/instance/routed/readers.go
+++ b/instance/routed/readers.go
@@ -12,17 +12,24 @@
 )
 
 // How often the store is asked, all calls being paid for.
-var (
-	// The configuration seldom changes, and each call proves that it has not. A proof
-	// counts from the start of its call and holds until the next one's end, so that it is
-	// up to twice the wait and the gap old: 1.7 s, below the time in which a new version
-	// must be in force.
-	configPace = follow.Pace{Wait: 800 * time.Millisecond, Gap: 50 * time.Millisecond}
-	// Instances seldom come and go, and most are known by their reports before their
-	// entry is read.
-	memberPace = follow.Pace{Gap: 1500 * time.Millisecond}
+const (
+	// applyShare is the part of the time in which a new configuration must be in force
+	// that a call waits at the store for one. A proof counts from the start of its call
+	// and holds until the next one's end, so that it is up to twice the wait and the gap
+	// old, still less than the bound.
+	applyShare = 0.4
+	configGap  = 50 * time.Millisecond
+	// memberGap: instances seldom come and go, and most are known by their reports
+	// before their entry is read.
+	memberGap = 1500 * time.Millisecond
 )
 
+// configPace is how the configuration is followed: it seldom changes, and each call
+// proves that it has not.
+func (i *Instance) configPace() follow.Pace {
+	return follow.Pace{Wait: time.Duration(applyShare*float64(i.settings.ApplyMS)) * time.Millisecond, Gap: configGap}
+}
+
 // leavingShare is the part of the time in which a leaving upstream may still get work
 // that passes between two reads of the list. Prompts that are just being read take
 // some of the rest.
--- a/instance/routed/routed.go
+++ b/instance/routed/routed.go
@@ -123,7 +123,7 @@
 	}
 	i.gateway = gateway.New(gateway.Options{
 		Codec: outside.Codec, Upstreams: outside.Upstreams, State: i.state, Quotas: i.quotas, Log: log, Metrics: i.metrics,
-		DataCentre: s.DataCentre, Kick: i.kick, MaxBodies: i.bodyLimit(),
+		Apply: time.Duration(s.ApplyMS) * time.Millisecond, DataCentre: s.DataCentre, Kick: i.kick, MaxBodies: i.bodyLimit(),
 		Budget:  gateway.RetryBudget{Ratio: s.RetryRatio, Window: seconds(s.RetryS), Slack: s.RetrySlack},
 		Members: i.fleetSize,
 	})
@@ -231,9 +231,9 @@
 // startFollowing starts what keeps this instance's beliefs.
 func (i *Instance) startFollowing(ctx context.Context, group *errgroup.Group) {
 	for _, f := range []*follow.Follower{
-		{Topic: port.TopicConfiguration, Pace: configPace, Reader: &configReader{instance: i}},
+		{Topic: port.TopicConfiguration, Pace: i.configPace(), Reader: &configReader{instance: i}},
 		{Topic: port.TopicUpstreams, Pace: i.upstreamPace(), Reader: &upstreamReader{instance: i}},
-		{Topic: port.TopicInstances, Pace: memberPace, Reader: i.members, Slow: i.slow},
+		{Topic: port.TopicInstances, Pace: follow.Pace{Gap: memberGap}, Reader: i.members, Slow: i.slow},
 	} {
 		f.Log, f.Logger = i.outside.Log, i.log
 		group.Go(func() error { return ignoreEnd(ctx, f.Run(ctx)) })
--- a/settings/routed.go
+++ b/settings/routed.go
@@ -27,6 +27,7 @@
 	MemoryMB int `json:"memory_mb" doc:"memory that the process may use; the runtime collects garbage harder from half of it on" unit:"MB" default:"no bound"`
 	// RevokeMS is the platform's bound on how long a withdrawn key may go on working.
 	RevokeMS   int     `json:"revoke_ms" doc:"longest time that a withdrawn key may still work, also on an instance that is cut off" unit:"ms" default:"5000"`
+	ApplyMS    int     `json:"apply_ms" doc:"time in which a new configuration must be in force" unit:"ms" default:"2000"`
 	LeaveMS    int     `json:"leave_ms" doc:"longest time in which an upstream that has told that it leaves may still get work" unit:"ms" default:"2000"`
 	GraceS     float64 `json:"grace_s" doc:"time from SIGTERM until the process is killed" unit:"seconds" default:"8"`
 	RetryRatio float64 `json:"retry_ratio" doc:"repeated sends to a service, relative to its requests in a window" unit:"share" default:"0.1"`
@@ -41,7 +42,7 @@
 
 // DefaultRouted returns the settings that hold where a file says nothing.
 func DefaultRouted() Routed {
-	return Routed{RevokeMS: 5000, LeaveMS: 2000, GraceS: 8, RetryRatio: 0.1, RetryS: 10, RetrySlack: 20, QuotaS: 8, LeaseMS: 3000, LogLevel: "info"}
+	return Routed{RevokeMS: 5000, ApplyMS: 2000, LeaveMS: 2000, GraceS: 8, RetryRatio: 0.1, RetryS: 10, RetrySlack: 20, QuotaS: 8, LeaseMS: 3000, LogLevel: "info"}
 }
 
 // LoadRouted reads and checks a settings file. The error joins every Fault found.
@@ -92,7 +93,7 @@
 		field string
 		value float64
 	}{
-		{"revoke_ms", float64(s.RevokeMS)}, {"lease_ms", float64(s.LeaseMS)}, {"leave_ms", float64(s.LeaveMS)}, {"grace_s", s.GraceS}, {"retry_window_s", s.RetryS}, {"quota_window_s", s.QuotaS},
+		{"revoke_ms", float64(s.RevokeMS)}, {"apply_ms", float64(s.ApplyMS)}, {"lease_ms", float64(s.LeaseMS)}, {"leave_ms", float64(s.LeaveMS)}, {"grace_s", s.GraceS}, {"retry_window_s", s.RetryS}, {"quota_window_s", s.QuotaS},
 	} {
 		if n.value <= 0 {
 			c.fault(n.field, fmt.Sprint(n.value), "above 0")
