--- a/gateway/roles.go
+++ b/gateway/roles.go
@@ -68,7 +68,7 @@
 type RoleOptions struct {
 	Engines Engines
 	Log     port.KeyedLog
-	// Holder names this run of this instance.
+	// Holder names this instance. Its earlier runs have ended and hold in its name.
 	Holder string
 	// Leads reports whether this instance is the one that should act for a service: of
 	// those that hear one another only one should try.
@@ -102,6 +102,7 @@
 // RunRoles watches the division of engines until ctx ends.
 func (g *Gateway) RunRoles(ctx context.Context, o RoleOptions) error {
 	k := &roleKeeper{RoleOptions: o, gateway: g, wanted: make(map[string]int), quiet: make(map[string]time.Duration), seen: make(map[string]sighting)}
+	k.watch(ctx)
 	ticker := time.NewTicker(roleInterval)
 	defer ticker.Stop()
 	for {
@@ -116,6 +117,21 @@
 	}
 }
 
+// watch notes who gives orders now. A holder that is gone can be replaced the sooner the
+// earlier its last renewal was seen.
+func (k *roleKeeper) watch(ctx context.Context) {
+	call, cancel := context.WithTimeout(ctx, roleCall)
+	defer cancel()
+	records, _, err := k.Log.Newest(call, port.TopicRoles)
+	if err != nil {
+		k.gateway.log.Info("holders of orders not read", zap.Error(err))
+		return
+	}
+	for _, record := range records {
+		k.free(record)
+	}
+}
+
 // look changes one engine of a service if that has been wanted for long enough.
 func (k *roleKeeper) look(ctx context.Context, d *desk) {
 	if boottime.Now() < k.quiet[d.service] || k.gateway.draining.Load() {
--- a/gateway/roles_test.go
+++ b/gateway/roles_test.go
@@ -84,9 +84,9 @@
 	w := newWorld(t)
 	engines := &ordered{state: EngineState{Role: upstream.Prefill, Orders: 3}}
 	d := modelDesk(w)
-	k := keeper(w, &topic{}, engines, "a/1")
+	k := keeper(w, &topic{}, engines, "a")
 	assert.NilError(t, k.carryOut(t.Context(), d, upstream.Decode, 1))
-	assert.DeepEqual(t, engines.orders, []Order{{Role: upstream.Decode, Holder: "a/1", Token: 1, Expect: 3}})
+	assert.DeepEqual(t, engines.orders, []Order{{Role: upstream.Decode, Holder: "a", Token: 1, Expect: 3}})
 	assert.Equal(t, len(d.prefill.away), 1)
 	var changing string
 	for id := range d.prefill.away {
@@ -111,7 +111,7 @@
 	log := &topic{}
 	engines := &ordered{state: EngineState{Role: upstream.Prefill}}
 	d := modelDesk(w)
-	first, second := keeper(w, log, engines, "a/1"), keeper(w, log, engines, "b/1")
+	first, second := keeper(w, log, engines, "a"), keeper(w, log, engines, "b")
 	_, _, err := first.become(t.Context(), d.service)
 	assert.NilError(t, err)
 	_, _, err = second.become(t.Context(), d.service)
@@ -132,13 +132,13 @@
 func TestLateHolderGivesNoOrder(t *testing.T) {
 	w := newWorld(t)
 	engines := &ordered{state: EngineState{Role: upstream.Prefill}}
-	k := keeper(w, &topic{}, engines, "a/1")
+	k := keeper(w, &topic{}, engines, "a")
 	d := modelDesk(w)
 	err := k.order(t.Context(), d, upstream.Decode, 1, boottime.Now())
 	assert.ErrorContains(t, err, "lease")
 	assert.Equal(t, len(engines.orders), 0)
 	// The write's answer is lost: whether this instance holds is not known.
-	_, _, err = keeper(w, &topic{lost: true}, engines, "a/1").become(t.Context(), d.service)
+	_, _, err = keeper(w, &topic{lost: true}, engines, "a").become(t.Context(), d.service)
 	assert.Assert(t, err != nil)
 }
 
@@ -148,16 +148,16 @@
 	w := newWorld(t)
 	d := modelDesk(w)
 	engines := &ordered{state: EngineState{Role: upstream.Prefill}, err: verdict.Fail(verdict.MayHaveRun, verdict.ReasonTimeout, nil, "no answer")}
-	k := keeper(w, &topic{}, engines, "a/1")
+	k := keeper(w, &topic{}, engines, "a")
 	assert.NilError(t, k.carryOut(t.Context(), d, upstream.Decode, 1))
 	assert.Assert(t, k.quiet[d.service] > boottime.Now()+roleUnknown/2)
 	assert.Equal(t, len(d.prefill.away), 1)
 	refusing := &ordered{state: EngineState{Role: upstream.Prefill}, err: verdict.Refuse(verdict.ReasonUpstreamRefused, 0, "no")}
-	k = keeper(w, &topic{}, refusing, "a/1")
+	k = keeper(w, &topic{}, refusing, "a")
 	assert.NilError(t, k.carryOut(t.Context(), d, upstream.Decode, 1))
 	assert.Equal(t, len(d.prefill.away), 1, "an engine that refused the order serves on")
 	busy := &ordered{state: EngineState{Role: upstream.Prefill, Busy: true}}
-	assert.Assert(t, keeper(w, &topic{}, busy, "a/1").carryOut(t.Context(), d, upstream.Decode, 1) != nil)
+	assert.Assert(t, keeper(w, &topic{}, busy, "a").carryOut(t.Context(), d, upstream.Decode, 1) != nil)
 	assert.Equal(t, len(busy.orders), 0)
 }
 
@@ -172,7 +172,7 @@
 		d.finished(&Call{PromptTokens: 5_000}, 100, 1000, 10*time.Second)
 	}
 	engines := &ordered{state: EngineState{Role: upstream.Prefill}}
-	k := keeper(w, &topic{}, engines, "a/1")
+	k := keeper(w, &topic{}, engines, "a")
 	k.look(t.Context(), d)
 	assert.Equal(t, len(engines.orders), 0)
 	k.look(t.Context(), d)
@@ -186,3 +186,23 @@
 	k.look(t.Context(), d)
 	assert.Equal(t, len(engines.orders), 1)
 }
+
+// The holder was killed while an engine left, and another instance sees that too few
+// engines prefill. Had it begun to watch only then, callers would wait out the leases.
+func TestWatchedHolderIsReplacedAtOnce(t *testing.T) {
+	w := newWorld(t)
+	log := &topic{}
+	d := modelDesk(w)
+	_, _, err := keeper(w, log, &ordered{}, "a").become(t.Context(), d.service)
+	assert.NilError(t, err)
+	other := keeper(w, log, &ordered{}, "b")
+	other.watch(t.Context())
+	seen := other.seen[d.service]
+	seen.at -= takeover*time.Second + time.Millisecond
+	other.seen[d.service] = seen
+	_, _, err = other.become(t.Context(), d.service)
+	assert.NilError(t, err)
+	restarted := keeper(w, log, &ordered{}, "b")
+	_, _, err = restarted.become(t.Context(), d.service)
+	assert.NilError(t, err, "an earlier run of the same instance")
+}
--- a/instance/routed/routed.go
+++ b/instance/routed/routed.go
@@ -95,8 +95,6 @@
 	members  *fleet.Members
 	exchange *fleet.Exchange
 	began    time.Time
-	// holder names this run where only one instance may act.
-	holder string
 
 	mu       sync.Mutex
 	intake   Intake
@@ -115,7 +113,6 @@
 	}
 	i.state = gateway.NewState(boottime.Now, time.Duration(float64(s.RevokeMS)*proofShare)*time.Millisecond)
 	self := fleet.Member{Name: s.Instance, Incarnation: rand.Uint64() >> 1, Address: s.Reports}
-	i.holder = fmt.Sprintf("%s/%x", self.Name, self.Incarnation)
 	bound := gateway.QuotaBound{Window: seconds(s.QuotaS), Over: s.QuotaOver, Slack: s.QuotaSlack}
 	i.quotas = gateway.NewQuotas(boottime.Now, self, bound, s.FirstStart)
 	i.quotas.OnRestricted = func(restricted bool) {
@@ -243,7 +240,7 @@
 	group.Go(func() error { return i.sweep(ctx) })
 	group.Go(func() error {
 		return ignoreEnd(ctx, i.gateway.RunRoles(ctx, gateway.RoleOptions{
-			Engines: i.outside.Engines, Log: i.outside.Log, Holder: i.holder, Leads: i.quotas.Leads,
+			Engines: i.outside.Engines, Log: i.outside.Log, Holder: i.settings.Instance, Leads: i.quotas.Leads,
 			Lease: time.Duration(i.settings.LeaseMS) * time.Millisecond,
 		}))
 	})
