An engine that refuses what it reserved is told to all instances

Change: the first refusal withdraws the engine for two seconds by a claim that reports carry to all.

--- a/gateway/model.go
+++ b/gateway/model.go
@@ -138,8 +138,12 @@
 		r.except[place.entry.ID] = true
 		g.blame(ctx, r.admitted.call, place.entry, v)
 		if v.Ran == verdict.NotRun {
-			// It had reserved room and refuses nevertheless: it is changing or leaving.
+			// It had reserved room and refuses nevertheless: it is changing or leaving. Each
+			// instance would read a prompt in vain to learn the same; a claim on all of the
+			// engine tells them.
 			g.suspects.fail(place.entry)
+			r.desk.decode.withdraw(place.entry.ID, refusedLimit)
+			g.changed()
 			r.free(from, source)
 			r.drop(place)
 			if v.RetryAfter == 0 {
--- a/gateway/model_test.go
+++ b/gateway/model_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/cairnworks/cairnworks/fleet"
 	"github.com/cairnworks/cairnworks/object"
 	"github.com/cairnworks/cairnworks/upstream"
 )
@@ -101,7 +102,7 @@
 	d := w.gateway.desks.get(&object.Service{Name: "model", Pool: set().Services[1].Pool})
 	d.sync()
 	for _, e := range d.decode.room.Engines() {
-		d.decode.withdraw(e.ID)
+		d.decode.withdraw(e.ID, time.Minute)
 	}
 	begun := time.Now()
 	rec, _ := w.ask("/draft/1", map[string]string{"Tokens": tokens})
@@ -129,3 +130,28 @@
 	assert.Equal(t, rec.Code, http.StatusOK)
 	assert.Equal(t, len(asked), 2)
 }
+
+// An engine was ordered to change its role by an instance that has ended since. It goes
+// on taking reservations and refuses what comes with them; each instance would read
+// prompts in vain to learn it.
+func TestRefusingEngineIsToldToAll(t *testing.T) {
+	w := newWorld(t)
+	w.always(refused())
+	w.ask("/draft/1", map[string]string{"Tokens": tokens})
+	loads := map[fleet.Hash]fleet.Load{}
+	w.gateway.desks.fill(loads)
+	assert.Equal(t, loads[fleet.HashOf(w.sends[0])].Tokens, 1000)
+	other := newWorld(t)
+	modelDesk(other)
+	other.gateway.desks.take(&fleet.Report{Instance: "b", Incarnation: 1, Loads: loads})
+	other.run = func(context.Context, upstream.Entry, *Call, RunOptions) (*Answer, error) {
+		return answer(http.StatusOK, events(1, 1))
+	}
+	for range 3 {
+		rec, _ := other.ask("/draft/1", map[string]string{"Tokens": tokens})
+		assert.Equal(t, rec.Code, http.StatusOK)
+	}
+	for _, id := range other.sends {
+		assert.Assert(t, id != w.sends[0])
+	}
+}
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -115,21 +115,28 @@
 	return p.entries[id], ok
 }
 
-// awayLimit is how long an engine stays withdrawn that never shows its new role: it
-// first lets run what it has.
-const awayLimit = 25 * time.Second
+// Figures of withdrawn engines.
+const (
+	// awayLimit is how long an engine stays withdrawn that never shows its new role: it
+	// first lets run what it has.
+	awayLimit = 25 * time.Second
+	// refusedLimit is how long an engine stays withdrawn that refused a request whose
+	// memory it had reserved. It is changing its role, as an instance ordered that has
+	// ended since, or leaving; one that only refuses now and then is missed for little.
+	refusedLimit = 2 * time.Second
+)
 
 // withdraw claims a whole engine, so that no instance gives it work, until its entry
-// shows another role or it is restored. An engine that is about to change its role
+// shows another role, a limit is over or it is restored. An engine that is about to change its role
 // still takes reservations, and refuses the requests that come with them.
-func (p *pool) withdraw(id string) {
+func (p *pool) withdraw(id string, limit time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if _, already := p.away[id]; already {
 		return
 	}
 	p.away[id] = p.room.Fill(id)
-	time.AfterFunc(awayLimit, func() { p.restore(id) })
+	time.AfterFunc(limit, func() { p.restore(id) })
 }
 
 // restore ends a withdrawal.
--- a/gateway/roles.go
+++ b/gateway/roles.go
@@ -217,7 +217,7 @@
 		// Another may have become the holder while this machine was suspended or slow.
 		return errors.New("the lease is over")
 	}
-	pool.withdraw(entry.ID)
+	pool.withdraw(entry.ID, awayLimit)
 	k.gateway.changed()
 	err = k.Engines.Order(call, entry, Order{Role: to, Holder: k.Holder, Token: token, Expect: state.Orders})
 	k.gateway.log.Info("role ordered", zap.String("service", d.service), zap.String("upstream", entry.ID), zap.Stringer("to", to),
