A stream leaves no write deadline on its caller's connection

Cause (found by reading): the deadline that bounds a caller which takes nothing of its stream stayed on the kept connection; an answer to a later request on it, more than five seconds after the stream, could not be written. Change: taken off at the stream's end; the test fails without it. The attempt of a model request is split into placing, sending and what a refusal means.

--- a/gateway/model.go
+++ b/gateway/model.go
@@ -65,6 +65,7 @@
 	run.output = run.desk.estimate(a.call)
 	run.tokens = a.call.PromptTokens + run.output
 	out := &stream{gateway: g, admitted: a, w: w, lastID: a.call.LastEventID}
+	defer out.release()
 	for {
 		before := run.sent
 		v := run.attempt(ctx, out)
@@ -128,31 +129,10 @@
 		r.free(from, source)
 		return v
 	}
-	r.sent++
-	r.admitted.upstream = place.entry.ID
-	answer, err := g.Upstreams.Run(ctx, place.entry, r.admitted.call, RunOptions{
-		Source: source, Reservation: place.reservation, LastEventID: out.lastID, Priority: r.admitted.call.prio,
-	})
-	if err != nil {
-		v := verdict.From(err)
-		r.except[place.entry.ID] = true
-		g.blame(ctx, r.admitted.call, place.entry, v)
-		if v.Ran == verdict.NotRun {
-			// It had reserved room and refuses nevertheless: it is changing or leaving. Each
-			// instance would read a prompt in vain to learn the same; a claim on all of the
-			// engine tells them.
-			g.suspects.fail(place.entry)
-			r.desk.decode.withdraw(place.entry.ID, refusedLimit)
-			g.changed()
-			r.free(from, source)
-			r.drop(place)
-			if v.RetryAfter == 0 {
-				v.RetryAfter = fullRetry
-			}
-		}
+	answer, v := r.send(ctx, place, source, from, out.lastID)
+	if v != nil {
 		return v
 	}
-	g.suspects.succeed(place.entry)
 	v = out.copy(answer)
 	if v == nil && answer.Status == http.StatusOK {
 		g.crashes.succeeded(r.admitted.call)
@@ -165,6 +145,41 @@
 	return v
 }
 
+// send has the answer generated at a decode engine.
+func (r *modelRun) send(ctx context.Context, place place, source Source, from upstream.Entry, after string) (*Answer, *verdict.Verdict) {
+	g := r.gateway
+	r.sent++
+	r.admitted.upstream = place.entry.ID
+	answer, err := g.Upstreams.Run(ctx, place.entry, r.admitted.call, RunOptions{
+		Source: source, Reservation: place.reservation, LastEventID: after, Priority: r.admitted.call.prio,
+	})
+	if err == nil {
+		g.suspects.succeed(place.entry)
+		return answer, nil
+	}
+	v := verdict.From(err)
+	r.except[place.entry.ID] = true
+	g.blame(ctx, r.admitted.call, place.entry, v)
+	if v.Ran == verdict.NotRun {
+		r.refusedBy(place)
+		r.free(from, source)
+		if v.RetryAfter == 0 {
+			v.RetryAfter = fullRetry
+		}
+	}
+	return nil, v
+}
+
+// refusedBy keeps work away from an engine that had reserved room and refuses
+// nevertheless: it is changing its role or leaving. Each instance would read a prompt in
+// vain to learn the same; a claim on all of the engine tells them.
+func (r *modelRun) refusedBy(place place) {
+	r.drop(place)
+	r.gateway.suspects.fail(place.entry)
+	r.desk.decode.withdraw(place.entry.ID, refusedLimit)
+	r.gateway.changed()
+}
+
 // grow raises the claim of a request whose answer is longer than was estimated, by
 // some events at a time.
 func (r *modelRun) grow(entry upstream.Entry, events int) {
--- a/gateway/model_test.go
+++ b/gateway/model_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -155,3 +156,34 @@
 		assert.Assert(t, id != w.sends[0])
 	}
 }
+
+// deadlines notes the write deadlines that are set on a caller's connection.
+type deadlines struct {
+	*httptest.ResponseRecorder
+	set []time.Time
+}
+
+func (d *deadlines) SetWriteDeadline(at time.Time) error {
+	d.set = append(d.set, at)
+	return nil
+}
+
+// A caller reads a stream and, seconds later, sends a lookup on the same connection.
+// Were the stream's write deadline still set, the lookup would run and its answer could
+// not be written: the caller would see the connection close.
+func TestStreamLeavesNoDeadlineBehind(t *testing.T) {
+	w := newWorld(t)
+	w.run = func(context.Context, upstream.Entry, *Call, RunOptions) (*Answer, error) {
+		return answer(http.StatusOK, events(1, 3))
+	}
+	rec := &deadlines{ResponseRecorder: httptest.NewRecorder()}
+	r := httptest.NewRequest(http.MethodPost, "http://h/draft/1", strings.NewReader("body"))
+	r.Header.Set("Id", "1")
+	r.Header.Set("Key", "key")
+	r.Header.Set("Tokens", tokens)
+	w.gateway.ServeHTTP(rec, r)
+	assert.Equal(t, rec.Code, http.StatusOK)
+	assert.Assert(t, len(rec.set) > 1)
+	assert.Assert(t, !rec.set[0].IsZero())
+	assert.Assert(t, rec.set[len(rec.set)-1].IsZero())
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/cairnworks/cairnworks/verdict"
 )
 
@@ -170,6 +172,16 @@
 	return nil
 }
 
+// release takes the stream's write deadline off the connection. The server keeps the
+// connection for the caller's next request, whose answer could no longer be written
+// once the deadline has passed: the caller would see the connection closed.
+func (s *stream) release() {
+	err := http.NewResponseController(s.w).SetWriteDeadline(time.Time{})
+	if err != nil && !errors.Is(err, http.ErrNotSupported) {
+		s.gateway.log.Debug("write deadline not taken off", zap.String("request", s.admitted.call.ID), zap.Error(err))
+	}
+}
+
 func (s *stream) flush(data []byte) error {
 	control := http.NewResponseController(s.w)
 	if err := control.SetWriteDeadline(time.Now().Add(writePatience)); err != nil && !errors.Is(err, http.ErrNotSupported) {
