--- a/operator/ctl/check.go
+++ b/operator/ctl/check.go
@@ -40,7 +40,7 @@
 			}
 			n := countObjects(set)
 			return s.print(checkResult{Faults: []object.Fault{}, Counts: n}, func() {
-				s.printf("ok: %d organisations, %d keys, %d services, %d upstreams, %d limits\n",
+				s.printf("ok: %d organisations, %d keys, %d services, %d upstreams, %d limits, %d routes\n",
 					n.Organisations, n.Keys, n.Services, n.Upstreams, n.Limits)
 			})
 		}),
