--- a/operator/ctl/check.go
+++ b/operator/ctl/check.go
@@ -21,10 +21,11 @@
 	Services      int `json:"services"`
 	Upstreams     int `json:"upstreams"`
 	Limits        int `json:"limits"`
+	Routes        int `json:"routes"`
 }
 
 func countObjects(set object.Set) counts {
-	return counts{len(set.Organisations), len(set.Keys), len(set.Services), len(set.Upstreams), len(set.Limits)}
+	return counts{len(set.Organisations), len(set.Keys), len(set.Services), len(set.Upstreams), len(set.Limits), len(set.Routes)}
 }
 
 func checkCommand(env Env) *cli.Command {
@@ -41,7 +42,7 @@
 			n := countObjects(set)
 			return s.print(checkResult{Faults: []object.Fault{}, Counts: n}, func() {
 				s.printf("ok: %d organisations, %d keys, %d services, %d upstreams, %d limits, %d routes\n",
-					n.Organisations, n.Keys, n.Services, n.Upstreams, n.Limits)
+					n.Organisations, n.Keys, n.Services, n.Upstreams, n.Limits, n.Routes)
 			})
 		}),
 	}
--- a/operator/ctl/ctl_test.go
+++ b/operator/ctl/ctl_test.go
@@ -246,3 +246,10 @@
 	code, _ = b.run("explain")
 	assert.Equal(t, code, exitUsage)
 }
+
+// An operator checks a set with routes; the counts tell whether all files were read.
+func TestCheckCountsRoutes(t *testing.T) {
+	code, out := newBench(t).run("check", "../../examples/routes.json")
+	assert.Equal(t, code, 0)
+	assert.Assert(t, strings.Contains(out, "2 services, 0 upstreams, 1 limits, 3 routes"), out)
+}
