--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -14,6 +14,8 @@
 	Window time.Duration
 	// Slack is how many repeated sends a window may hold besides.
 	Slack float64
+	// FirstStart tells that nothing can have been sent before.
+	FirstStart bool
 }
 
 // budgetShare is the part of the budget that is used. The rest is for sends that
@@ -26,8 +28,12 @@
 type budgets struct {
 	limit   RetryBudget
 	members func() int
-	mu      sync.Mutex
-	byName  map[string]*budget
+	// slackFrom is when the share of the slack may be used. An instance that has just
+	// started again does not know what it sent before; when all are killed at once, each
+	// with its share used up, the window would hold the slack twice.
+	slackFrom time.Duration
+	mu        sync.Mutex
+	byName    map[string]*budget
 }
 
 type budget struct {
@@ -35,7 +41,11 @@
 }
 
 func newBudgets(limit RetryBudget, members func() int) *budgets {
-	return &budgets{limit: limit, members: members, byName: make(map[string]*budget)}
+	b := &budgets{limit: limit, members: members, byName: make(map[string]*budget)}
+	if !limit.FirstStart {
+		b.slackFrom = boottime.Now() + limit.Window
+	}
+	return b
 }
 
 func (b *budgets) service(name string) *budget {
@@ -65,6 +75,9 @@
 	s.asks = since(s.asks, now-b.limit.Window)
 	s.repeats = since(s.repeats, now-b.limit.Window)
 	slack := b.limit.Slack / float64(max(b.members(), 1))
+	if now < b.slackFrom {
+		slack = 0
+	}
 	if float64(len(s.repeats)+1) > budgetShare*(b.limit.Ratio*float64(len(s.asks))+slack) {
 		return false
 	}
@@ -72,6 +85,14 @@
 	return true
 }
 
+// count takes in a repeated send that is made in any case.
+func (b *budgets) count(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.service(service)
+	s.repeats = append(s.repeats, boottime.Now())
+}
+
 // since drops times before from.
 func since(times []time.Duration, from time.Duration) []time.Duration {
 	i := 0
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -228,7 +228,7 @@
 // Retries are bounded by what was asked, so that a failing service does not get three
 // times its load.
 func TestRetryBudget(t *testing.T) {
-	b := newBudgets(RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Slack: 9}, func() int { return 3 })
+	b := newBudgets(RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Slack: 9, FirstStart: true}, func() int { return 3 })
 	for range 100 {
 		b.asked("s")
 	}
@@ -239,3 +239,24 @@
 	assert.Equal(t, n, 16) // 0.7 of a fifth of 100 and a third of 9
 	assert.Assert(t, b.repeat("other"), "a service's share of the slack")
 }
+
+// All instances are killed in the same moment, each with its share of the slack used
+// up. Starting again with full shares they would repeat twice what the window allows,
+// while the upstreams are at their worst.
+func TestRestartDoesNotRenewTheRetrySlack(t *testing.T) {
+	b := newBudgets(RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Slack: 90}, func() int { return 3 })
+	for range 100 {
+		b.asked("s")
+	}
+	n := 0
+	for b.repeat("s") {
+		n++
+	}
+	assert.Equal(t, n, 14) // 0.7 of a fifth of 100
+	b.slackFrom = boottime.Now()
+	b.count("s")
+	for b.repeat("s") {
+		n++
+	}
+	assert.Equal(t, n, 34) // 0.7 of 20 and a third of 90, less the one counted
+}
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -331,6 +331,10 @@
 	if ctx.Err() != nil {
 		return Source{}, upstream.Entry{}, gone(ctx)
 	}
+	if last != nil && last.Reason != verdict.ReasonUpstreamUnreachable {
+		// What a prefill engine refused has arrived there; the decode engine is the second.
+		g.budget.count(r.admitted.service.Name)
+	}
 	// A decode engine reads the prompt itself, at half the speed and between the tokens
 	// of others, which is better than no answer.
 	g.log.Info("prompt left to the decode engine", zap.String("request", c.ID), zap.Int("tried", len(tried)), zap.NamedError("last", last.OrNil()))
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -156,7 +156,7 @@
 	quotas.SetLimits(index)
 	w.gateway = New(Options{
 		Apply: 2 * time.Second, Codec: w.fakes, Upstreams: w.fakes, State: w.state, Quotas: quotas, Log: zap.NewNop(), Metrics: observe.NewMetrics(),
-		MaxBodies: 1 << 20, Budget: RetryBudget{Ratio: 1, Window: 10 * time.Second, Slack: 20}, Members: func() int { return 1 },
+		MaxBodies: 1 << 20, Budget: RetryBudget{Ratio: 1, Window: 10 * time.Second, Slack: 20, FirstStart: true}, Members: func() int { return 1 },
 	})
 	t.Cleanup(w.gateway.Close)
 	return w
--- a/instance/routed/routed.go
+++ b/instance/routed/routed.go
@@ -121,7 +121,7 @@
 	i.gateway = gateway.New(gateway.Options{
 		Codec: outside.Codec, Upstreams: outside.Upstreams, State: i.state, Quotas: i.quotas, Log: log, Metrics: i.metrics,
 		Apply: time.Duration(s.ApplyMS) * time.Millisecond, DataCentre: s.DataCentre, Kick: i.kick, MaxBodies: i.bodyLimit(),
-		Budget:  gateway.RetryBudget{Ratio: s.RetryRatio, Window: seconds(s.RetryS), Slack: s.RetrySlack},
+		Budget:  gateway.RetryBudget{Ratio: s.RetryRatio, Window: seconds(s.RetryS), Slack: s.RetrySlack, FirstStart: s.FirstStart},
 		Members: i.fleetSize,
 	})
 	exchange, err := fleet.Listen(self, i.gateway, log)
