A quota's bucket is divided at a cut and joined after it

Cause: each side of a partition went on with the whole bucket, refilled at the whole rate less its own spending, and after the heal the lower of both full buckets held. Every cut so added up to a burst that had been spent already. Change: a member that falls silent takes its share of what is left with it; when it is heard again it brings its part of what its side has left. Levels of members that hear fewer are not taken over at a start.

--- a/decision/quota/admit.go
+++ b/decision/quota/admit.go
@@ -8,10 +8,11 @@
 // account is an organisation's quota as this instance sees it.
 type account struct {
 	limit Limit
-	// level is what the whole fleet may still spend at once, tight the same without the
-	// shares of members that are not heard, and own what this instance may spend while
-	// it is restricted to its share.
-	level, tight, own float64
+	// level is what this instance and those that it hears may still spend at once, own
+	// what it may spend while it is restricted to its share.
+	level, own float64
+	// heard is the part of the instances that the level is for.
+	heard float64
 	// spent is what this instance has admitted since it started.
 	spent int64
 	at    time.Duration
@@ -33,14 +34,13 @@
 	}
 	a.at = now
 	flow := elapsed * a.limit.Rate
-	a.level = min(a.level+flow, a.limit.Burst)
 	a.own = min(a.own+flow/l.size(), a.limit.Burst/l.size())
 	heard := l.heardShare(now)
-	if heard == 1 {
-		a.tight = a.level
-		return
+	if heard < a.heard && a.level > 0 {
+		a.level *= heard / a.heard
 	}
-	a.tight = min(a.tight+flow*heard, a.limit.Burst*heard, a.level)
+	a.heard = heard
+	a.level = min(a.level+flow*heard, a.limit.Burst*heard)
 }
 
 // Decision is the answer to a request for tokens.
@@ -66,10 +66,10 @@
 	}
 	need := float64(tokens)
 	most := a.limit.Burst * l.heardShare(now)
-	have, rate := a.tight, a.limit.Rate
+	have, rate := a.level, a.limit.Rate
 	if l.Restricted(now) {
 		most = a.limit.Burst / l.size()
-		have, rate = min(a.tight, a.own), a.limit.Rate/l.size()
+		have, rate = min(a.level, a.own), a.limit.Rate/l.size()
 	}
 	// A request larger than the whole burst passes when the bucket is full, since
 	// it could never pass otherwise.
@@ -80,7 +80,6 @@
 		return Decision{Retry: confirmTime, Unconfirmed: true}
 	}
 	a.level -= need
-	a.tight -= need
 	a.own -= need
 	a.spent += tokens
 	a.recent = append(a.recent, admission{now, need})
@@ -147,7 +146,6 @@
 	}
 	l.refill(now, a)
 	a.level = min(a.level+float64(tokens), a.limit.Burst)
-	a.tight = min(a.tight+float64(tokens), a.level)
 	a.own = min(a.own+float64(tokens), a.limit.Burst/l.size())
 	a.spent -= tokens
 }
--- a/decision/quota/members.go
+++ b/decision/quota/members.go
@@ -62,13 +62,16 @@
 	for name, total := range r.Spent {
 		l.settle(m, name, total, lost)
 	}
-	if lost || now-l.started <= learning {
-		l.adopt(r)
+	if lost {
+		l.join(now, r)
+	}
+	if now-l.started <= learning {
+		l.adopt(now, r)
 	}
 }
 
 // settle takes a member's use off the bucket. What a member has spent while it was not
-// heard is part of the level that is adopted.
+// heard came off the share that was set aside for it.
 func (l *Ledger) settle(m *member, name string, total int64, lost bool) {
 	a, known := l.accounts[name]
 	before, told := m.spent[name]
@@ -76,21 +79,48 @@
 	if !known || lost || !told {
 		return
 	}
-	spent := float64(total - before)
-	a.level = min(a.level-spent, a.limit.Burst)
-	a.tight = min(a.tight-spent, a.limit.Burst)
+	a.level = min(a.level-float64(total-before), a.limit.Burst)
+}
+
+// join adds the part of a member that is heard again to what is left here. Use that
+// others were allowed and that this instance had no share of may have taken the level
+// far below nothing; it counts as nothing, since otherwise this instance would refuse
+// for seconds what the others admit.
+func (l *Ledger) join(now time.Duration, r Report) {
+	part := 1 / l.heardBy(now, r)
+	for name, a := range l.accounts {
+		a.heard = l.heardShare(now)
+		a.level = min(max(a.level, 0)+r.Level[name]*part*a.limit.Burst, a.limit.Burst*a.heard)
+	}
+}
+
+// heardBy is the number of instances that a report's sender hears, itself included.
+func (l *Ledger) heardBy(now time.Duration, r Report) float64 {
+	count := 1.0
+	for _, h := range r.Heard {
+		if now-h.At <= l.stretched(l.cfg.Silence) {
+			count++
+		}
+	}
+	return count
 }
 
 // learning is how long after its start an instance takes over what others know of the
 // use before it.
 const learning = 2 * time.Second
 
-// adopt takes over the level that a member tells, if it is lower.
-func (l *Ledger) adopt(r Report) {
+// adopt takes over the level that a member tells, if it is lower for each instance that
+// the level is for. One that hears fewer than this instance has spent of a smaller part,
+// which is no measure of what the whole has left.
+func (l *Ledger) adopt(now time.Duration, r Report) {
+	each := 1 / l.heardBy(now, r)
+	heard := l.heardShare(now) * l.size()
+	if each*heard > 1 {
+		return
+	}
 	for name, share := range r.Level {
 		if a, known := l.accounts[name]; known {
-			a.level = min(a.level, share*a.limit.Burst)
-			a.tight = min(a.tight, a.level)
+			a.level = min(a.level, share*each*heard*a.limit.Burst)
 		}
 	}
 }
@@ -157,11 +187,11 @@
 
 // heardShare is the part of the instances that are heard, this one included.
 func (l *Ledger) heardShare(now time.Duration) float64 {
-	silent := 0.0
+	silent := 0
 	for _, m := range l.members {
 		if l.silent(now, m) {
 			silent++
 		}
 	}
-	return (l.size() - silent) / l.size()
+	return (l.size() - float64(silent)) / l.size()
 }
--- a/decision/quota/quota.go
+++ b/decision/quota/quota.go
@@ -19,10 +19,11 @@
 // Rules:
 //
 //   - A member that is not heard for Silence may be at work behind a partition.
-//     Its fair share, the rate and the burst divided by the members, is set aside for
-//     it until it is heard again. Then the lower of both levels holds: what it has
-//     spent meanwhile was spent while tokens flowed in that this instance took for
-//     overflow, so that taking it off at once would count it twice.
+//     Its fair share, of the rate and of what is left, is set aside for it until it is
+//     heard again. It then brings its part of what its own side has left. Two sides so
+//     divide a bucket and join it again, and the sum is one bucket all the while. Were
+//     each side to go on with the whole bucket, every cut would add what is in it,
+//     which cuts in quick succession turn into several bursts in one window.
 //
 //   - An instance that cannot be sure that the others count its use spends its
 //     fair share only: when a member that it hears says that it does not hear this
@@ -99,7 +100,7 @@
 	From MemberID
 	// Spent is what it has admitted in its run, by organisation.
 	Spent map[string]int64
-	// Level is the share of the burst that it believes to be left, 0 to 1.
+	// Level is what it and those that it hears have left, as a share of the burst, 0 to 1.
 	Level map[string]float64
 	Heard []Heard
 }
@@ -128,13 +129,13 @@
 	a, known := l.accounts[organisation]
 	if !known {
 		start := min(l.initial(limit), limit.Burst)
-		a = &account{at: now, level: start, tight: start, own: start / l.size()}
+		heard := l.heardShare(now)
+		a = &account{at: now, level: start * heard, own: start / l.size(), heard: heard}
 		l.accounts[organisation] = a
 	}
 	l.refill(now, a)
 	a.limit = limit
 	a.level = min(a.level, limit.Burst)
-	a.tight = min(a.tight, limit.Burst)
 	a.own = min(a.own, limit.Burst/l.size())
 }
 
@@ -186,7 +187,7 @@
 	}
 	if a, known := l.accounts[organisation]; known {
 		l.refill(now, a)
-		v.Limit, v.Level, v.Own = a.limit, a.tight, a.own
+		v.Limit, v.Level, v.Own = a.limit, a.level, a.own
 	}
 	return v
 }
--- a/decision/quota/quota_test.go
+++ b/decision/quota/quota_test.go
@@ -1,8 +1,10 @@
 package quota
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"testing"
 	"time"
 
@@ -10,6 +12,21 @@
 	"pgregory.net/rapid"
 )
 
+// propertySeed makes every run of the tests draw the same cases. Other seeds are played
+// with -rapid.seed.
+const propertySeed = "1"
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
+		if err := seed.Value.Set(propertySeed); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+	}
+	os.Exit(m.Run())
+}
+
 const (
 	step     = 10 * time.Millisecond
 	interval = 200 * time.Millisecond
@@ -272,10 +289,37 @@
 		// A hot organisation sends 25 requests a second here; in the time in which a
 		// silence is noticed, some of them are counted on one side only, once a cut.
 		over := w.most(window) - allowed(busy)
-		assert.Assert(t, over < int64(0.1*float64(allowed(busy)))+100_000, "%d tokens over in the worst window", over)
+		assert.Assert(t, over < int64(0.1*float64(allowed(busy))), "%d tokens over in the worst window", over)
 	})
 }
 
+// The halves of a fleet lose one another again and again while an organisation sends
+// three times its rate to both. If a half took the bucket for full when it hears the
+// other again, because it did not see what the other spent, every cut would add a burst.
+func TestCutsInSuccessionAddNothing(t *testing.T) {
+	w := newNetwork(4, busy)
+	rng := rand.New(rand.NewPCG(5, 6))
+	hot := func(int) int64 {
+		if rng.IntN(100) < 5 {
+			return request
+		}
+		return 0
+	}
+	w.run(2*time.Second, hot)
+	for range 5 {
+		for i := range 4 {
+			for j := range 4 {
+				w.cut[[2]int{i, j}] = (i < 2) != (j < 2)
+			}
+		}
+		w.run(2500*time.Millisecond, hot)
+		w.cut = make(map[[2]int]bool)
+		w.run(time.Second, hot)
+	}
+	over := w.most(window) - allowed(busy)
+	assert.Assert(t, over < int64(0.1*float64(allowed(busy))), "%d tokens over in the worst window", over)
+}
+
 // A machine is suspended for seconds and goes on where it stood: it still believes
 // that the whole burst is its to spend, while the others have used it.
 func TestThawedInstanceSpendsItsShareOnly(t *testing.T) {
