--- a/decision/room/room.go
+++ b/decision/room/room.go
@@ -16,9 +16,15 @@
 //   - Among the engines with room the one with the lowest load is taken, load being
 //     the higher of the used shares of memory and slots; equal ones in the own data
 //     centre go first, since a transfer between data centres takes twice as long.
+//   - Where what others have placed is known late, the lower of two that are drawn is
+//     taken instead (Sample): the lowest by old figures is the same for all instances, who
+//     would all fill it. With reports a second old, runs of 60 ms and two thirds of all
+//     slots in use, 60 instances find their engine full in 59 % of claims by the lowest
+//     and in 16 % by two drawn (TestSampledClaimsSpread).
 package room
 
 import (
+	"cmp"
 	"math"
 	"slices"
 )
@@ -43,6 +49,10 @@
 	engines []Engine
 	own     map[string]Load
 	peers   map[string]map[string]Load
+	// others is the sum of what peers have placed.
+	others map[string]Load
+	// draw returns a number below its argument, nil where all engines are compared.
+	draw func(n int) int
 	// shut engines refused a claim that should have fitted; they get none until
 	// they are opened again.
 	shut map[string]bool
@@ -50,7 +60,7 @@
 
 // New returns a room without engines.
 func New() *Room {
-	return &Room{own: make(map[string]Load), peers: make(map[string]map[string]Load), shut: make(map[string]bool)}
+	return &Room{own: make(map[string]Load), peers: make(map[string]map[string]Load), others: make(map[string]Load), shut: make(map[string]bool)}
 }
 
 // SetEngines replaces the engines that may be given work.
@@ -59,8 +69,17 @@
 // Engines lists the engines that may be given work.
 func (r *Room) Engines() []Engine { return r.engines }
 
+// Sample makes claims compare two engines that are drawn. nil compares all.
+func (r *Room) Sample(draw func(n int) int) { r.draw = draw }
+
 // SetPeer replaces what another instance has placed, by engine id. nil forgets it.
 func (r *Room) SetPeer(instance string, loads map[string]Load) {
+	for id, l := range r.peers[instance] {
+		r.addOther(id, -l.Requests, -l.Tokens)
+	}
+	for id, l := range loads {
+		r.addOther(id, l.Requests, l.Tokens)
+	}
 	if loads == nil {
 		delete(r.peers, instance)
 		return
@@ -68,17 +87,24 @@
 	r.peers[instance] = loads
 }
 
+func (r *Room) addOther(id string, requests, tokens int) {
+	sum := r.others[id]
+	sum.Requests += requests
+	sum.Tokens += tokens
+	if sum == (Load{}) {
+		delete(r.others, id)
+		return
+	}
+	r.others[id] = sum
+}
+
 // Own returns what this instance has placed, by engine id.
 func (r *Room) Own() map[string]Load { return r.own }
 
 // Load is what all instances have placed at an engine.
 func (r *Room) Load(id string) Load {
-	sum := r.own[id]
-	for _, loads := range r.peers {
-		sum.Requests += loads[id].Requests
-		sum.Tokens += loads[id].Tokens
-	}
-	return sum
+	own, others := r.own[id], r.others[id]
+	return Load{Requests: own.Requests + others.Requests, Tokens: own.Tokens + others.Tokens}
 }
 
 // Shut keeps claims away from an engine until Open.
@@ -91,10 +117,27 @@
 // goes before one with less: a twentieth, about half of one request's share.
 const nearBonus = 0.05
 
+// candidate is an engine that a request fits at, with its used share thereafter.
+type candidate struct {
+	id   string
+	used float64
+}
+
 // Claim places a request of a size in tokens and returns the engine. Engines in except
 // are left out.
 func (r *Room) Claim(tokens int, except map[string]bool) (string, bool) {
-	best, bestLoad := "", math.Inf(1)
+	fits := r.fitting(tokens, except)
+	if len(fits) == 0 {
+		return "", false
+	}
+	best := r.lowest(fits)
+	r.add(best.id, 1, tokens)
+	return best.id, true
+}
+
+// fitting lists the engines that a request fits at.
+func (r *Room) fitting(tokens int, except map[string]bool) []candidate {
+	var fits []candidate
 	for _, e := range r.engines {
 		if except[e.ID] || r.shut[e.ID] {
 			continue
@@ -107,17 +150,26 @@
 		if e.Near {
 			used -= nearBonus
 		}
-		if used < bestLoad {
-			best, bestLoad = e.ID, used
-		}
+		fits = append(fits, candidate{e.ID, used})
 	}
-	if best == "" {
-		return "", false
+	return fits
+}
+
+// lowest returns the candidate with the lowest load, of two that are drawn where
+// figures are old.
+func (r *Room) lowest(fits []candidate) candidate {
+	if r.draw == nil {
+		return slices.MinFunc(fits, compareUsed)
 	}
-	r.add(best, 1, tokens)
-	return best, true
+	first, second := fits[r.draw(len(fits))], fits[r.draw(len(fits))]
+	if compareUsed(second, first) < 0 {
+		return second
+	}
+	return first
 }
 
+func compareUsed(a, b candidate) int { return cmp.Compare(a.used, b.used) }
+
 // loadAfter is the used share of an engine once a request has been added.
 func loadAfter(e Engine, load Load, tokens int) float64 {
 	slots := float64(load.Requests+1) / float64(max(e.Slots, 1))
--- a/decision/room/room_test.go
+++ b/decision/room/room_test.go
@@ -118,3 +118,97 @@
 	_, ok = r.Claim(1, nil)
 	assert.Assert(t, !ok)
 }
+
+// Sixty instances place short calls on six engines and hear of one another's a second
+// late. All believe the same engine to be the least used, and fill it while the others
+// idle; its callers are refused, or wait. The lower of two drawn spreads them.
+func TestSampledClaimsSpread(t *testing.T) {
+	const (
+		instances = 60
+		late      = 100 // ticks of 10 ms
+		length    = 6
+		slots     = 6
+	)
+	refused := func(sample bool) float64 {
+		rng := rand.New(rand.NewPCG(7, 7))
+		rooms := make([]*Room, instances)
+		for i := range rooms {
+			rooms[i] = New()
+			var list []Engine
+			for e := range 6 {
+				list = append(list, Engine{ID: fmt.Sprint("e", e), Slots: slots})
+			}
+			rooms[i].SetEngines(list)
+			if sample {
+				rooms[i].Sample(rng.IntN)
+			}
+		}
+		type call struct {
+			instance int
+			id       string
+			end      int
+		}
+		var calls []call
+		asked, full := 0, 0
+		for tick := range 3000 {
+			// Each instance reports once in the time by which reports are late.
+			i := tick % late
+			if i < instances {
+				loads := make(map[string]Load)
+				for id, l := range rooms[i].Own() {
+					loads[id] = l
+				}
+				for j := range rooms {
+					if j != i {
+						rooms[j].SetPeer(fmt.Sprint(i), loads)
+					}
+				}
+			}
+			busy := map[string]int{}
+			kept := calls[:0]
+			for _, c := range calls {
+				if c.end <= tick {
+					rooms[c.instance].Release(c.id, 0)
+					continue
+				}
+				busy[c.id]++
+				kept = append(kept, c)
+			}
+			calls = kept
+			// Four a tick are two thirds of the slots.
+			for range 4 {
+				from := rng.IntN(instances)
+				asked++
+				id, ok := rooms[from].Claim(0, nil)
+				if !ok || busy[id] >= slots {
+					full++
+					if ok {
+						rooms[from].Release(id, 0)
+					}
+					continue
+				}
+				busy[id]++
+				calls = append(calls, call{from, id, tick + length})
+			}
+		}
+		return float64(full) / float64(asked)
+	}
+	lowest, sampled := refused(false), refused(true)
+	t.Logf("full: %.3f by the lowest, %.3f by two drawn", lowest, sampled)
+	assert.Assert(t, sampled < lowest/3, "full: %.3f by the lowest, %.3f by two drawn", lowest, sampled)
+}
+
+// Claims are compared by sums that follow each report, since adding up sixty instances'
+// reports for each of forty engines costs more than the rest of a request.
+func BenchmarkClaim(b *testing.B) {
+	r := New()
+	r.SetEngines(engines(44))
+	for i := range 400 {
+		r.SetPeer(fmt.Sprint(i), map[string]Load{fmt.Sprint("e", i%44): {Requests: 1, Tokens: 2}})
+	}
+	for b.Loop() {
+		if id, ok := r.Claim(1, nil); ok {
+			r.Release(id, 1)
+		}
+	}
+}
--- a/gateway/desk.go
+++ b/gateway/desk.go
@@ -263,6 +263,9 @@
 
 // sync takes over the engines that may be given work.
 func (k *desk) sync() {
+	late := k.gateway.reportsLate()
+	k.decode.spread(late)
+	k.prefill.spread(late)
 	shape := k.shape()
 	near := k.gateway.DataCentre
 	k.decode.sync(k.gateway.state.Directory, k.service, upstream.Decode, func(e upstream.Entry) room.Engine {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cairnworks/cairnworks/boottime"
+	"github.com/cairnworks/cairnworks/decision/quota"
 	"github.com/cairnworks/cairnworks/fleet"
 	"github.com/cairnworks/cairnworks/object"
 	"github.com/cairnworks/cairnworks/observe"
@@ -188,6 +189,9 @@
 // hashPoint spreads requests evenly over a route's targets.
 func hashPoint(id string) uint64 { return xxhash.Sum64String(id) }
 
+// reportsLate reports whether the fleet is so large that its reports are slowed down.
+func (g *Gateway) reportsLate() bool { return quota.Stretch(g.Members()) > 1 }
+
 // Fill completes a report to the other instances.
 func (g *Gateway) Fill(now time.Duration, r *fleet.Report) {
 	g.quotas.Fill(now, r)
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -7,7 +7,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/cairnworks/cairnworks/decision/quota"
 	"github.com/cairnworks/cairnworks/decision/waiting"
 	"github.com/cairnworks/cairnworks/upstream"
 	"github.com/cairnworks/cairnworks/verdict"
@@ -254,7 +253,7 @@
 
 // reservedOutput is the tokens of output that are reserved at the engine.
 func (r *modelRun) reservedOutput() int {
-	if quota.Stretch(r.gateway.Members()) > 1 {
+	if r.gateway.reportsLate() {
 		// What the others have placed is known late in a large fleet, so that claims do not
 		// keep an engine from being filled by several instances at once; its own
 		// reservations do.
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -186,6 +186,7 @@
 func (r *plainRun) attempt(ctx context.Context) (*keptResponse, *verdict.Verdict) {
 	g, a := r.gateway, r.admitted
 	r.pool.sync(g.state.Directory, a.service.Name, upstream.Plain, g.plainShape)
+	r.pool.spread(g.reportsLate())
 	entry, v := r.place()
 	if v != nil {
 		return nil, v
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -64,6 +65,18 @@
 	}
 }
 
+// spread tells whether what others have placed is known late, so that claims are spread
+// by chance.
+func (p *pool) spread(late bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if late {
+		p.room.Sample(rand.IntN)
+		return
+	}
+	p.room.Sample(nil)
+}
+
 // claim places a request of a size; see room.Room.Claim.
 func (p *pool) claim(tokens int, except map[string]bool) (upstream.Entry, bool) {
 	p.mu.Lock()
