Fault soak: real processes, faults from outside, promises checked

Instances run as separate processes on loopback before stand-ins of the store and the engines; signals and proxies disturb them by a seeded schedule. Checked from what callers got and engines ran: one run at most, true refusals, whole answers, nothing unasked, its own prompt, withdrawn keys, quota, recovery.

--- /dev/null
+++ b/cmd/cairnsoak/main.go
@@ -0,0 +1,82 @@
+// Command cairnsoak runs instances as separate processes and checks their promises under
+// random faults.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/cairnworks/cairnworks/soak"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	if err := command().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "cairnsoak:", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:  "cairnsoak",
+		Usage: "run instances as processes on loopback and check their promises under random faults",
+		Commands: []*cli.Command{{
+			Name:  "run",
+			Usage: "play seeds one after the other; a broken promise is printed with its schedule of faults and ends the command with status 1",
+			Flags: []cli.Flag{
+				&cli.Uint64Flag{Name: "seed", Usage: "first `SEED`", Value: 1},
+				&cli.IntFlag{Name: "seeds", Usage: "`NUMBER` of seeds", Value: 1},
+				&cli.FloatFlag{Name: "minutes", Usage: "`TIME` of faults a seed, in minutes", Value: 0.5},
+				&cli.IntFlag{Name: "instances", Usage: "`NUMBER` of instances", Value: 4},
+				&cli.IntFlag{Name: "callers", Usage: "`NUMBER` of callers, each with one request at a time", Value: 18},
+				&cli.StringFlag{Name: "daemon", Usage: "`PROGRAM` of an instance; default: cairnworksd beside this one"},
+				&cli.StringFlag{Name: "out", Usage: "`DIR` for logs and reports, one directory a seed", Value: "soak-out"},
+			},
+			Action: run,
+		}},
+	}
+}
+
+func run(ctx context.Context, cmd *cli.Command) error {
+	daemon := cmd.String("daemon")
+	if daemon == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return err
+		}
+		daemon = filepath.Join(filepath.Dir(self), "cairnworksd")
+	}
+	broken := 0
+	for n := range cmd.Int("seeds") {
+		if ctx.Err() != nil {
+			break
+		}
+		seed := cmd.Uint64("seed") + uint64(n)
+		report, err := soak.Run(ctx, soak.Options{
+			Seed: seed, Length: time.Duration(cmd.Float("minutes") * float64(time.Minute)), Instances: cmd.Int("instances"),
+			Callers: cmd.Int("callers"), Daemon: daemon, Dir: filepath.Join(cmd.String("out"), strconv.FormatUint(seed, 10)), Progress: os.Stderr,
+		})
+		if err != nil {
+			return fmt.Errorf("seed %d: %w", seed, err)
+		}
+		if err := report.Write(os.Stdout); err != nil {
+			return err
+		}
+		if len(report.Findings) > 0 {
+			broken++
+		}
+	}
+	if broken > 0 {
+		return fmt.Errorf("%d seeds with findings", broken)
+	}
+	return nil
+}
--- a/load/plot.go
+++ b/load/plot.go
@@ -36,6 +36,16 @@
 	logarithmic bool
 }
 
+// LinePlot draws curves over labelled places as an SVG image. values has a row for each
+// name, with a figure for each label.
+func LinePlot(title, unit string, labels, names []string, values [][]float64) string {
+	p := &plot{title: title, unit: unit, labels: labels}
+	for i, name := range names {
+		p.lines = append(p.lines, line{name: name, values: values[i]})
+	}
+	return p.svg()
+}
+
 // svg draws the plot.
 func (p *plot) svg() string {
 	var b strings.Builder
