Metrics of store calls, quotas, stages and beliefs

Cause: an on-call engineer saw refusals and retries, and nothing of the store's calls, the configuration's age, quotas or readiness. Change: counters and latency histograms of store calls by topic, call and result, of quota decisions and answers; stages admission, transfer and decode; gauges of what an instance believes. The operations page lists them and the test that compares events compares metrics too.

--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -136,13 +136,16 @@
 			return verdict.Refuse(verdict.ReasonCancelled, 0, "the caller left")
 		case <-time.After(confirmStep):
 		}
+		g.Metrics.Quota("waited")
 		d = g.quotas.Admit(c.Organisation, a.charge)
 	}
 	if !d.Admitted {
+		g.Metrics.Quota("refused")
 		tokens := a.charge
 		a.charge = 0
 		return verdict.Refuse(verdict.ReasonRateLimited, max(d.Retry, minQuotaRetry), "the organisation's quota is used up: %s", g.quotas.Describe(c.Organisation, tokens))
 	}
+	g.Metrics.Quota("admitted")
 	g.changed()
 	return nil
 }
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -132,7 +132,9 @@
 	if v != nil {
 		return v
 	}
+	begun := time.Now()
 	v = out.copy(answer)
+	g.Metrics.Took("decode", r.admitted.service.Name, time.Since(begun))
 	if v == nil && answer.Status == http.StatusOK {
 		g.crashes.succeeded(r.admitted.call)
 		r.desk.finished(r.admitted.call, out.events*r.desk.shape().EventTokens, r.tokens, time.Since(placed))
@@ -149,10 +151,12 @@
 	g := r.gateway
 	r.sent++
 	r.admitted.upstream = place.entry.ID
+	begun := time.Now()
 	answer, err := g.Upstreams.Run(ctx, place.entry, r.admitted.call, RunOptions{
 		Source: source, Reservation: place.reservation, LastEventID: after, Priority: r.admitted.call.prio,
 	})
 	if err == nil {
+		g.Metrics.Took("transfer", r.admitted.service.Name, time.Since(begun))
 		g.suspects.succeed(place.entry)
 		return answer, nil
 	}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -347,5 +347,6 @@
 		return
 	}
 	g.Metrics.Took("answer", a.service.Name, took)
+	g.Metrics.Answered(a.service.Name, status)
 	g.log.Info("answered", zap.String("request", a.call.ID), zap.String("upstream", a.upstream), zap.Int("status", status), zap.Duration("took", took))
 }
--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -186,6 +186,13 @@
 	q.ledger.Hear(now, in)
 }
 
+// Restricted reports whether only shares of the quotas may be spent here.
+func (q *Quotas) Restricted() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.ledger.Restricted(q.now())
+}
+
 // Describe tells what a refusal for an organisation rests on, for the log.
 func (q *Quotas) Describe(organisation string, tokens int64) string {
 	q.mu.Lock()
--- a/instance/routed/events_test.go
+++ b/instance/routed/events_test.go
@@ -12,7 +12,7 @@
 
 // The table of log events in the operations page is what an on-call engineer goes by.
 // One that lacks an event, or names one that is no longer written, sends them astray.
-func TestEveryLogEventStandsInTheTable(t *testing.T) {
+func TestEveryEventAndMetricStandsInTheTables(t *testing.T) {
 	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	assert.NilError(t, err)
 	_, section, ok := strings.Cut(string(page), "## Routed instances")
@@ -44,6 +44,11 @@
 		}
 	}
 	assert.Assert(t, len(written) > 20, "%d events found", len(written))
+	metrics, err := os.ReadFile("../../observe/metrics.go")
+	assert.NilError(t, err)
+	for _, match := range regexp.MustCompile(`\.(?:Counter|Gauge|Histogram)\("([^"]+)"`).FindAllStringSubmatch(string(metrics), -1) {
+		written["cairnworks_"+match[1]] = true
+	}
 	for name := range written {
 		assert.Check(t, table[name], "%q is not in the table", name)
 	}
--- a/instance/routed/routed.go
+++ b/instance/routed/routed.go
@@ -76,7 +76,8 @@
 	lingerShare = 0.33
 	// exitMargin is left of the grace for the end of the process.
 	exitMargin = 600 * time.Millisecond
-	// sweepInterval is how often idle connections to upstreams are looked over.
+	// sweepInterval is how often idle connections to upstreams are looked over, and gauges
+	// set.
 	sweepInterval = time.Second
 )
 
@@ -109,7 +110,9 @@
 
 // New prepares an instance; Run starts it.
 func New(s settings.Routed, outside Outside, log *zap.Logger) (*Instance, error) {
-	i := &Instance{settings: s, outside: outside, log: log, metrics: observe.NewMetrics(), began: time.Now(), intake: defaultIntake, count: 1, settled: make(chan struct{})}
+	metrics := observe.NewMetrics()
+	outside.Log = &countedLog{outside.Log, metrics}
+	i := &Instance{settings: s, outside: outside, log: log, metrics: metrics, began: time.Now(), intake: defaultIntake, count: 1, settled: make(chan struct{})}
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * 1e6))
 	}
@@ -251,7 +254,7 @@
 	})
 }
 
-// sweep closes idle connections to upstreams.
+// sweep closes idle connections to upstreams, and shows what the instance believes.
 func (i *Instance) sweep(ctx context.Context) error {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
@@ -261,10 +264,21 @@
 			return nil
 		case <-ticker.C:
 			i.outside.Pool.Sweep()
+			i.metrics.Beliefs(i.beliefs())
 		}
 	}
 }
 
+func (i *Instance) beliefs() observe.Beliefs {
+	b := observe.Beliefs{
+		Ready: i.notReady() == "", Upstreams: i.state.Directory.Len(), Instances: i.fleetSize(), Restricted: i.quotas.Restricted(),
+	}
+	if index := i.state.Index(); index != nil {
+		b.Version, b.Age = index.Version(), i.state.Age()
+	}
+	return b
+}
+
 // ignoreEnd drops the error that a part returns because ctx ended.
 func ignoreEnd(ctx context.Context, err error) error {
 	if ctx.Err() != nil {
--- a/instance/routed/routed_test.go
+++ b/instance/routed/routed_test.go
@@ -176,10 +176,26 @@
 	status, _, err := f.ask("other")
 	assert.NilError(t, err)
 	assert.Equal(t, status, http.StatusOK)
+	f.await(t, func() bool { return strings.Contains(f.metrics(t), "cairnworks_configuration_version 5") })
+	for _, name := range []string{
+		`cairnworks_refusals{ran="not_run",reason="unauthenticated",stage="gateway"}`, `cairnworks_answers{service="s",status="200"}`,
+		`cairnworks_stage_seconds_bucket{service="s",stage="admission",le="0.001"}`, `cairnworks_quota{decision="admitted"}`,
+		`cairnworks_store_calls{call="since",result="ok",topic="configuration"}`, "cairnworks_store_seconds_bucket",
+		"cairnworks_configuration_age_seconds", "cairnworks_ready 1", "cairnworks_upstreams 1", "cairnworks_instances 1", "cairnworks_quota_restricted 0",
+	} {
+		f.await(t, func() bool { return strings.Contains(f.metrics(t), name) })
+	}
+}
+
+// metrics reads the page for scrapers.
+func (f *fleet) metrics(t *testing.T) string {
+	t.Helper()
 	resp, err := http.Get("http://" + f.settings.Metrics + "/metrics")
 	assert.NilError(t, err)
 	defer resp.Body.Close()
-	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	page, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	return string(page)
 }
 
 // The store stays away for longer than a withdrawn key may go on working. The instance
--- a/observe/metrics.go
+++ b/observe/metrics.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -94,6 +95,53 @@
 	m.Scope.Tagged(map[string]string{"stage": stage, "service": service}).Histogram("stage_seconds", latencyBuckets).RecordDuration(d)
 }
 
+// Answered counts an answer of an upstream that was handed on, by its status.
+func (m *Metrics) Answered(service string, status int) {
+	m.Scope.Tagged(map[string]string{"service": service, "status": strconv.Itoa(status)}).Counter("answers").Inc(1)
+}
+
+// Quota counts a decision on an organisation's quota: "admitted", "refused", or "waited"
+// for others' word on what was spent before.
+func (m *Metrics) Quota(decision string) {
+	m.Scope.Tagged(map[string]string{"decision": decision}).Counter("quota").Inc(1)
+}
+
+// StoreCall records a call of the platform's store.
+func (m *Metrics) StoreCall(topic, call, result string, d time.Duration) {
+	scope := m.Scope.Tagged(map[string]string{"topic": topic, "call": call, "result": result})
+	scope.Counter("store_calls").Inc(1)
+	scope.Histogram("store_seconds", latencyBuckets).RecordDuration(d)
+}
+
+// Beliefs sets what an instance believes now.
+func (m *Metrics) Beliefs(b Beliefs) {
+	flag := func(set bool) float64 {
+		if set {
+			return 1
+		}
+		return 0
+	}
+	m.Scope.Gauge("ready").Update(flag(b.Ready))
+	m.Scope.Gauge("configuration_version").Update(float64(b.Version))
+	m.Scope.Gauge("configuration_age_seconds").Update(b.Age.Seconds())
+	m.Scope.Gauge("upstreams").Update(float64(b.Upstreams))
+	m.Scope.Gauge("instances").Update(float64(b.Instances))
+	m.Scope.Gauge("quota_restricted").Update(flag(b.Restricted))
+}
+
+// Beliefs are what an instance goes by.
+type Beliefs struct {
+	Ready bool
+	// Version of the configuration in force, and the age of the proof that no newer
+	// one exists.
+	Version uint64
+	Age     time.Duration
+	// Upstreams and Instances that are known.
+	Upstreams, Instances int
+	// Restricted tells that only shares of quotas may be spent.
+	Restricted bool
+}
+
 // Retried counts a retry by the reason of the failed attempt.
 func (m *Metrics) Retried(service string, reason verdict.Reason) {
 	m.Scope.Tagged(map[string]string{"service": service, "reason": string(reason)}).Counter("retries").Inc(1)
