A whole read does not take away what others have told meanwhile

Cause: an instance whose history was forgotten reads the topic whole; while the answer is on its way a note of another instance may bring a newer record. The older whole then replaced it, and the record was not read again, as the offset had gone on: a leaving or new upstream would have stayed unknown. Change: a whole read that ends before what is known is used as a proof only.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -163,16 +163,27 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.takeWhole(records, next, begun)
+	return nil
+}
+
+// takeWhole takes in the newest record of each key; the lock is held.
+func (f *Follower) takeWhole(records []port.KeyedRecord, next uint64, begun time.Duration) {
+	if f.known && next < f.next {
+		// Others have told of records since the answer was made, and it would take them
+		// away again for good: they are not read twice.
+		f.proven(begun)
+		return
+	}
 	changed := f.Reader.Replace(records)
 	if !f.known {
 		f.known, f.knownSince = true, f.Now()
 	}
-	f.next = max(f.next, next)
+	f.next = next
 	if changed && f.marked {
 		f.mark, f.relay = f.next, relay{}
 	}
 	f.proven(begun)
-	return nil
 }
 
 // add hands on the records of a read. Some may have come from others meanwhile.
