--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -68,13 +68,39 @@
 
 // noted is what a reader was told.
 type noted struct {
+	mu sync.Mutex
+	told
+}
+
+type told struct {
 	replaced, added, proven, lost int
 }
 
-func (n *noted) Replace(records []port.KeyedRecord) bool { n.replaced += 1 + len(records); return true }
-func (n *noted) Add(port.KeyedRecord) bool               { n.added++; return true }
-func (n *noted) Proven(time.Duration)                    { n.proven++ }
-func (n *noted) Lost()                                   { n.lost++ }
+func (n *noted) Replace(records []port.KeyedRecord) bool {
+	n.note(func(t *told) { t.replaced += 1 + len(records) })
+	return true
+}
+
+func (n *noted) Add(port.KeyedRecord) bool {
+	n.note(func(t *told) { t.added++ })
+	return true
+}
+
+func (n *noted) Proven(time.Duration) { n.note(func(t *told) { t.proven++ }) }
+func (n *noted) Lost()                { n.note(func(t *told) { t.lost++ }) }
+
+func (n *noted) note(change func(*told)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	change(&n.told)
+}
+
+// so is what was told so far.
+func (n *noted) so() told {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.told
+}
 
 // virtual is the time of a bubble of synctest, which begins at midnight.
 func virtual() time.Duration {
@@ -106,19 +132,19 @@
 	s := &scripted{records: make([]port.KeyedRecord, 2)}
 	run(t, s, func(n *noted) {
 		pass(time.Millisecond)
-		assert.Equal(t, n.replaced, 3)
-		assert.Equal(t, n.proven, 1)
+		assert.Equal(t, n.so().replaced, 3)
+		assert.Equal(t, n.so().proven, 1)
 		s.set(func() { s.down = true })
 		pass(2 * time.Second)
-		proven, calls := n.proven, s.asked()
+		proven, calls := n.so().proven, s.asked()
 		s.set(func() { s.records = append(s.records, port.KeyedRecord{Offset: uint64(len(s.records))}) })
 		pass(10 * time.Second)
-		assert.Equal(t, n.proven, proven)
-		assert.Assert(t, n.lost > 0 && s.asked()-calls < 40, "%d calls in ten seconds", s.asked()-calls)
+		assert.Equal(t, n.so().proven, proven)
+		assert.Assert(t, n.so().lost > 0 && s.asked()-calls < 40, "%d calls in ten seconds", s.asked()-calls)
 		s.set(func() { s.down = false })
 		pass(2 * time.Second)
-		assert.Equal(t, n.added, 1)
-		assert.Assert(t, n.proven > proven)
+		assert.Equal(t, n.so().added, 1)
+		assert.Assert(t, n.so().proven > proven)
 	})
 }
 
@@ -130,7 +156,7 @@
 		pass(time.Millisecond)
 		s.set(func() { s.records, s.first = make([]port.KeyedRecord, 9), 5 })
 		pass(3 * time.Second)
-		assert.Equal(t, n.replaced, 3+10)
-		assert.Equal(t, n.lost, 0)
+		assert.Equal(t, n.so().replaced, 3+10)
+		assert.Equal(t, n.so().lost, 0)
 	})
 }
--- a/follow/share_test.go
+++ b/follow/share_test.go
@@ -106,7 +106,18 @@
 	i.proof = max(i.proof, begun)
 }
 
-func (i *instance) Lost() { i.lost++ }
+func (i *instance) Lost() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.lost++
+}
+
+// failures is how often the store could not be read.
+func (i *instance) failures() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.lost
+}
 
 func (i *instance) state() (known string, age time.Duration) {
 	i.mu.Lock()
@@ -118,6 +129,8 @@
 type shared struct {
 	log       *log
 	instances []*instance
+
+	mu sync.Mutex
 	// drop loses every note between two instances, if set.
 	drop func(from, to int) bool
 	// held is how long a note waits on its way.
@@ -150,6 +163,19 @@
 	})
 }
 
+// set changes how notes travel.
+func (s *shared) set(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
+
+func (s *shared) travel() (drop func(from, to int) bool, held time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.drop, s.held
+}
+
 // tell carries notes between all instances.
 func (s *shared) tell(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -160,15 +186,16 @@
 			if !ok {
 				continue
 			}
+			drop, held := s.travel()
 			for to, other := range s.instances {
-				if to == from || s.drop != nil && s.drop(from, to) {
+				if to == from || drop != nil && drop(from, to) {
 					continue
 				}
-				if s.held == 0 {
+				if held == 0 {
 					other.follower.Hear(note, sent)
 					continue
 				}
-				time.AfterFunc(s.held, func() { other.follower.Hear(note, sent) })
+				time.AfterFunc(held, func() { other.follower.Hear(note, sent) })
 			}
 		}
 	}
@@ -234,7 +261,7 @@
 // an old configuration.
 func TestEachReadsWithoutNotes(t *testing.T) {
 	runShared(t, 5, func(s *shared) {
-		s.drop = func(int, int) bool { return true }
+		s.set(func() { s.drop = func(int, int) bool { return true } })
 		s.log.put("second")
 		time.Sleep(testPace.Spare + 400*time.Millisecond)
 		assert.Assert(t, s.allKnow("second"))
@@ -247,7 +274,7 @@
 // withdrawn since.
 func TestHeldUpNotesProveNothingNew(t *testing.T) {
 	runShared(t, 3, func(s *shared) {
-		s.held = 3 * time.Second
+		s.set(func() { s.held = 3 * time.Second })
 		time.Sleep(4 * time.Second)
 		s.log.refuse(2)
 		time.Sleep(3 * time.Second)
@@ -264,7 +291,7 @@
 		for n, i := range s.instances {
 			_, age := i.state()
 			assert.Assert(t, age > 7*time.Second, "instance %d believes in a proof %v old", n, age)
-			assert.Assert(t, i.lost > 0)
+			assert.Assert(t, i.failures() > 0)
 		}
 		s.log.refuse()
 		time.Sleep(2 * time.Second)
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -51,15 +52,28 @@
 	return &instance{name: name, settings: s, store: p}, nil
 }
 
-// freePort returns a loopback address that nobody listens at. Another process may take
-// it before it is used; the run then fails at its start.
+// Ports of instances lie below those that the system gives to outgoing connections, of
+// which a run opens thousands: a port that is free now would be taken by one of them
+// before the instance listens, or while it restarts.
+const (
+	firstPort = 15_000
+	ports     = 15_000
+	portTries = 50
+)
+
+// freePort returns a loopback address that nobody listens at. Another run may take it
+// before it is used; the fleet is then not ready in time.
 func freePort() (string, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var last error
+	for range portTries {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		l, err := net.Listen("tcp4", address)
+		if err == nil {
+			return address, l.Close()
+		}
+		last = err
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return "", last
 }
 
 // run keeps the process running until stop is closed, with its output in dir.
