--- a/follow/share.go
+++ b/follow/share.go
@@ -91,7 +91,8 @@
 	f.Reader.Proven(begun)
 }
 
-// takeOver adds the records that a note brings, if none is missing before them.
+// takeOver adds the records that a note brings, if none is missing before them; the lock
+// is held.
 func (f *Follower) takeOver(n Note) {
 	if len(n.Records) == 0 || n.From > f.next {
 		return
@@ -105,7 +106,7 @@
 }
 
 // settle learns what of the topic is new. What another instance has read beyond this
-// one and found to change nothing need not be read here.
+// one and found to change nothing need not be read here. The lock is held.
 func (f *Follower) settle(n Note) {
 	if !f.marked && n.Next >= f.next {
 		f.marked, f.mark = true, n.Mark
@@ -117,7 +118,8 @@
 	f.next = max(f.next, n.Next)
 }
 
-// changed notes records that this instance has read and that changed something.
+// changed notes records that this instance has read and that changed something; the lock
+// is held.
 func (f *Follower) changed(records []port.KeyedRecord) {
 	if f.Turn == nil || !f.marked || len(records) == 0 {
 		return
@@ -156,7 +158,8 @@
 	return f.proof + f.Pace.Spare + f.Pace.Stagger*time.Duration(turn-regulars) - now
 }
 
-// readAfter is the pause between two reads of an instance that reads all the time.
+// readAfter is the pause until the next read of an instance that reads all the time; the
+// lock is held.
 func (f *Follower) readAfter(now time.Duration) time.Duration {
 	if !f.known {
 		return 0
@@ -164,7 +167,7 @@
 	return f.lastRead + f.gap() - now
 }
 
-// regular notes whether this instance reads for all.
+// regular notes whether this instance reads for all; the lock is held.
 func (f *Follower) regular(reads bool) {
 	if reads == f.reads {
 		return
@@ -173,7 +176,7 @@
 	f.Logger.Info("reads for all", zap.Stringer("topic", f.Topic), zap.Bool("reads", reads))
 }
 
-// mustMark takes the whole topic for new where nobody says what of it is.
+// mustMark takes the whole topic for new where nobody says what of it is; the lock is held.
 func (f *Follower) mustMark(now time.Duration) {
 	if !f.marked && now-f.knownSince > markPatience {
 		f.marked, f.mark = true, f.next
