Instances of another fleet are strangers

Cause: the known red test ran a guarded call twice while its owner was declared dead again and again. The kept log shows why: instance-2 alternates between two addresses, each of them with the next incarnation. The second belongs to the fleet of another test that ran at the same time, whose instance had taken a port that a seed list still named. Both fleets had the same secret (none), so the stranger became a member and an owner of partitions, and decided on idempotency keys by its own log: one run a log. Two instances of one name also declare each other dead without end, which explains the 'in_progress' answers for seconds. Ruled out before by reading: the HTTP client's repeats, the owner's incarnation in intents.

Change: the fleet's name, by default the address of its log, is part of the secret that heartbeats and calls between instances carry.

--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -58,6 +58,8 @@
 	engineArgs []string
 	// graceSeconds is how long a draining instance still takes requests.
 	graceSeconds int
+	// seeds are further peer addresses that each instance tries at its start.
+	seeds []string
 }
 
 // newFleet starts everything and waits until each instance is ready.
@@ -72,7 +74,7 @@
 	f.set = f.objects(cfg)
 	f.publish()
 	for n := range cfg.instances {
-		f.startInstance(n, cfg.graceSeconds)
+		f.startInstance(n, cfg.graceSeconds, cfg.seeds...)
 	}
 	f.waitReady()
 	return f
@@ -144,13 +146,14 @@
 
 func (f *fleet) logPort() port.Log { return httpport.NewLog(f.log, nil) }
 
-func (f *fleet) startInstance(n, grace int) *daemon {
+func (f *fleet) startInstance(n, grace int, seeds ...string) *daemon {
 	f.t.Helper()
 	s := settings.Default()
 	s.Instance, s.DataCentre = fmt.Sprintf("instance-%d", n), dataCentres[n%len(dataCentres)]
 	s.Callers.Address, s.Peers.Address, s.Operators.Address = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
 	s.Platform.Log, s.Platform.List = f.log, f.list
 	s.DrainGraceSeconds = grace
+	s.Peers.Seeds = seeds
 	for _, other := range f.instances {
 		s.Peers.Seeds = append(s.Peers.Seeds, other.peers)
 	}
--- a/e2e/once_test.go
+++ b/e2e/once_test.go
@@ -35,6 +35,19 @@
 func TestResentSwapsRunOnce(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, fleetConfig{instances: 3, prefill: 1, decode: 1, plain: 2, tokenTime: time.Millisecond})
+	resendSwaps(t, f)
+	a, _ := call(context.Background(), f.instances[0].callers, f.keys["alpha"], http.MethodPost, "/swaps", "swap-0", `{"swap":"another"}`)
+	assert.Equal(t, a.code, "idempotency_key_reused")
+	assert.Equal(t, a.ran, "not_run")
+	// Another organisation's key of the same text is another key.
+	b, _ := call(context.Background(), f.instances[0].callers, f.keys["beta"], http.MethodPost, "/swaps", "swap-0", `{"swap":0}`)
+	assert.Equal(t, b.status, http.StatusOK)
+}
+
+// resendSwaps sends each of twenty swaps to every instance at the same time, again and
+// again until it is answered, and checks that each ran once.
+func resendSwaps(t *testing.T, f *fleet) {
+	t.Helper()
 	const swaps = 20
 	var all sync.WaitGroup
 	bodies := make([][3]string, swaps)
@@ -63,12 +76,23 @@
 			assert.Equal(t, bodies[k][n], bodies[k][0], "swap %d got two different answers", k)
 		}
 	}
-	a, _ := call(context.Background(), f.instances[0].callers, f.keys["alpha"], http.MethodPost, "/swaps", "swap-0", `{"swap":"another"}`)
-	assert.Equal(t, a.code, "idempotency_key_reused")
-	assert.Equal(t, a.ran, "not_run")
-	// Another organisation's key of the same text is another key.
-	b, _ := call(context.Background(), f.instances[0].callers, f.keys["beta"], http.MethodPost, "/swaps", "swap-0", `{"swap":0}`)
-	assert.Equal(t, b.status, http.StatusOK)
+}
+
+// A second fleet, on a log of its own, reaches this one: a seed's address has been given to
+// another fleet's instance since, as happens when a test system is set up beside the real one
+// with the same secret or none. Were its instances taken for members, they would decide on
+// idempotency keys by a log that this fleet does not read: each of the two logs lets a swap run
+// once, and a keeper's enclosure is double-staffed. Two instances of one name would also declare
+// one another dead without end.
+func TestInstancesOfAnotherFleetAreStrangers(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, fleetConfig{instances: 3, prefill: 1, decode: 1, plain: 2, tokenTime: time.Millisecond})
+	var seeds []string
+	for _, d := range f.instances {
+		seeds = append(seeds, d.peers)
+	}
+	newFleet(t, fleetConfig{instances: 3, prefill: 1, decode: 1, plain: 1, tokenTime: time.Millisecond, seeds: seeds})
+	resendSwaps(t, f)
 }
 
 // The service books and then its answer is lost, as when its process dies at the
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -74,7 +74,7 @@
 		settings: s, log: log.With(zap.String("instance", s.Instance)), level: level,
 		metrics: observe.NewMetrics(), open: newOpenRequests(), actors: observe.NewActorSystem(), began: time.Now(), drain: newDrainState(),
 	}
-	secret, err := readSecret(s.Peers.SecretFile)
+	secret, err := fleetSecret(s)
 	if err != nil {
 		return nil, err
 	}
--- a/instance/join.go
+++ b/instance/join.go
@@ -1,8 +1,12 @@
 package instance
 
 import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/hex"
 	"time"
 
+	"github.com/samber/oops"
 	"go.uber.org/zap"
 
 	"github.com/cairnworks/cairnworks/config"
@@ -11,13 +15,36 @@
 	"github.com/cairnworks/cairnworks/object"
 	"github.com/cairnworks/cairnworks/peer"
 	"github.com/cairnworks/cairnworks/request"
+	"github.com/cairnworks/cairnworks/settings"
 	"github.com/cairnworks/cairnworks/tlsfile"
 )
 
-// loopbackSecret authenticates heartbeats when the settings name no secret file,
+// loopbackSecret authenticates instances when the settings name no secret file,
 // which they may leave out on loopback addresses only.
 const loopbackSecret = "loopback addresses only"
 
+// fleetSecret is the secret that instances of one fleet share. The fleet's name is part of
+// it. An instance of a second fleet, such as a test system with the same secret or an old
+// seed address that another fleet uses by now, would otherwise become a member: it decides
+// on idempotency keys by another log, and a call that may run once runs once a log. One
+// would notice by two addresses of one name that declare each other dead in turn. Refused so,
+// it shows as unauthenticated datagrams.
+func fleetSecret(s settings.Settings) (string, error) {
+	secret, err := readSecret(s.Peers.SecretFile)
+	if err != nil {
+		return "", err
+	}
+	switch {
+	case secret == "":
+		secret = loopbackSecret
+	case len(secret) < membership.MinSecret:
+		return "", oops.In("instance").With("file", s.Peers.SecretFile).Errorf("the secret has fewer than %d bytes", membership.MinSecret)
+	}
+	h := hmac.New(sha256.New, []byte(secret))
+	h.Write([]byte(s.FleetName()))
+	return hex.EncodeToString(h.Sum(nil)), nil
+}
+
 // joinFleet prepares membership and the configuration's follower.
 func (i *Instance) joinFleet(secret string) error {
 	clientTLS, err := tlsfile.Client(i.settings.Peers.TLS)
@@ -25,9 +52,6 @@
 		return err
 	}
 	i.peers = peer.NewTransport(clientTLS, secret)
-	if secret == "" {
-		secret = loopbackSecret
-	}
 	i.members, err = membership.New(membership.Config{
 		Holder: request.Holder{
 			Instance: i.settings.Instance, Incarnation: uint64(time.Now().UnixMilli()), Address: i.Addresses().Peers,
