--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -16,6 +17,7 @@
 	"github.com/cairnworks/cairnworks/decision/length"
 	"github.com/cairnworks/cairnworks/decision/split"
 	"github.com/cairnworks/cairnworks/follow"
+	fleetv1 "github.com/cairnworks/cairnworks/gen/cairnworks/fleet/v1"
 	"github.com/cairnworks/cairnworks/port"
 )
 
@@ -192,3 +194,28 @@
 	_, err = Listen(Member{Address: taken.LocalAddr().String()}, nil, zap.NewNop())
 	assert.Assert(t, err != nil)
 }
+
+// A configuration of some thousand bytes is told to every instance, most of it words that
+// come again and again. Sent as it is, it holds up a small instance's link for half a second,
+// and what is known of quotas is late meanwhile.
+func TestLargeRecordsAreCompressed(t *testing.T) {
+	value := bytes.Repeat([]byte(`{"name":"route","host":"a.example","service":"pisar"},`), 200)
+	in := &Report{Instance: "a", Notes: []follow.Note{{Topic: port.TopicConfiguration, Mark: 2, Next: 2, From: 1,
+		Records: []port.KeyedRecord{{Key: "config", Value: value, Offset: 1}, {Key: "gone", Offset: 2}}}}}
+	data, err := in.marshal()
+	assert.NilError(t, err)
+	assert.Assert(t, len(data) < len(value)/5, "%d bytes of %d", len(data), len(value))
+	out, err := unmarshal(data)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, out.Notes, in.Notes)
+}
+
+// A forged report holds a few kilobytes that would grow to gigabytes.
+func TestCompressedRecordsAreBounded(t *testing.T) {
+	packed, err := deflate(make([]byte, maxValue+1))
+	assert.NilError(t, err)
+	_, err = unmarshalRecord(&fleetv1.Record{Key: "config", Value: packed, Deflated: true})
+	assert.ErrorIs(t, err, errLargeRecord)
+	_, err = unmarshalRecord(&fleetv1.Record{Key: "config", Value: packed[:len(packed)/2], Deflated: true})
+	assert.Assert(t, err != nil, "cut off")
+}
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -142,7 +142,11 @@
 		r.Crashes = append(r.Crashes, Crash{c.Fingerprint, Hash(c.Upstream), time.Duration(c.AgeMs) * time.Millisecond})
 	}
 	for _, n := range m.Notes {
-		r.Notes = append(r.Notes, unmarshalNote(n))
+		note, err := unmarshalNote(n)
+		if err != nil {
+			return nil, err
+		}
+		r.Notes = append(r.Notes, note)
 	}
 	for _, w := range m.Works {
 		r.Works[Hash(w.Service)] = unmarshalWork(w)
@@ -174,15 +178,19 @@
 	age := uint32((n.Age + time.Millisecond - 1).Milliseconds())
 	m := &fleetv1.Note{Topic: uint32(n.Topic), Mark: n.Mark, Next: n.Next, AgeMs: age, From: n.From}
 	for _, record := range n.Records {
-		m.Records = append(m.Records, &fleetv1.Record{Key: record.Key, Value: record.Value, Offset: record.Offset})
+		m.Records = append(m.Records, marshalRecord(record))
 	}
 	return m
 }
 
-func unmarshalNote(m *fleetv1.Note) follow.Note {
+func unmarshalNote(m *fleetv1.Note) (follow.Note, error) {
 	n := follow.Note{Topic: port.Topic(m.Topic), Mark: m.Mark, Next: m.Next, Age: time.Duration(m.AgeMs) * time.Millisecond, From: m.From}
 	for _, record := range m.Records {
-		n.Records = append(n.Records, port.KeyedRecord{Key: record.Key, Value: record.Value, Offset: record.Offset})
+		read, err := unmarshalRecord(record)
+		if err != nil {
+			return follow.Note{}, err
+		}
+		n.Records = append(n.Records, read)
 	}
-	return n
+	return n, nil
 }
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -93,8 +93,10 @@
 	// proof is when a read was begun that showed that nothing followed, lastRead when
 	// this instance's own last one ended.
 	proof, lastRead time.Duration
-	// behind tells that another instance knows of records that are missing here.
-	behind bool
+	// behind tells that another instance knows of records that are missing here, and
+	// catchUp when they are read if they have not come before.
+	behind  bool
+	catchUp time.Duration
 	// reads tells that this instance reads the topic for all.
 	reads bool
 	relay relay
--- a/follow/share.go
+++ b/follow/share.go
@@ -16,9 +16,16 @@
 	// relayReports is how many reports carry a new record. One in forty is lost on a
 	// bad link; who has lost both reads the store.
 	relayReports = 2
-	// relayBytes bounds the records that a report carries. The report goes to every
-	// instance; what is larger each reads from the store itself.
-	relayBytes = 4 << 10
+	// relayBytes bounds the records that a report carries, before they are compressed to
+	// about a fifth. The report goes to every instance; what is larger each reads from the
+	// store itself.
+	relayBytes = 24 << 10
+	// relayPatience is how long an instance that hears of a record waits for the report
+	// that carries it: the time that a link of 10 Mbit/s takes to send such a report to
+	// eighty instances. Who has the record already tells of it as well, and is often heard
+	// first; at 78 instances each change of a configuration was so read by nearly all of
+	// them, which was half of the fleet's calls.
+	relayPatience = 250 * time.Millisecond
 	// markPatience is how long an instance that has read a whole topic waits for the
 	// word of others on what of it is new. Without others, all of it is.
 	markPatience = 1500 * time.Millisecond
@@ -78,10 +85,11 @@
 		f.takeOver(n)
 	}
 	if f.next < n.Mark {
-		f.behind = true
+		f.fallBehind(n)
 		f.wakeUp()
 		return
 	}
+	f.behind = false
 	f.settle(n)
 	begun := earliest - n.Age
 	if earliest <= 0 || begun <= f.proof {
@@ -91,6 +99,20 @@
 	f.Reader.Proven(begun)
 }
 
+// fallBehind notes that records are missing here. A note that carries records and does not
+// join what is known follows one that was lost, so that waiting for more is in vain; one
+// without records may have overtaken those that carry them. The lock is held.
+func (f *Follower) fallBehind(n Note) {
+	var read time.Duration
+	if len(n.Records) == 0 {
+		read = f.Now() + relayPatience
+	}
+	if !f.behind || read < f.catchUp {
+		f.catchUp = read
+	}
+	f.behind = true
+}
+
 // takeOver adds the records that a note brings, if none is missing before them; the lock
 // is held.
 func (f *Follower) takeOver(n Note) {
@@ -146,9 +168,12 @@
 	if f.Turn == nil {
 		return f.readAfter(now)
 	}
-	if !f.known || f.behind {
+	if !f.known {
 		return 0
 	}
+	if f.behind {
+		return max(f.catchUp-now, 0)
+	}
 	turn := f.Turn()
 	f.regular(turn < regulars)
 	if turn < regulars {
--- a/follow/share_test.go
+++ b/follow/share_test.go
@@ -314,3 +314,26 @@
 	assert.Equal(t, n.known, "new")
 	assert.Equal(t, f.next, uint64(14))
 }
+
+// Of eighty instances the one that reads for all tells of a new record, and one that already
+// has the record is heard first: its word names the record and does not carry it. If that
+// made everybody read, each change would cost a call for every instance, all of which are
+// paid for, and the store would refuse others' calls for a while.
+func TestWordOfARecordWaitsForTheRecord(t *testing.T) {
+	n := &instance{}
+	f := NewFollower(port.TopicUpstreams, testPace, n)
+	f.Turn = func() int { return 5 }
+	now := time.Minute
+	f.Now = func() time.Duration { return now }
+	f.known, f.next, f.marked, f.mark, f.proof = true, 10, true, 10, now
+	f.Hear(Note{Mark: 11, Next: 12}, now)
+	assert.Assert(t, f.pause(now) > 0, "the record may be on its way")
+	f.Hear(Note{Mark: 11, Next: 12}, now)
+	assert.Equal(t, f.pause(now), relayPatience, "words of others do not end the wait")
+	f.Hear(Note{Mark: 11, Next: 12, From: 10, Records: []port.KeyedRecord{{Key: "new", Offset: 10}}}, now)
+	assert.Equal(t, n.known, "new")
+	assert.Assert(t, f.pause(now) > relayPatience, "nothing is missing any more")
+	f.Hear(Note{Mark: 15, Next: 15}, now)
+	now += relayPatience
+	assert.Equal(t, f.pause(now), time.Duration(0), "a record that did not come is read")
+}
