The wait for a missing record ends when it comes or is read

Change: the wait ends only once what is known reaches what was heard of. Test: TestWordsOfThoseWhoKnowLessDoNotEndTheWait, which failed before.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -94,9 +94,10 @@
 	// this instance's own last one ended.
 	proof, lastRead time.Duration
 	// behind tells that another instance knows of records that are missing here, and
-	// catchUp when they are read if they have not come before.
+	// catchUp when they are read if they have not come before. They end below ahead.
 	behind  bool
 	catchUp time.Duration
+	ahead   uint64
 	// reads tells that this instance reads the topic for all.
 	reads bool
 	relay relay
--- a/follow/share.go
+++ b/follow/share.go
@@ -89,8 +89,8 @@
 		f.wakeUp()
 		return
 	}
-	f.behind = false
 	f.settle(n)
+	f.behind = f.behind && f.next < f.ahead
 	begun := earliest - n.Age
 	if earliest <= 0 || begun <= f.proof {
 		return
@@ -110,7 +110,7 @@
 	if !f.behind || read < f.catchUp {
 		f.catchUp = read
 	}
-	f.behind = true
+	f.behind, f.ahead = true, max(f.ahead, n.Mark)
 }
 
 // takeOver adds the records that a note brings, if none is missing before them; the lock
--- a/follow/share_test.go
+++ b/follow/share_test.go
@@ -337,3 +337,21 @@
 	now += relayPatience
 	assert.Equal(t, f.pause(now), time.Duration(0), "a record that did not come is read")
 }
+
+// A third of eighty instances are turned away by the store and go on telling that nothing is
+// new, as far as they know. Were each of their words taken for the end of the wait for a
+// missing record, the wait would begin anew with the next word of those who have it: the
+// record is never read, and a key that was withdrawn works on here for seconds.
+func TestWordsOfThoseWhoKnowLessDoNotEndTheWait(t *testing.T) {
+	f := NewFollower(port.TopicConfiguration, testPace, &instance{})
+	f.Turn = func() int { return 5 }
+	now := time.Minute
+	f.Now = func() time.Duration { return now }
+	f.known, f.next, f.marked, f.mark, f.proof = true, 10, true, 10, now
+	for range 3 {
+		f.Hear(Note{Mark: 11, Next: 12}, now)
+		f.Hear(Note{Mark: 10, Next: 10}, now)
+		now += relayPatience / 2
+	}
+	assert.Equal(t, f.pause(now), time.Duration(0))
+}
