A just started instance does not read for all

Hypothesis: when all start, each hears nobody yet and reads the store's topics all the time. Change: an instance reads for all 1.2 s after its first read at the earliest.

--- a/follow/share.go
+++ b/follow/share.go
@@ -13,6 +13,10 @@
 	// regulars is how many instances read a topic all the time, for all. The second
 	// covers the time until the loss of the first is noticed.
 	regulars = 2
+	// regularAfter is how long after its first read an instance reads for all at the
+	// earliest. One that has just started hears nobody and takes itself for the first in the
+	// order; when all start together, each would read all the time until the first reports.
+	regularAfter = 1200 * time.Millisecond
 	// relayReports is how many reports carry a new record. One in forty is lost on a
 	// bad link; who has lost both reads the store.
 	relayReports = 2
@@ -175,11 +179,14 @@
 		return max(f.catchUp-now, 0)
 	}
 	turn := f.Turn()
-	f.regular(turn < regulars)
+	f.regular(turn < regulars && now-f.knownSince > regularAfter)
 	if turn < regulars {
 		f.mustMark(now)
+	}
+	if f.reads {
 		return f.readAfter(now)
 	}
+	turn = max(turn, regulars)
 	return f.proof + f.Pace.Spare + f.Pace.Stagger*time.Duration(turn-regulars) - now
 }
 
--- a/follow/share_test.go
+++ b/follow/share_test.go
@@ -355,3 +355,18 @@
 	}
 	assert.Equal(t, f.pause(now), time.Duration(0))
 }
+
+// All eighty instances start together. Until their first reports each hears nobody and takes
+// itself for the first in the order of those that read for all; eighty that read all the time
+// come close to what the store bears, and every call is paid for.
+func TestJustStartedInstanceDoesNotReadForAll(t *testing.T) {
+	f := NewFollower(port.TopicConfiguration, testPace, &instance{})
+	f.Logger = zap.NewNop()
+	f.Turn = func() int { return 0 }
+	now := time.Minute
+	f.Now = func() time.Duration { return now }
+	f.known, f.knownSince, f.proof, f.lastRead = true, now, now, now
+	assert.Equal(t, f.pause(now), testPace.Spare, "its first read holds for a while")
+	now += regularAfter + time.Millisecond
+	assert.Assert(t, f.pause(now) <= testPace.Gap, "nobody else has been heard")
+}
