New instances are greeted with whole reports

A receiver takes a partial report only after a whole one, and a sender's first three reports were partial, so that nobody counted as heard. Change: two whole reports follow whenever an instance has come.

--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -69,6 +69,9 @@
 	confirming bool
 	// outline belongs to the sending loop.
 	outline outline
+	// fullDue is how many further reports are not partial, since instances have come that
+	// know nothing yet.
+	fullDue int
 }
 
 // target is an instance that reports go to.
@@ -120,6 +123,7 @@
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	x.greet(targets)
 	x.targets = targets
 	for run := range x.last {
 		if !listed[run] {
@@ -128,6 +132,26 @@
 	}
 }
 
+// greet sees to whole reports where an instance has come that was not there before; the lock
+// is held.
+func (x *Exchange) greet(targets map[string]target) {
+	for name, to := range targets {
+		if x.targets[name].run != to.run {
+			x.fullDue = greetings
+			return
+		}
+	}
+}
+
+// partial decides whether the next report is, and counts it; the lock is held.
+func (x *Exchange) partial() bool {
+	if x.fullDue > 0 {
+		x.fullDue--
+		return false
+	}
+	return x.stretch() > 1 && x.sequence%fullEvery != 0
+}
+
 // Kick asks for a report soon, since something changed.
 func (x *Exchange) Kick() {
 	select {
@@ -169,10 +193,9 @@
 	x.mu.Lock()
 	x.sequence++
 	x.confirming = false
-	r := &Report{Instance: x.self.Name, Incarnation: x.self.Incarnation, Sequence: x.sequence}
+	r := &Report{Instance: x.self.Name, Incarnation: x.self.Incarnation, Sequence: x.sequence, Partial: x.partial()}
 	targets, stretch := x.targets, x.stretch()
 	x.mu.Unlock()
-	r.Partial = stretch > 1 && r.Sequence%fullEvery != 0
 	x.handler.Fill(now, r)
 	x.number(now, r)
 	x.outline.trim(r)
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -283,3 +283,30 @@
 	assert.Assert(t, x.accept(now+3*partialGap, report(5, false)))
 	assert.Assert(t, x.accept(now+3*partialGap, report(6, true)))
 }
+
+// All instances of a large fleet have lost power and start together. Each takes nothing from
+// another before a report that is not partial: were the first reports partial, every instance
+// would hold itself for cut off and refuse nearly all requests for some seconds more.
+func TestNewInstancesAreGreetedWithWholeReports(t *testing.T) {
+	x, _ := newExchange(t, "a")
+	var members []Member
+	for i := range 100 {
+		members = append(members, Member{Name: fmt.Sprint("b", i), Incarnation: 1, Address: "127.0.0.1:9"})
+	}
+	partial := func() bool {
+		x.sequence++
+		return x.partial()
+	}
+	x.SetMembers(members)
+	x.sequence = fullEvery
+	for range greetings {
+		assert.Assert(t, !partial())
+	}
+	assert.Assert(t, partial())
+	x.SetMembers(members)
+	x.sequence = fullEvery
+	assert.Assert(t, partial(), "nobody has come")
+	members[7].Incarnation = 2
+	x.SetMembers(members)
+	assert.Assert(t, !partial(), "an instance has started again")
+}
--- a/fleet/partial.go
+++ b/fleet/partial.go
@@ -14,6 +14,11 @@
 	// toldFor is how many reports tell of a spend after its last change, so that losing some
 	// of them loses nothing.
 	toldFor = 2 * fullEvery
+	// greetings is how many reports that are not partial follow when an instance has come. It
+	// takes no others before; after all instances had lost power at once, the quotas of a
+	// fleet of 62 were shared among those who hear one another two seconds later, and nearly
+	// all requests of these seconds were refused.
+	greetings = 2
 )
 
 // outline leaves out of reports what their receivers know.
