Early samples decide nothing about the stages of engines

After all 78 instances were killed the first thirteen answers to end were the short ones, 0.138 s of an engine in place of 0.42: twelve engines were ordered to prefill and ten back ten seconds later, each away for six. Change: nothing is decided until twice as many requests have finished as run at once.

--- a/decision/room/room.go
+++ b/decision/room/room.go
@@ -218,6 +218,15 @@
 	r.own[id] = load
 }
 
+// Requests is how many requests all instances have placed.
+func (r *Room) Requests() int {
+	sum := 0
+	for _, e := range r.engines {
+		sum += r.Load(e.ID).Requests
+	}
+	return sum
+}
+
 // Free is the share of the whole pool's memory or slots, whichever is scarcer, that
 // is not claimed.
 func (r *Room) Free() float64 {
--- a/decision/split/split.go
+++ b/decision/split/split.go
@@ -26,6 +26,9 @@
 //     after 0.9 s has room for. 0.6, 0.8 and 0.95 were tried; 0.6 left an idle prefill
 //     engine beside full decode engines.
 //   - MinSamples 6: the mean of six lengths that scatter by half is good to a fifth.
+//   - EarlyRuns 2: of requests that begin together the shortest finish first. Until twice as
+//     many have finished as run at once, two mean times of a run have passed, and what has
+//     finished is as long as what is asked (TestFirstToFinishAreShort).
 //   - Margin 0.3 engines: a change takes an engine away for seconds, and two estimates
 //     from a few requests each differ by about as much.
 //   - Memory 100 requests: about a minute and a half of an instance's share.
@@ -43,12 +46,14 @@
 	PrefillUse float64
 	MinSamples float64
 	Memory     float64
+	// EarlyRuns is how many times as many requests as run at once must have finished.
+	EarlyRuns float64
 	// Margin is by how many engines the best division must be off before it is changed.
 	Margin float64
 }
 
 // DefaultConfig returns the figures of the package comment.
-func DefaultConfig() Config { return Config{PrefillUse: 0.85, MinSamples: 6, Memory: 100, Margin: 0.3} }
+func DefaultConfig() Config { return Config{PrefillUse: 0.85, MinSamples: 6, Memory: 100, EarlyRuns: 2, Margin: 0.3} }
 
 // Advisor learns the work of one service's requests. It is not safe for concurrent
 // use.
@@ -163,6 +168,14 @@
 // and a few long prompts in a row make all others late.
 const leastPrefill = 2
 
+// Early reports whether those that have finished tell too little of those that still run.
+// After all instances of a fleet lost power, the first thirteen answers to end were a third as
+// long as all: twelve of sixty engines were ordered to prefill by them, and back ten seconds
+// later, each of them away for six seconds in a burst.
+func (a *Advisor) Early(running int) bool {
+	return a.Pooled().Samples < min(a.cfg.EarlyRuns*float64(running), a.cfg.Memory)
+}
+
 // Wanted returns how many of a number of engines should prefill, between the least and
 // one less than all, where have do now. ok is false while too little is known.
 func (a *Advisor) Wanted(engines, have int) (prefill int, ok bool) {
--- a/decision/split/split_test.go
+++ b/decision/split/split_test.go
@@ -142,3 +142,32 @@
 	}
 	return a
 }
+
+// Sixty engines' instances all start again in a burst. Three hundred answers run at once,
+// between one and six seconds long, and after a second and a half the shortest of them have
+// ended. Taken for all, answers look a third as long as they are: a fifth of the engines is
+// ordered to prefill and ordered back ten seconds later, and callers are refused while they
+// change.
+func TestFirstToFinishAreShort(t *testing.T) {
+	const running, engines, have = 300, 60, 20
+	took := func(i int) time.Duration { return time.Second + 5*time.Second*time.Duration(i)/running }
+	a := New(DefaultConfig())
+	finish := func(until time.Duration) {
+		for i := range running {
+			if took(i) <= until {
+				a.Prefilled(3_000, 120*time.Millisecond)
+				a.Finished(3_000, 0.13, took(i))
+			}
+		}
+	}
+	finish(1500 * time.Millisecond)
+	assert.Assert(t, a.Early(running))
+	early, _ := a.Wanted(engines, have)
+	for range 3 {
+		finish(6 * time.Second)
+	}
+	assert.Assert(t, !a.Early(running))
+	want, ok := a.Wanted(engines, have)
+	assert.Assert(t, ok && early > want, "%d engines by the first, %d by all", early, want)
+	assert.Assert(t, !learnt(3_000, 0.13, 3*time.Second).Early(5), "few run, and twenty have finished")
+}
--- a/gateway/desk.go
+++ b/gateway/desk.go
@@ -226,8 +226,12 @@
 
 // wantedPrefill is how many of the service's engines should prefill.
 func (k *desk) wantedPrefill(engines, have int) (int, bool) {
+	running := k.decode.running()
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if k.work.Early(running) {
+		return 0, false
+	}
 	return k.work.Wanted(engines, have)
 }
 
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -173,6 +173,13 @@
 	return p.room.Free()
 }
 
+// running is how many requests all instances have placed.
+func (p *pool) running() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.room.Requests()
+}
+
 // fill adds this instance's placements to a report.
 func (p *pool) fill(loads map[fleet.Hash]fleet.Load) {
 	p.mu.Lock()
