--- a/decision/split/split.go
+++ b/decision/split/split.go
@@ -53,7 +53,9 @@
 }
 
 // DefaultConfig returns the figures of the package comment.
-func DefaultConfig() Config { return Config{PrefillUse: 0.85, MinSamples: 6, Memory: 100, EarlyRuns: 2, Margin: 0.3} }
+func DefaultConfig() Config {
+	return Config{PrefillUse: 0.85, MinSamples: 6, Memory: 100, EarlyRuns: 2, Margin: 0.3}
+}
 
 // Advisor learns the work of one service's requests. It is not safe for concurrent
 // use.
