--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -243,7 +243,9 @@
 		return len(data)
 	}
 	whole := size(4, false)
-	assert.Assert(t, size(toldFor+5, true) < whole/8, "of %d bytes", whole)
+	partial := size(toldFor+5, true)
+	t.Logf("%d bytes, partial %d", whole, partial)
+	assert.Assert(t, partial < whole/8, "%d of %d bytes", partial, whole)
 }
 
 // Three of four reports are lost on a bad link. Had a spend been told once, those who missed
