--- a/fleet/partial.go
+++ b/fleet/partial.go
@@ -6,7 +6,8 @@
 // grows with the fleet, and the use of all organisations. It goes to everyone, so that all
 // reports together grow with the fleet's square twice over. Only every fourth report tells
 // all of it; the others tell each receiver whether it is heard, and what was spent lately. At
-// 78 instances they are 0.3 KB in place of 1.2 KB.
+// 78 instances and 16 organisations a whole one takes 969 bytes, and a partial one 47 while
+// nothing is spent (TestPartialReportsAreSmall).
 const (
 	// fullEvery is how many reports there are to one that is not partial. Whom others hear
 	// is judged by times of several reports.
