explain reads logs as they are pasted

Cause: one line that is not key=value ended 'cairnctl explain' with a syntax error and explained nothing, though its help says that such lines are skipped. The decoder reads a whole log and does not go on after an error. Change: each line is decoded by itself, with a bound on its length; what a collector put before a line is passed over, and the instance's name is taken from it. TestLogsAsTheyArePasted.

--- a/observe/explain/explain.go
+++ b/observe/explain/explain.go
@@ -2,6 +2,8 @@
 package explain
 
 import (
+	"bufio"
+	"bytes"
 	"cmp"
 	"io"
 	"slices"
@@ -57,37 +59,87 @@
 // NewReader returns a reader for a request's id.
 func NewReader(request string) *Reader { return &Reader{Story{Request: request}} }
 
+// maxLine is the longest line that is read, in bytes; the daemons write some hundred. A file
+// that is no log may have no line end at all, and would be held in memory whole.
+const maxLine = 64 << 10
+
 // Read takes in one log. Lines that cannot be read are counted and skipped: the end of
-// a log of a process that was killed is cut.
+// a log of a process that was killed is cut, and logs are pasted with others' lines.
 func (r *Reader) Read(source string, log io.Reader) error {
-	decoder := logfmt.NewDecoder(log)
-	for number := 1; decoder.ScanRecord(); number++ {
-		line := Line{Source: source, Number: number}
-		mine, timed := false, false
-		for decoder.ScanKeyval() {
-			key, value := string(decoder.Key()), string(decoder.Value())
-			switch key {
-			case "ts":
-				at, err := time.Parse(time.RFC3339Nano, value)
-				timed = err == nil
-				line.Time = at
-			case "msg":
-				line.Event = value
-			case "level":
-			case "request":
-				mine = value == r.story.Request
-			default:
-				line.Fields = append(line.Fields, Field{key, value})
-			}
+	lines := bufio.NewReaderSize(log, maxLine)
+	for number := 1; ; number++ {
+		text, cut, err := readLine(lines)
+		if err != nil && err != io.EOF {
+			return err
+		}
+		if len(text) > 0 {
+			r.take(source, number, text, cut)
+		}
+		if err == io.EOF {
+			return nil
 		}
-		switch {
-		case !timed:
-			r.story.Unreadable++
-		case mine:
-			r.story.Lines = append(r.story.Lines, line)
+	}
+}
+
+// readLine returns the next line without its end, as far as it is kept.
+func readLine(from *bufio.Reader) (text []byte, cut bool, err error) {
+	text, err = from.ReadSlice('\n')
+	if err != bufio.ErrBufferFull {
+		return bytes.TrimRight(text, "\r\n"), false, err
+	}
+	text = bytes.Clone(text)
+	for err == bufio.ErrBufferFull {
+		_, err = from.ReadSlice('\n')
+	}
+	return text, true, err
+}
+
+// take takes in one line.
+func (r *Reader) take(source string, number int, text []byte, cut bool) {
+	line := Line{Source: source, Number: number}
+	request, ok := line.parse(text)
+	switch {
+	case cut || !ok:
+		r.story.Unreadable++
+	case request == r.story.Request:
+		r.story.Lines = append(r.story.Lines, line)
+	}
+}
+
+// timeKey begins each line of the daemons' logs.
+var timeKey = []byte("ts=")
+
+// parse reads a line and returns the request that it is of. What a collector of logs has put
+// before it ends with the instance's name.
+func (l *Line) parse(text []byte) (request string, ok bool) {
+	at := bytes.Index(text, timeKey)
+	if at < 0 {
+		return "", false
+	}
+	if before := bytes.Fields(text[:at]); len(before) > 0 {
+		l.Fields = append(l.Fields, Field{"instance", string(before[len(before)-1])})
+	}
+	decoder := logfmt.NewDecoder(bytes.NewReader(text[at:]))
+	if !decoder.ScanRecord() {
+		return "", false
+	}
+	for decoder.ScanKeyval() {
+		key, value := string(decoder.Key()), string(decoder.Value())
+		switch key {
+		case "ts":
+			at, err := time.Parse(time.RFC3339Nano, value)
+			ok = err == nil
+			l.Time = at
+		case "msg":
+			l.Event = value
+		case "level":
+		case "request":
+			request = value
+		default:
+			l.Fields = append(l.Fields, Field{key, value})
 		}
 	}
-	return decoder.Err()
+	return request, ok && decoder.Err() == nil
 }
 
 // Story returns the request's lines in order of time. Lines of one log keep their
--- a/observe/explain/explain_test.go
+++ b/observe/explain/explain_test.go
@@ -38,3 +38,23 @@
 	assert.Equal(t, r.Story().Deciding, -1)
 	assert.Equal(t, len(r.Story().Lines), 0)
 }
+
+// On-call engineers paste what they have: logs gathered with a time and the instance's name
+// before each line, beside lines of other programs, binary noise and a line without end. One
+// line that is no log line must not hide the request, which its caller is waiting to hear of.
+func TestLogsAsTheyArePasted(t *testing.T) {
+	log := "worth 0.566 = whole day 0.7\n" +
+		"\x00\xff\"= \"\n" +
+		strings.Repeat("x", 3*maxLine) + "\n" +
+		"  17.0173 edge-2 ts=2026-01-02T03:04:05.100Z level=info msg=placed request=7 upstream=i-1\n" +
+		"ts=2026-01-02T03:04:05.150Z level=info msg=\"cut off request=7\n" +
+		"  17.0300 edge-2 ts=2026-01-02T03:04:05.200Z level=info msg=answered request=7 status=200\n"
+	r := NewReader("7")
+	assert.NilError(t, r.Read("pasted", strings.NewReader(log)))
+	s := r.Story()
+	assert.Equal(t, len(s.Lines), 2)
+	assert.Equal(t, s.Deciding, 1)
+	assert.Equal(t, s.Lines[0].Field("instance"), "edge-2")
+	assert.Equal(t, s.Lines[1].Number, 6)
+	assert.Equal(t, s.Unreadable, 4)
+}
