The failure of resent swaps, replayed: a survivor of another fleet

The known red test ran a swap twice, once. The kept log shows a lone instance-2 of another fleet: its instance-0 and instance-1 never appear at a second address, though members of one gossip. One test leaves just that behind, the one that kills instance-0 and then instance-1 (engine memory is freed when an instance dies). The survivor goes on pinging the addresses of the dead, and a port of one of them went to the failing test's fleet.

The offsets of the answers were those of the other log.

--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -60,6 +60,8 @@
 	graceSeconds int
 	// seeds are further peer addresses that each instance tries at its start.
 	seeds []string
+	// firstPeers is the address for other instances of the first one; empty takes a free port.
+	firstPeers string
 }
 
 // newFleet starts everything and waits until each instance is ready.
@@ -74,7 +76,13 @@
 	f.set = f.objects(cfg)
 	f.publish()
 	for n := range cfg.instances {
-		f.startInstance(n, cfg.graceSeconds, cfg.seeds...)
+		f.startInstance(n, func(s *settings.Settings) {
+			s.DrainGraceSeconds = cfg.graceSeconds
+			s.Peers.Seeds = append(s.Peers.Seeds, cfg.seeds...)
+			if n == 0 && cfg.firstPeers != "" {
+				s.Peers.Address = cfg.firstPeers
+			}
+		})
 	}
 	f.waitReady()
 	return f
@@ -146,17 +154,20 @@
 
 func (f *fleet) logPort() port.Log { return httpport.NewLog(f.log, nil) }
 
-func (f *fleet) startInstance(n, grace int, seeds ...string) *daemon {
+// startInstance starts instance n with the others as its seeds; adjust changes its settings,
+// unless it is nil.
+func (f *fleet) startInstance(n int, adjust func(*settings.Settings)) *daemon {
 	f.t.Helper()
 	s := settings.Default()
 	s.Instance, s.DataCentre = fmt.Sprintf("instance-%d", n), dataCentres[n%len(dataCentres)]
 	s.Callers.Address, s.Peers.Address, s.Operators.Address = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
 	s.Platform.Log, s.Platform.List = f.log, f.list
-	s.DrainGraceSeconds = grace
-	s.Peers.Seeds = seeds
 	for _, other := range f.instances {
 		s.Peers.Seeds = append(s.Peers.Seeds, other.peers)
 	}
+	if adjust != nil {
+		adjust(&s)
+	}
 	data, err := json.Marshal(s)
 	assert.NilError(f.t, err)
 	file := filepath.Join(f.t.TempDir(), "settings.json")
@@ -169,6 +180,11 @@
 	return d
 }
 
+// withGrace sets how many seconds a draining instance still takes requests.
+func withGrace(seconds int) func(*settings.Settings) {
+	return func(s *settings.Settings) { s.DrainGraceSeconds = seconds }
+}
+
 // waitReady waits until every instance is ready and sees all the others.
 func (f *fleet) waitReady() {
 	f.t.Helper()
--- a/e2e/once_test.go
+++ b/e2e/once_test.go
@@ -95,6 +95,29 @@
 	resendSwaps(t, f)
 }
 
+// Two of the three instances of a fleet die, and the survivor goes on pinging their addresses,
+// as it must to find them again after a partition. Meanwhile the port of one of them is given to
+// an instance of a second fleet, with the same secret or none. Once the survivor became a member
+// of the second fleet, and the owner of a third of its idempotency keys, which it claimed on its
+// own log. The instances that asked it let a swap run once, those that asked their own log once
+// more: a keeper's enclosure was double-staffed.
+//
+// Three lines of the second fleet told it: "member changed" with one name at two addresses in
+// turn, "declared dead, new incarnation" twice a second, and "recorded answer has left the log"
+// for swaps that were seconds old, since the offset was one of the other log.
+func TestSurvivorOfAnotherFleetTakesNoPart(t *testing.T) {
+	t.Parallel()
+	// Of this loopback address no other process of the tests takes ports.
+	other := newFleet(t, fleetConfig{instances: 3, prefill: 1, decode: 1, plain: 1, tokenTime: time.Millisecond, firstPeers: "127.0.0.2:0"})
+	other.instances[0].kill()
+	other.instances[1].kill()
+	f := newFleet(t, fleetConfig{
+		instances: 3, prefill: 1, decode: 1, plain: 2, tokenTime: time.Millisecond,
+		firstPeers: other.instances[0].peers,
+	})
+	resendSwaps(t, f)
+}
+
 // The service books and then its answer is lost, as when its process dies at the
 // wrong moment. Nobody can know the outcome; the caller must be told that the
 // booking may have run, and sending it again must never run it a second time.
--- a/e2e/rolling_test.go
+++ b/e2e/rolling_test.go
@@ -83,7 +83,7 @@
 	}
 	for n := range size {
 		old := f.instances[n]
-		fresh := f.startInstance(size+n, 1)
+		fresh := f.startInstance(size+n, withGrace(1))
 		eventually(t, fresh.name+" ready", func() bool { return status(fresh.operators, "/readyz") == http.StatusOK })
 		mu.Lock()
 		live = append(live, fresh)
--- a/e2e/slope_bench_test.go
+++ b/e2e/slope_bench_test.go
@@ -118,7 +118,7 @@
 		f.publish()
 	}
 	for n := range instances {
-		f.startInstance(n, 0)
+		f.startInstance(n, withGrace(0))
 	}
 	f.waitReady()
 	time.Sleep(settleTime)
