A fleet is what uses one log: its id stands there, and names decide nothing

What callers saw: while the instances of one log gave two names of the fleet (set by a rolling restart, or the log reached at two addresses, whose address is the default name), every request was refused with rate_home_unavailable.

Cause: the name was hashed into the secret, so that one log under two spellings made two fleets. Both claim all homes of rates in that log, and each reads the other's claims; they take every shard from one another without end. No line named it: a refused datagram looked like a wrong secret.

Change: the log keeps the fleet's id (stream 'fleet'), drawn by whoever finds none; its records are valid only at the offset that their writer expected, so that a race or an expired record never yields a second one. Datagrams and calls tell id and name, and are signed under the name they tell. Same id: member, whatever the name. Different ids: stranger, one line a minute with both names and ids, a counter, and the id is read again. Id not read yet: the name stands in, but the guard of calls that run once serves only callers known to use its log. The version before signs the same way and tells nothing; it is heard by its key. Holders of rate homes that the log names are contacted, so that groups which share only their log meet.

Why it holds: what instances must agree on stands in the log, and now so does the id; a spelling, a restart or a missing seed cannot make two ids of one log, nor one of two.

--- a/decision/quota/network_test.go
+++ b/decision/quota/network_test.go
@@ -1,27 +1,15 @@
 package quota
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"testing"
 	"time"
-)
 
-// propertySeed makes every run of the tests draw the same cases. Other seeds are played
-// with -rapid.seed.
-const propertySeed = "1"
+	"github.com/cairnworks/cairnworks/propertyseed"
+)
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
-		if err := seed.Value.Set(propertySeed); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			os.Exit(1)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(propertyseed.Run(m)) }
 
 const (
 	step     = 10 * time.Millisecond
--- a/e2e/once_test.go
+++ b/e2e/once_test.go
@@ -50,8 +50,9 @@
 	t.Helper()
 	const swaps = 20
 	var all sync.WaitGroup
-	bodies := make([][3]string, swaps)
+	bodies := make([][]string, swaps)
 	for k := range swaps {
+		bodies[k] = make([]string, len(f.instances))
 		for n, d := range f.instances {
 			all.Go(func() {
 				key := fmt.Sprintf("swap-%d", k)
--- a/e2e/rolling_test.go
+++ b/e2e/rolling_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/cairnworks/cairnworks/settings"
 )
 
 // balancer sends callers to instances as the platform's does: to those that were
@@ -54,8 +56,29 @@
 // connection, not a refusal because a scheduler or a rate home is on the move.
 func TestRollingReplacementWithoutCallerErrors(t *testing.T) {
 	t.Parallel()
-	const size = 9
-	f := newFleet(t, fleetConfig{instances: size, prefill: 2, decode: 3, plain: 2, tokenTime: 5 * time.Millisecond, graceSeconds: 1})
+	f := newFleet(t, fleetConfig{instances: 9, prefill: 2, decode: 3, plain: 2, tokenTime: 5 * time.Millisecond, graceSeconds: 1})
+	rollOver(t, f, withGrace(1))
+}
+
+// The fleet's name is set, or another address of its log, by a rolling restart: for its time
+// half of the instances give one name and half another. They use one log, so they are one
+// fleet. Taken for strangers, both halves took the homes of rates from one another without
+// end, and every caller was refused ("rate_home_unavailable") until the last instance was
+// replaced.
+func TestFleetIsRenamedWithoutCallerErrors(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, fleetConfig{instances: 4, prefill: 1, decode: 2, plain: 2, tokenTime: 5 * time.Millisecond, graceSeconds: 1})
+	rollOver(t, f, func(s *settings.Settings) {
+		s.DrainGraceSeconds = 1
+		s.Fleet = "renamed"
+	})
+}
+
+// rollOver replaces all instances one after the other under callers, and checks that none of
+// them sees an error and each booking ran once. adjust changes the new ones' settings.
+func rollOver(t *testing.T, f *fleet, adjust func(*settings.Settings)) {
+	t.Helper()
+	size := len(f.instances)
 	var mu sync.Mutex
 	live := append([]*daemon(nil), f.instances...)
 	b := &balancer{rand: rand.New(rand.NewPCG(1, 1))}
@@ -83,7 +106,7 @@
 	}
 	for n := range size {
 		old := f.instances[n]
-		fresh := f.startInstance(size+n, withGrace(1))
+		fresh := f.startInstance(size+n, adjust)
 		eventually(t, fresh.name+" ready", func() bool { return status(fresh.operators, "/readyz") == http.StatusOK })
 		mu.Lock()
 		live = append(live, fresh)
--- a/follow/explore_test.go
+++ b/follow/explore_test.go
@@ -1,8 +1,6 @@
 package follow
 
 import (
-	"flag"
-	"fmt"
 	"os"
 	"testing"
 	"time"
@@ -12,22 +10,10 @@
 	"pgregory.net/rapid"
 
 	"github.com/cairnworks/cairnworks/port"
+	"github.com/cairnworks/cairnworks/propertyseed"
 )
 
-// propertySeed makes every run of the tests draw the same cases. Other seeds are played
-// with -rapid.seed.
-const propertySeed = "1"
-
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
-		if err := seed.Value.Set(propertySeed); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			os.Exit(1)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(propertyseed.Run(m)) }
 
 // explored is one instance of the exploration, which keeps the newest record of each key
 // and what it holds for proven.
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -14,6 +14,7 @@
 
 	"github.com/cairnworks/cairnworks/caller"
 	"github.com/cairnworks/cairnworks/config"
+	"github.com/cairnworks/cairnworks/fleetid"
 	"github.com/cairnworks/cairnworks/membership"
 	"github.com/cairnworks/cairnworks/object"
 	"github.com/cairnworks/cairnworks/observe"
@@ -51,6 +52,7 @@
 	engines  port.EngineDialer
 	services port.ServiceDialer
 	platform platformClients
+	fleet    *fleetid.Keeper
 	rate     *rate.Service
 	guard    *once.Service
 	orders   *order.Service
@@ -74,7 +76,7 @@
 		settings: s, log: log.With(zap.String("instance", s.Instance)), level: level,
 		metrics: observe.NewMetrics(), open: newOpenRequests(), actors: observe.NewActorSystem(), began: time.Now(), drain: newDrainState(),
 	}
-	secret, err := fleetSecret(s)
+	secret, err := peerSecret(s)
 	if err != nil {
 		return nil, err
 	}
@@ -82,6 +84,7 @@
 		return nil, err
 	}
 	i.connectOutside()
+	i.knowFleet()
 	if err := i.joinFleet(secret); err != nil {
 		i.listeners.close()
 		return nil, err
@@ -130,6 +133,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return ignoreEnd(ctx, i.fleet.Run(ctx)) })
 	group.Go(func() error { return ignoreEnd(ctx, i.members.Run(ctx)) })
 	group.Go(func() error { return ignoreEnd(ctx, i.follower.Run(ctx)) })
 	group.Go(func() error { return ignoreEnd(ctx, i.placer.Run(ctx)) })
--- a/instance/join.go
+++ b/instance/join.go
@@ -1,15 +1,13 @@
 package instance
 
 import (
-	"crypto/hmac"
-	"crypto/sha256"
-	"encoding/hex"
 	"time"
 
 	"github.com/samber/oops"
 	"go.uber.org/zap"
 
 	"github.com/cairnworks/cairnworks/config"
+	"github.com/cairnworks/cairnworks/fleetid"
 	"github.com/cairnworks/cairnworks/gen/cairnworks/peer/v1/peerv1connect"
 	"github.com/cairnworks/cairnworks/membership"
 	"github.com/cairnworks/cairnworks/object"
@@ -23,13 +21,8 @@
 // which they may leave out on loopback addresses only.
 const loopbackSecret = "loopback addresses only"
 
-// fleetSecret is the secret that instances of one fleet share. The fleet's name is part of
-// it. An instance of a second fleet, such as a test system with the same secret or an old
-// seed address that another fleet uses by now, would otherwise become a member: it decides
-// on idempotency keys by another log, and a call that may run once runs once a log. One
-// would notice by two addresses of one name that declare each other dead in turn. Refused so,
-// it shows as unauthenticated datagrams.
-func fleetSecret(s settings.Settings) (string, error) {
+// peerSecret is the secret that instances share.
+func peerSecret(s settings.Settings) (string, error) {
 	secret, err := readSecret(s.Peers.SecretFile)
 	if err != nil {
 		return "", err
@@ -40,9 +33,15 @@
 	case len(secret) < membership.MinSecret:
 		return "", oops.In("instance").With("file", s.Peers.SecretFile).Errorf("the secret has fewer than %d bytes", membership.MinSecret)
 	}
-	h := hmac.New(sha256.New, []byte(secret))
-	h.Write([]byte(s.FleetName()))
-	return hex.EncodeToString(h.Sum(nil)), nil
+	return secret, nil
+}
+
+// knowFleet prepares what tells this fleet's instances from others.
+func (i *Instance) knowFleet() {
+	store := fleetid.NewLogStore(i.platform.log, i.logRetention())
+	i.fleet = fleetid.NewKeeper(fleetid.KeeperConfig{
+		Store: store, Name: i.settings.FleetName(), Interval: store.Interval(), Logger: i.log, Metrics: i.metrics.Scope,
+	})
 }
 
 // joinFleet prepares membership and the configuration's follower.
@@ -51,13 +50,14 @@
 	if err != nil {
 		return err
 	}
-	i.peers = peer.NewTransport(clientTLS, secret)
+	i.peers = peer.NewTransport(clientTLS, secret, peer.WithFleet(i.fleet))
 	i.members, err = membership.New(membership.Config{
 		Holder: request.Holder{
 			Instance: i.settings.Instance, Incarnation: uint64(time.Now().UnixMilli()), Address: i.Addresses().Peers,
 		},
 		DataCentre: i.settings.DataCentre, OperatorAddress: i.Addresses().Operators,
-		Seeds: i.settings.Peers.Seeds, List: i.platform.list, Secret: []byte(secret), System: i.actors,
+		Seeds: i.settings.Peers.Seeds, List: i.platform.list, Secret: []byte(secret), Fleet: i.fleet, Hints: i.loggedAddresses,
+		System: i.actors,
 		Logger: i.log, Metrics: i.metrics.Scope,
 	})
 	if err != nil {
--- a/instance/listen.go
+++ b/instance/listen.go
@@ -99,7 +99,7 @@
 	if err != nil {
 		return err
 	}
-	i.listeners.peers.server = peer.NewServer(i.peerHandler(), peersTLS, secret)
+	i.listeners.peers.server = peer.NewServer(i.peerHandler(), peersTLS, secret, peer.WithFleet(i.fleet))
 	operators, err := i.operatorHandler()
 	if err != nil {
 		return err
--- a/instance/stages.go
+++ b/instance/stages.go
@@ -68,7 +68,23 @@
 // mountStages adds the stages' services to the peers' address.
 func (i *Instance) mountStages(mux *http.ServeMux) {
 	mux.Handle(peerv1connect.NewRateServiceHandler(i.rate.Handler(), peer.HandlerOptions()))
-	mux.Handle(i.guard.Handler())
+	path, guard := i.guard.Handler()
+	mux.Handle(path, peer.OneLog(guard))
+}
+
+// loggedAddresses are the addresses of the instances that the log names as homes of rates. Two
+// groups of instances that were given no address of each other's would otherwise share one log
+// and never meet: each would take all homes from the other, without end, and callers of both
+// would be refused for as long as it lasts.
+func (i *Instance) loggedAddresses() []string {
+	if i.rate == nil {
+		return nil
+	}
+	var addresses []string
+	for _, holder := range i.rate.Holders() {
+		addresses = append(addresses, holder.Address)
+	}
+	return addresses
 }
 
 // placedHolders are the instances that may be given homes: alive, not draining.
--- a/membership/codec.go
+++ b/membership/codec.go
@@ -11,6 +11,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/cairnworks/cairnworks/fleetid"
 	membershipv1 "github.com/cairnworks/cairnworks/gen/cairnworks/membership/v1"
 	"github.com/cairnworks/cairnworks/membership/gossip"
 )
@@ -29,6 +30,17 @@
 type codec struct {
 	// secrets accepted; the first one signs.
 	secrets [][]byte
+	// fleet returns what the sender says of its fleet; without it datagrams name none, and
+	// are signed with the secret itself.
+	fleet func() fleetid.Identity
+}
+
+func newCodec(cfg Config) codec {
+	c := codec{secrets: cfg.secrets()}
+	if cfg.Fleet != nil {
+		c.fleet = cfg.Fleet.Identity
+	}
+	return c
 }
 
 func (c codec) encode(p gossip.Packet) ([]byte, error) {
@@ -36,34 +48,58 @@
 	if err != nil {
 		return nil, err
 	}
+	if c.fleet != nil {
+		own := c.fleet()
+		message.FleetId, message.FleetName = uint64(own.ID), own.Name
+	}
 	body, err := proto.Marshal(message)
 	if err != nil {
 		return nil, err
 	}
-	return append(body, mac(c.secrets[0], body)...), nil
+	return append(body, mac(c.key(c.secrets[0], message.FleetName), body)...), nil
 }
 
 func (c codec) decode(datagram []byte) (gossip.Packet, error) {
+	message, err := c.open(datagram)
+	if err != nil {
+		return gossip.Packet{}, err
+	}
+	return packetFromProto(message)
+}
+
+// open returns the message of an authentic datagram. It is read before its MAC is checked,
+// because the MAC's key depends on the name that it tells.
+func (c codec) open(datagram []byte) (*membershipv1.Packet, error) {
 	if len(datagram) < macBytes {
-		return gossip.Packet{}, errUnauthenticated
+		return nil, errUnauthenticated
 	}
 	body := datagram[:len(datagram)-macBytes]
-	if !c.authentic(body, datagram[len(body):]) {
-		return gossip.Packet{}, errUnauthenticated
-	}
 	var message membershipv1.Packet
-	if err := proto.Unmarshal(body, &message); err != nil {
-		return gossip.Packet{}, err
+	malformed := proto.Unmarshal(body, &message)
+	if c.fleet != nil && message.FleetName == "" {
+		// A version that does not tell the name signs under it all the same.
+		message.FleetName = c.fleet().Name
+	}
+	if !c.authentic(body, datagram[len(body):], message.FleetName) {
+		return nil, errUnauthenticated
 	}
-	return packetFromProto(&message)
+	return &message, malformed
 }
 
-func (c codec) authentic(body, tag []byte) bool {
+func (c codec) authentic(body, tag []byte, fleetName string) bool {
 	return slices.ContainsFunc(c.secrets, func(secret []byte) bool {
-		return hmac.Equal(tag, mac(secret, body))
+		return hmac.Equal(tag, mac(c.key(secret, fleetName), body))
 	})
 }
 
+// key returns the key that a secret gives for datagrams of a fleet.
+func (c codec) key(secret []byte, fleetName string) []byte {
+	if c.fleet == nil {
+		return secret
+	}
+	return []byte(fleetid.Key(string(secret), fleetName))
+}
+
 func mac(secret, body []byte) []byte {
 	h := hmac.New(sha256.New, secret)
 	h.Write(body)
--- a/membership/config.go
+++ b/membership/config.go
@@ -9,6 +9,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/cairnworks/cairnworks/fleetid"
 	"github.com/cairnworks/cairnworks/membership/gossip"
 	"github.com/cairnworks/cairnworks/port"
 	"github.com/cairnworks/cairnworks/request"
@@ -35,6 +36,12 @@
 	// those that have restarted and those that haven't, each declaring the other
 	// dead.
 	AlsoAccepted [][]byte
+	// Fleet tells datagrams of this fleet from those of others that hold the same secret;
+	// nil hears whoever holds it.
+	Fleet *fleetid.Keeper
+	// Hints returns further addresses of instances, such as those that the fleet's log
+	// names; nil has none.
+	Hints func() []string
 	// Conn is the UDP socket; nil listens at Holder.Address. Run closes it.
 	Conn net.PacketConn
 	// Protocol overrides the protocol's figures in tests; its Self and Seeds are
--- a/membership/service.go
+++ b/membership/service.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +15,8 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/cairnworks/cairnworks/fleetid"
+	membershipv1 "github.com/cairnworks/cairnworks/gen/cairnworks/membership/v1"
 	"github.com/cairnworks/cairnworks/membership/gossip"
 	"github.com/cairnworks/cairnworks/observe"
 )
@@ -74,7 +77,7 @@
 	}
 	s := &Service{
 		cfg:     cfg,
-		codec:   codec{secrets: cfg.secrets()},
+		codec:   newCodec(cfg),
 		log:     cfg.Logger,
 		metrics: newMetrics(cfg.Metrics),
 		system:  cfg.System,
@@ -120,7 +123,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	work.Go(func() { s.tick(ctx) })
-	work.Go(func() { s.followList(ctx) })
+	work.Go(func() { s.followHints(ctx) })
 	stop := context.AfterFunc(ctx, func() { s.conn.Close() })
 	defer stop()
 	err := s.receive(ctx)
@@ -147,25 +150,21 @@
 	}
 }
 
-// followList feeds the addresses of the platform's list to the protocol. Errors
-// are counted and otherwise ignored: the list is only a hint.
-func (s *Service) followList(ctx context.Context) {
-	if s.cfg.List == nil {
+// followHints feeds the addresses of the platform's list and further hints to the protocol.
+func (s *Service) followHints(ctx context.Context) {
+	if s.cfg.List == nil && s.cfg.Hints == nil {
 		return
 	}
+	var listed []string
 	for {
-		listed, err := s.cfg.List.Instances(ctx)
-		if err != nil {
-			s.metrics.listErrors.Inc(1)
-		} else {
-			var addresses []string
-			for _, instance := range listed {
-				if _, err := netip.ParseAddrPort(instance.Address); err == nil && !instance.Leaving {
-					addresses = append(addresses, instance.Address)
-				}
-			}
-			s.system.Root.Send(s.pid, &hintsMessage{addresses: addresses})
+		if current, ok := s.listed(ctx); ok {
+			listed = current
+		}
+		addresses := slices.Clone(listed)
+		if s.cfg.Hints != nil {
+			addresses = append(addresses, s.cfg.Hints()...)
 		}
+		s.system.Root.Send(s.pid, &hintsMessage{addresses: addresses})
 		select {
 		case <-ctx.Done():
 			return
@@ -174,6 +173,26 @@
 	}
 }
 
+// listed returns the addresses in the platform's list. Errors are counted and otherwise
+// ignored: the list is only a hint, and the last one read stays.
+func (s *Service) listed(ctx context.Context) ([]string, bool) {
+	if s.cfg.List == nil {
+		return nil, false
+	}
+	instances, err := s.cfg.List.Instances(ctx)
+	if err != nil {
+		s.metrics.listErrors.Inc(1)
+		return nil, false
+	}
+	var addresses []string
+	for _, instance := range instances {
+		if _, err := netip.ParseAddrPort(instance.Address); err == nil && !instance.Leaving {
+			addresses = append(addresses, instance.Address)
+		}
+	}
+	return addresses, true
+}
+
 // receive reads datagrams until ctx ends or the socket fails for good.
 func (s *Service) receive(ctx context.Context) error {
 	buffer := make([]byte, maxDatagram)
@@ -192,19 +211,41 @@
 			continue
 		}
 		s.metrics.received(size)
-		packet, err := s.codec.decode(buffer[:size])
-		if errors.Is(err, errUnauthenticated) {
-			s.metrics.unauthenticated.Inc(1)
-			continue
+		if packet, ok := s.read(buffer[:size], from.String()); ok {
+			s.system.Root.Send(s.pid, &packetMessage{now: time.Now(), from: from.String(), packet: packet})
 		}
-		if err != nil {
-			s.metrics.malformed.Inc(1)
-			continue
-		}
-		s.system.Root.Send(s.pid, &packetMessage{now: time.Now(), from: from.String(), packet: packet})
 	}
 }
 
+// read returns the packet of a datagram that counts: one of this fleet that is authentic and
+// whole.
+func (s *Service) read(datagram []byte, from string) (gossip.Packet, bool) {
+	message, err := s.codec.open(datagram)
+	if errors.Is(err, errUnauthenticated) {
+		s.metrics.unauthenticated.Inc(1)
+		return gossip.Packet{}, false
+	}
+	var packet gossip.Packet
+	if err == nil {
+		packet, err = packetFromProto(message)
+	}
+	if err != nil {
+		s.metrics.malformed.Inc(1)
+		return gossip.Packet{}, false
+	}
+	return packet, s.ownFleet(message, from)
+}
+
+// ownFleet reports whether a packet comes from an instance of this fleet. Taken for a member,
+// an instance that reads another log would decide by it on calls that may run once.
+func (s *Service) ownFleet(message *membershipv1.Packet, from string) bool {
+	if s.cfg.Fleet == nil {
+		return true
+	}
+	other := fleetid.Identity{ID: fleetid.ID(message.FleetId), Name: message.FleetName}
+	return s.cfg.Fleet.Meet(other, message.From, from).Member()
+}
+
 // transmit sends packets; a failed send is a lost datagram.
 func (s *Service) transmit(packets []gossip.Outgoing) {
 	for _, out := range packets {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -3,7 +3,6 @@
 package peer
 
 import (
-	"crypto/subtle"
 	"crypto/tls"
 	"net/http"
 	"time"
@@ -20,19 +19,15 @@
 	// free, which its own deadline bounds.
 )
 
-// secretHeader carries the shared secret. It is apart from Authorization, which
-// belongs to callers and operators.
-const secretHeader = "Cairnworks-Peer-Secret"
-
 // Transport reaches other instances.
 type Transport struct {
 	client *http.Client
 	scheme string
-	secret string
+	pass   pass
 }
 
 // NewTransport returns a transport; a nil tls.Config means plain HTTP/2.
-func NewTransport(config *tls.Config, secret string) *Transport {
+func NewTransport(config *tls.Config, secret string, options ...Option) *Transport {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP2(true)
 	scheme := "https"
@@ -41,7 +36,7 @@
 		scheme = "http"
 	}
 	return &Transport{
-		scheme: scheme, secret: secret,
+		scheme: scheme, pass: newPass(secret, options),
 		client: &http.Client{Transport: &http.Transport{
 			TLSClientConfig: config, Protocols: protocols, IdleConnTimeout: time.Minute,
 			HTTP2: &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
@@ -54,9 +49,7 @@
 
 // Do implements connect.HTTPClient.
 func (t *Transport) Do(req *http.Request) (*http.Response, error) {
-	if t.secret != "" {
-		req.Header.Set(secretHeader, t.secret)
-	}
+	t.pass.show(req.Header)
 	return t.client.Do(req)
 }
 
@@ -66,31 +59,15 @@
 var _ connect.HTTPClient = (*Transport)(nil)
 
 // NewServer returns the HTTP server of the peers' address.
-func NewServer(handler http.Handler, config *tls.Config, secret string) *http.Server {
+func NewServer(handler http.Handler, config *tls.Config, secret string, options ...Option) *http.Server {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(config == nil)
 	return &http.Server{
-		Handler: authenticated(handler, secret), TLSConfig: config, Protocols: protocols,
+		Handler: newPass(secret, options).check(handler), TLSConfig: config, Protocols: protocols,
 		ReadHeaderTimeout: 5 * time.Second,
 		// A hundred waiting reservations from one peer are usual at the peak.
 		HTTP2: &http.HTTP2Config{MaxConcurrentStreams: 4096},
 	}
 }
-
-// authenticated refuses calls without the secret: whoever can call a scheduler
-// can take every slot, and whoever can call a rate home can empty every bucket.
-func authenticated(next http.Handler, secret string) http.Handler {
-	if secret == "" {
-		return next
-	}
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		given := r.Header.Get(secretHeader)
-		if subtle.ConstantTimeCompare([]byte(given), []byte(secret)) != 1 {
-			http.Error(w, "the peers' secret is missing or wrong", http.StatusUnauthorized)
-			return
-		}
-		next.ServeHTTP(w, r)
-	})
-}
--- a/port/keyed.go
+++ b/port/keyed.go
@@ -19,11 +19,13 @@
 	TopicInstances
 	// TopicRoles holds who may give orders to the engines of a service.
 	TopicRoles
+	// TopicFleet holds the id by which instances know those of their fleet.
+	TopicFleet
 )
 
 // String returns the name used in logs and metrics.
 func (t Topic) String() string {
-	return [...]string{"configuration", "upstreams", "instances", "roles"}[t]
+	return [...]string{"configuration", "upstreams", "instances", "roles", "fleet"}[t]
 }
 
 // KeyedRecord is one record of a keyed topic. Of several with one key the newest
--- a/rate/home.go
+++ b/rate/home.go
@@ -1,6 +1,7 @@
 package rate
 
 import (
+	"slices"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -180,6 +181,7 @@
 	if stop.Successor.Instance == "" || lease.SameRun(stop.Successor, h.s.cfg.Self) {
 		return
 	}
+	h.checkMember(stop)
 	out := outgoing{stop: stop}
 	if held != nil && stop.Spending {
 		out.levels, out.filling = held.buckets.Snapshot(h.s.now())
@@ -187,6 +189,19 @@
 	h.s.sendHandOver(out)
 }
 
+// checkMember reports a successor that this instance does not know. Two groups of instances
+// that use one log and do not hear one another take every shard from one another without end;
+// without the line that names the other group one sees only shards come and go.
+func (h *home) checkMember(stop lease.Stop) {
+	known := func(m request.Holder) bool { return m.Instance == stop.Successor.Instance }
+	if slices.ContainsFunc(h.viewer.members, known) {
+		return
+	}
+	h.s.count.lostToUnknown.Inc(1)
+	h.s.logger.Warn("rate shard lost to an instance that is not heard; it uses the same log", zap.Uint32("shard", stop.Shard),
+		zap.String("successor", stop.Successor.Instance), zap.String("address", stop.Successor.Address))
+}
+
 func (h *home) start(start lease.Start) {
 	now := h.s.now()
 	h.s.count.started.Inc(1)
@@ -214,6 +229,17 @@
 	return share.Portion(limit, key.Share), true
 }
 
+// Holders returns the instances that hold shards by what this one has read of the log.
+func (s *Service) Holders() []request.Holder {
+	var holders []request.Holder
+	for _, h := range s.routes.Load().holders {
+		if h.Instance != "" && !slices.Contains(holders, h) {
+			holders = append(holders, h)
+		}
+	}
+	return holders
+}
+
 // routes is the holder of each shard as far as known; an empty Instance is unknown.
 type routes struct {
 	holders [Shards]request.Holder
--- a/rate/service.go
+++ b/rate/service.go
@@ -43,8 +43,10 @@
 
 // counters are the metrics of the package.
 type counters struct {
-	admitted, passedOver, waited        tally.Counter
-	started, stopped                    tally.Counter
+	admitted, passedOver, waited tally.Counter
+	started, stopped             tally.Counter
+	// lostToUnknown counts shards lost to instances that are no members.
+	lostToUnknown                       tally.Counter
 	refunds, refundsDropped             tally.Counter
 	extends, fences, appends, readFails tally.Counter
 	// held counts this instance's shards by phase; logAge is in seconds.
@@ -69,6 +71,7 @@
 		waited:         scope.Counter("waits_for_home"),
 		started:        scope.Counter("terms_started"),
 		stopped:        scope.Counter("terms_stopped"),
+		lostToUnknown:  scope.Counter("terms_lost_to_unknown"),
 		refunds:        scope.Counter("refunds"),
 		refundsDropped: scope.Counter("refunds_dropped"),
 		extends:        scope.Counter("extends_asked"),
--- a/settings/load.go
+++ b/settings/load.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"os"
 	"strings"
+	"unicode"
 )
 
 // minLogRetentionSeconds keeps half of the retention, the time for which
@@ -91,6 +92,7 @@
 	c := &checker{file: file}
 	c.required("instance", s.Instance)
 	c.required("data_centre", s.DataCentre)
+	c.fleet(s.Fleet)
 	c.address("callers.address", s.Callers.Address, true)
 	c.address("peers.address", s.Peers.Address, true)
 	c.address("operators.address", s.Operators.Address, true)
@@ -126,6 +128,15 @@
 	}
 }
 
+// maxFleetName bounds the fleet's name in bytes; every datagram between instances carries it.
+const maxFleetName = 64
+
+func (c *checker) fleet(name string) {
+	if len(name) > maxFleetName || strings.ContainsFunc(name, unicode.IsControl) {
+		c.fault("fleet", fmt.Sprintf("%q", name), fmt.Sprintf("up to %d bytes without control characters", maxFleetName))
+	}
+}
+
 func (c *checker) address(field, value string, required bool) {
 	if value == "" && !required {
 		return
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -10,8 +10,8 @@
 	// DataCentre is where the instance stands.
 	DataCentre string `json:"data_centre" doc:"data centre of this instance; upstreams in it are preferred when all else is equal" unit:"name" default:"required"`
 
-	// Fleet is the name that the instances of one fleet share.
-	Fleet string `json:"fleet" doc:"name of the fleet; instances of another name are strangers, whatever secret they hold. Set it where instances reach one log at several addresses" unit:"name" default:"the address of the log"`
+	// Fleet is what people call the fleet.
+	Fleet string `json:"fleet" doc:"name of the fleet in logs, up to 64 bytes; what makes a fleet is its log, which keeps the fleet's id" unit:"name" default:"the address of the log"`
 
 	Callers   Callers   `json:"callers"`
 	Peers     Peers     `json:"peers"`
@@ -66,8 +66,8 @@
 	Weights             string `json:"weights" doc:"address of the weight store" unit:"IP:port" default:"none"`
 }
 
-// FleetName is the name of the fleet that the instance belongs to. All that instances of one
-// fleet agree on stands in one log, so that the log's address names the fleet by default.
+// FleetName is the name of the fleet that the instance belongs to, the log's address by
+// default. It tells fleets apart only until the log has been read.
 func (s Settings) FleetName() string {
 	if s.Fleet != "" {
 		return s.Fleet
