Reports between instances tell their fleet, and another's are not taken

What callers would see: two deployments on one network, one of which was given an address that the other's list still names, became one.

Cause: a report named no fleet and had no check of its sender; whoever sent a readable datagram was taken in as an instance.

Change: the fleet's id stands in the store (topic 'fleet', written under a condition by whoever finds none) and in every report; the store's address stands in for it until it has been read. Reports of another id are dropped with one line a minute. Reports of the version before, which tell nothing, are taken from runs that the store lists, so that a rolling upgrade holds.

Why it holds: the id can only be had from the store itself, and is judged before anything else of a report is looked at. Three calls more of the store for each start.

--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -12,6 +12,7 @@
 
 	"github.com/cairnworks/cairnworks/boottime"
 	"github.com/cairnworks/cairnworks/decision/quota"
+	"github.com/cairnworks/cairnworks/fleetid"
 )
 
 // Figures of the exchange of reports.
@@ -55,6 +56,8 @@
 	kick    chan struct{}
 	// introduce is told of every report's sender, if set.
 	introduce func(name string, incarnation uint64, address string)
+	// fleet is nil where every report is taken.
+	fleet *fleetid.Keeper
 
 	mu      sync.Mutex
 	targets map[string]target
@@ -193,7 +196,7 @@
 	x.mu.Lock()
 	x.sequence++
 	x.confirming = false
-	r := &Report{Instance: x.self.Name, Incarnation: x.self.Incarnation, Sequence: x.sequence, Partial: x.partial()}
+	r := &Report{Instance: x.self.Name, Incarnation: x.self.Incarnation, Sequence: x.sequence, Partial: x.partial(), Fleet: x.identity()}
 	targets, stretch := x.targets, x.stretch()
 	x.mu.Unlock()
 	x.handler.Fill(now, r)
@@ -267,7 +270,7 @@
 			continue
 		}
 		now := boottime.Now()
-		if !x.accept(now, r) {
+		if !x.ownFleet(r, from) || !x.accept(now, r) {
 			continue
 		}
 		r.Earliest = x.earliest(r)
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -12,6 +12,7 @@
 
 	"github.com/cairnworks/cairnworks/decision/length"
 	"github.com/cairnworks/cairnworks/decision/split"
+	"github.com/cairnworks/cairnworks/fleetid"
 	"github.com/cairnworks/cairnworks/follow"
 	fleetv1 "github.com/cairnworks/cairnworks/gen/cairnworks/fleet/v1"
 	"github.com/cairnworks/cairnworks/port"
@@ -80,6 +81,9 @@
 	// Partial tells that spends and works that have not changed lately are left out, and of
 	// those heard all but the receiver.
 	Partial bool
+	// Fleet is what the sender says of its fleet, without the name in partial reports. It is
+	// empty in reports of versions that do not tell it.
+	Fleet fleetid.Identity
 	// Earliest is the earliest time, of the receiver's clock that counts through
 	// suspensions, at which the sender can have made the report; 0 if it has not heard
 	// the receiver yet. It is not sent.
@@ -90,7 +94,10 @@
 const levelUnit = 1000
 
 func (r *Report) marshal() ([]byte, error) {
-	m := &fleetv1.Report{Instance: r.Instance, Incarnation: r.Incarnation, Sequence: r.Sequence, Partial: r.Partial}
+	m := &fleetv1.Report{Instance: r.Instance, Incarnation: r.Incarnation, Sequence: r.Sequence, Partial: r.Partial, FleetId: uint64(r.Fleet.ID)}
+	if !r.Partial {
+		m.FleetName = r.Fleet.Name
+	}
 	for organisation, s := range r.Spends {
 		m.Spends = append(m.Spends, &fleetv1.Spend{Organisation: uint64(organisation), Tokens: s.Tokens, Level: uint32(s.Level * levelUnit)})
 	}
@@ -138,6 +145,7 @@
 	}
 	r := &Report{
 		Instance: m.Instance, Incarnation: m.Incarnation, Sequence: m.Sequence, Partial: m.Partial,
+		Fleet:  fleetid.Identity{ID: fleetid.ID(m.FleetId), Name: m.FleetName},
 		Spends: make(map[Hash]Spend, len(m.Spends)), Loads: make(map[Hash]Load, len(m.Loads)), Works: make(map[Hash]Work, len(m.Works)),
 	}
 	for _, s := range m.Spends {
--- /dev/null
+++ b/fleet/sender.go
@@ -0,0 +1,46 @@
+package fleet
+
+import (
+	"net/netip"
+
+	"github.com/cairnworks/cairnworks/fleetid"
+)
+
+// Of sets the fleet whose reports are taken, and is to be called before Run. Without it
+// whoever sends a readable datagram counts as an instance.
+func (x *Exchange) Of(fleet *fleetid.Keeper) { x.fleet = fleet }
+
+// identity is what this instance says of its fleet.
+func (x *Exchange) identity() fleetid.Identity {
+	if x.fleet == nil {
+		return fleetid.Identity{}
+	}
+	return x.fleet.Identity()
+}
+
+// ownFleet reports whether a report comes from an instance of this fleet. Another deployment's
+// instance sends here when it was given an address that this one's list still names, or the
+// other way round. Taken for one of this fleet it would take a share of every quota, its counts
+// of engines would be added to these, and each deployment would learn the other's
+// configuration: callers' keys would hold where they were never given.
+func (x *Exchange) ownFleet(r *Report, from netip.AddrPort) bool {
+	switch {
+	case x.fleet == nil:
+		return true
+	case r.Fleet == (fleetid.Identity{}):
+		// A version that does not tell its fleet is known by the store's list.
+		return x.listed(RunOf(r.Instance, r.Incarnation), r.Instance)
+	case r.Partial && x.identity().ID == 0:
+		// Without its name it says nothing to an instance that does not know its own id.
+		return false
+	default:
+		return x.fleet.Meet(r.Fleet, r.Instance, from.String()).Member()
+	}
+}
+
+// listed reports whether a run is one that reports go to.
+func (x *Exchange) listed(run Run, name string) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.targets[name].run == run
+}
--- a/instance/routed/events_test.go
+++ b/instance/routed/events_test.go
@@ -29,7 +29,7 @@
 	}
 	written := map[string]bool{}
 	call := regexp.MustCompile(`\.(?:Info|Warn|Error)\("([^"]+)"`)
-	for _, folder := range []string{"../../gateway", "../../fleet", "../../follow", ".", "../../cmd/cairnworksd"} {
+	for _, folder := range []string{"../../gateway", "../../fleet", "../../follow", "../../fleetid", ".", "../../cmd/cairnworksd"} {
 		files, err := filepath.Glob(filepath.Join(folder, "*.go"))
 		assert.NilError(t, err)
 		for _, file := range files {
@@ -44,10 +44,13 @@
 		}
 	}
 	assert.Assert(t, len(written) > 20, "%d events found", len(written))
-	metrics, err := os.ReadFile("../../observe/metrics.go")
-	assert.NilError(t, err)
-	for _, match := range regexp.MustCompile(`\.(?:Counter|Gauge|Histogram)\("([^"]+)"`).FindAllStringSubmatch(string(metrics), -1) {
-		written["cairnworks_"+match[1]] = true
+	metric := regexp.MustCompile(`\.(?:Counter|Gauge|Histogram)\("([^"]+)"`)
+	for _, file := range []string{"../../observe/metrics.go", "../../fleetid/keeper.go"} {
+		text, err := os.ReadFile(file)
+		assert.NilError(t, err)
+		for _, match := range metric.FindAllStringSubmatch(string(text), -1) {
+			written["cairnworks_"+match[1]] = true
+		}
 	}
 	for name := range written {
 		assert.Check(t, table[name], "%q is not in the table", name)
--- a/instance/routed/routed.go
+++ b/instance/routed/routed.go
@@ -18,6 +18,7 @@
 	"github.com/cairnworks/cairnworks/boottime"
 	"github.com/cairnworks/cairnworks/decision/quota"
 	"github.com/cairnworks/cairnworks/fleet"
+	"github.com/cairnworks/cairnworks/fleetid"
 	"github.com/cairnworks/cairnworks/follow"
 	"github.com/cairnworks/cairnworks/gateway"
 	"github.com/cairnworks/cairnworks/httpconn"
@@ -95,6 +96,7 @@
 	gateway  *gateway.Gateway
 	members  *fleet.Members
 	exchange *fleet.Exchange
+	fleet    *fleetid.Keeper
 	// shared are the topics that a few instances read for all.
 	shared []*follow.Follower
 	began  time.Time
@@ -141,6 +143,10 @@
 	i.members = fleet.NewMembers(self, outside.Log, log, i.setMembers)
 	i.members.Slow = i.slow
 	exchange.OnReport(i.members.Introduce)
+	i.fleet = fleetid.NewKeeper(fleetid.KeeperConfig{
+		Store: fleetid.NewKeyedStore(outside.Log), Name: s.Store, Logger: log, Metrics: metrics.Scope,
+	})
+	exchange.Of(i.fleet)
 	return i, nil
 }
 
@@ -243,6 +249,7 @@
 		f.Log, f.Logger = i.outside.Log, i.log
 		group.Go(func() error { return ignoreEnd(ctx, f.Run(ctx)) })
 	}
+	group.Go(func() error { return ignoreEnd(ctx, i.fleet.Run(ctx)) })
 	group.Go(func() error { return ignoreEnd(ctx, i.members.Run(ctx)) })
 	group.Go(func() error { return ignoreEnd(ctx, i.exchange.Run(ctx)) })
 	group.Go(func() error { return i.sweep(ctx) })
--- a/instance/routed/routed_test.go
+++ b/instance/routed/routed_test.go
@@ -98,7 +98,9 @@
 	return l.Addr().String()
 }
 
-func start(t *testing.T, engine http.HandlerFunc) *fleet {
+func start(t *testing.T, engine http.HandlerFunc) *fleet { return startNamed(t, "a", engine) }
+
+func startNamed(t *testing.T, name string, engine http.HandlerFunc) *fleet {
 	t.Helper()
 	f := &fleet{store: &store{topics: map[string][][2]string{}}, engine: httptest.NewServer(engine), done: make(chan error, 1)}
 	t.Cleanup(f.engine.Close)
@@ -108,7 +110,7 @@
 	f.store.put("keyed.servers", "ghost", `{"service":7}`)
 	f.store.put("keyed.servers", "i-1", fmt.Sprintf(`{"service":"s","address":%q,"zone":"z","slots":4,"state":"ready","seq":1}`, f.engine.Listener.Addr()))
 	f.settings = settings.DefaultRouted()
-	f.settings.Instance, f.settings.DataCentre, f.settings.FirstStart = "a", "z", true
+	f.settings.Instance, f.settings.DataCentre, f.settings.FirstStart = name, "z", true
 	f.settings.Callers, f.settings.Readiness, f.settings.Reports, f.settings.Metrics = freePort(t), freePort(t), freePort(t), freePort(t)
 	f.settings.Store, f.settings.GraceS = server.Listener.Addr().String(), 2
 	i, err := routed.New(f.settings, platform.Outside(f.settings), zap.NewNop())
