A late datagram of an earlier run takes nobody's name; unlisted instances are bounded

What one would see: an instance that started again hears nothing of its fleet and holds itself for cut off, since a datagram of its earlier run arrived after the first of the new one and turned the others' reports back to the old address. Or, without any stranger: an instance that the store turns away for 12 s is dropped from the lists of those who hear it, counted as new with its next report, and dropped again.

Cause: any incarnation that differed from the known one was taken in, an older one too, from reports as from entries in the store; incarnations were drawn at random, so that none could be older. An entry's age decided on the lapse, whatever was heard. Names that came by reports had no bound until the store was read whole.

Change: incarnations grow with the time of the start; a lower one takes a name only from a run that is silent, which covers a clock that was set back. Reports of runs that do not hold their name are dropped. What is heard does not lapse. At most 512 instances that the store does not list.

--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -56,6 +56,8 @@
 	kick    chan struct{}
 	// introduce is told of every report's sender, if set.
 	introduce func(name string, incarnation uint64, address string)
+	// current tells whether a run is the one that holds an instance's name, if set.
+	current func(name string, incarnation uint64) bool
 	// fleet is nil where every report is taken.
 	fleet *fleetid.Keeper
 
@@ -277,6 +279,9 @@
 		if x.introduce != nil {
 			x.introduce(r.Instance, r.Incarnation, from.String())
 		}
+		if x.current != nil && !x.current(r.Instance, r.Incarnation) {
+			continue
+		}
 		x.handler.Take(now, r)
 		if x.spent(r) {
 			x.confirm()
@@ -320,6 +325,12 @@
 	x.introduce = introduce
 }
 
+// OnlyFrom sets what tells whether a run is the one that holds an instance's name; reports of
+// others are dropped. It must be called before Run.
+func (x *Exchange) OnlyFrom(current func(name string, incarnation uint64) bool) {
+	x.current = current
+}
+
 // sentKept is how many of its reports an instance remembers: at the fastest pace, what
 // it sends in four seconds.
 const sentKept = 256
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -26,6 +27,12 @@
 	// reach the store stops serving requests with a key before that, since it no
 	// longer knows which keys hold.
 	Lapse = 12 * time.Second
+	// replacedAfter is the silence after which a run gives its name up to one with a lower
+	// incarnation. One that lives reports several times within it.
+	replacedAfter = 1500 * time.Millisecond
+	// maxUnlisted bounds the instances that are known by their reports only. It is above
+	// what starts at once in the largest fleet.
+	maxUnlisted = 512
 )
 
 // Member is an instance that the store lists.
@@ -36,10 +43,24 @@
 	Address string `json:"address"`
 	// Beat grows with each renewal.
 	Beat uint64 `json:"beat"`
-	// changed is when this instance saw the entry change.
-	changed time.Duration
+	// changed is when this instance saw the entry change, heard when the last report came.
+	changed, heard time.Duration
+	// listed tells that an entry in the store names this run.
+	listed bool
 }
 
+// seen is when the run last gave a sign of life.
+func (m Member) seen() time.Duration { return max(m.changed, m.heard) }
+
+// NewIncarnation returns the incarnation of a run that starts now. A later run's is higher,
+// unless the time of day was set back meanwhile; two runs of one millisecond differ.
+func NewIncarnation(now time.Time) uint64 {
+	return uint64(now.UnixMilli())<<incarnationNoise | rand.Uint64N(1<<incarnationNoise)
+}
+
+// incarnationNoise is the number of random bits in an incarnation.
+const incarnationNoise = 20
+
 // Members keeps the list of instances from the store. It implements follow.Reader.
 type Members struct {
 	self    Member
@@ -54,6 +75,8 @@
 	mu     sync.Mutex
 	others map[string]Member
 	lost   bool
+	// warned tells that it was logged that too many instances are not listed.
+	warned bool
 }
 
 // NewMembers returns a list that holds nobody. changed is called with all other
@@ -109,18 +132,65 @@
 // the next read an instance that has just started would otherwise neither be counted
 // nor told of anything.
 func (m *Members) Introduce(name string, incarnation uint64, address string) {
+	now := boottime.Now()
 	m.mu.Lock()
+	if name == m.self.Name {
+		m.mu.Unlock()
+		return
+	}
 	old, known := m.others[name]
-	if name == m.self.Name || known && old.Incarnation == incarnation {
+	if known && old.Incarnation == incarnation {
+		old.heard = now
+		m.others[name] = old
 		m.mu.Unlock()
 		return
 	}
-	m.others[name] = Member{Name: name, Incarnation: incarnation, Address: address, changed: boottime.Now()}
+	if known && !m.replaces(incarnation, old, now) || !known && m.full() {
+		m.mu.Unlock()
+		return
+	}
+	m.others[name] = Member{Name: name, Incarnation: incarnation, Address: address, changed: now, heard: now}
 	list := m.list()
 	m.mu.Unlock()
 	m.changed(list)
 }
 
+// replaces reports whether a run takes over an instance's name from the one that is known. A
+// datagram of an earlier run may arrive late, when the next run works already: taken in, it
+// would turn all reports to the address of a process that is gone, and the instance that
+// works would hear nothing of its fleet. The time of day decides between the two unless it was
+// set back, and then the silence of the run that ended does; the lock is held.
+func (m *Members) replaces(incarnation uint64, old Member, now time.Duration) bool {
+	return incarnation > old.Incarnation || now-old.seen() > m.slowed(replacedAfter)
+}
+
+// full reports whether as many instances are known by their reports only as may be, so that
+// no sender of made-up names fills the memory; the lock is held.
+func (m *Members) full() bool {
+	unlisted := 0
+	for _, member := range m.others {
+		if !member.listed {
+			unlisted++
+		}
+	}
+	if unlisted < maxUnlisted {
+		return false
+	}
+	if !m.warned {
+		m.warned = true
+		m.logger.Error("too many instances that the store does not list", zap.Int("unlisted", unlisted))
+	}
+	return true
+}
+
+// Current reports whether a run is the one that holds an instance's name.
+func (m *Members) Current(name string, incarnation uint64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known, ok := m.others[name]
+	return ok && known.Incarnation == incarnation
+}
+
 // list returns all other members; the lock is held.
 func (m *Members) list() []Member {
 	list := make([]Member, 0, len(m.others))
@@ -138,8 +208,10 @@
 		named[record.Key] = true
 		m.put(record)
 	}
-	for name := range m.others {
-		if !named[name] {
+	for name, member := range m.others {
+		// One that was never listed may be new, or turned away by the store: it is known by
+		// its reports, and lapses without them.
+		if member.listed && !named[name] {
 			delete(m.others, name)
 		}
 	}
@@ -173,7 +245,15 @@
 	if known && old.Incarnation == member.Incarnation && old.Beat == member.Beat {
 		return
 	}
-	member.Name, member.changed = record.Key, boottime.Now()
+	now := boottime.Now()
+	if known && old.Incarnation != member.Incarnation && !m.replaces(member.Incarnation, old, now) {
+		// The entry is one that the run before has left.
+		return
+	}
+	if known && old.Incarnation == member.Incarnation {
+		member.heard = old.heard
+	}
+	member.Name, member.changed, member.listed = record.Key, now, true
 	m.others[record.Key] = member
 }
 
@@ -187,9 +267,9 @@
 			member.changed = now
 			m.others[name] = member
 		}
-		if now-member.changed > lapse {
+		if silent := now - member.seen(); silent > lapse {
 			delete(m.others, name)
-			m.logger.Info("instance gone", zap.String("peer", name), zap.Duration("silent", now-member.changed))
+			m.logger.Info("instance gone", zap.String("peer", name), zap.Duration("silent", silent))
 		}
 	}
 	m.lost = false
--- a/instance/routed/routed.go
+++ b/instance/routed/routed.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -119,7 +118,7 @@
 		debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * 1e6))
 	}
 	i.state = gateway.NewState(boottime.Now, time.Duration(float64(s.RevokeMS)*proofShare)*time.Millisecond)
-	self := fleet.Member{Name: s.Instance, Incarnation: rand.Uint64() >> 1, Address: s.Reports}
+	self := fleet.Member{Name: s.Instance, Incarnation: fleet.NewIncarnation(i.began), Address: s.Reports}
 	bound := gateway.QuotaBound{Window: seconds(s.QuotaS), Over: s.QuotaOver, Slack: s.QuotaSlack}
 	i.quotas = gateway.NewQuotas(boottime.Now, self, bound, s.FirstStart)
 	i.quotas.OnRestricted = func(restricted bool) {
@@ -143,6 +142,7 @@
 	i.members = fleet.NewMembers(self, outside.Log, log, i.setMembers)
 	i.members.Slow = i.slow
 	exchange.OnReport(i.members.Introduce)
+	exchange.OnlyFrom(i.members.Current)
 	i.fleet = fleetid.NewKeeper(fleetid.KeeperConfig{
 		Store: fleetid.NewKeyedStore(outside.Log), Name: s.Store, Logger: log, Metrics: metrics.Scope,
 	})
