Evacuated data centres get no more requests

Cause: the operators' records that empty a data centre stand in the topic of configurations and were passed over as records of other keys.

Change: the adapter reads them; the directory counts the upstreams of an evacuated data centre as leaving, which every stage heeds already.

The test failed before: the requests went on to the evacuated upstream.

--- a/instance/routed/readers.go
+++ b/instance/routed/readers.go
@@ -77,21 +77,50 @@
 	}
 }
 
-// configReader takes in configurations.
+// configReader takes in what operators write: configurations, and which data centres are
+// evacuated.
 type configReader struct{ instance *Instance }
 
 // Replace implements follow.Reader.
 func (r *configReader) Replace(records []port.KeyedRecord) bool {
-	changed := false
+	changed := r.keepEvacuated(records)
 	for _, record := range records {
 		changed = r.Add(record) || changed
 	}
 	return changed
 }
 
+// keepEvacuated gives back the data centres that a whole read no longer names.
+func (r *configReader) keepEvacuated(records []port.KeyedRecord) bool {
+	named := make(map[string]bool)
+	for _, record := range records {
+		if dataCentre, evacuated, ok := r.instance.outside.Evacuation(record); ok && evacuated {
+			named[dataCentre] = true
+		}
+	}
+	changed := false
+	for _, dataCentre := range r.instance.state.Directory.Evacuated() {
+		if !named[dataCentre] {
+			changed = r.evacuate(dataCentre, false) || changed
+		}
+	}
+	return changed
+}
+
+func (r *configReader) evacuate(dataCentre string, evacuated bool) bool {
+	if !r.instance.state.Directory.Evacuate(dataCentre, evacuated) {
+		return false
+	}
+	r.instance.log.Info("data centre evacuated", zap.String("data_centre", dataCentre), zap.Bool("evacuated", evacuated))
+	return true
+}
+
 // Add implements follow.Reader.
 func (r *configReader) Add(record port.KeyedRecord) bool {
 	i := r.instance
+	if dataCentre, evacuated, ok := i.outside.Evacuation(record); ok {
+		return r.evacuate(dataCentre, evacuated)
+	}
 	c, ok, err := i.outside.Configuration(record)
 	if err != nil {
 		i.log.Error("configuration not readable; the one before stays in force", zap.Error(err))
--- a/instance/routed/routed.go
+++ b/instance/routed/routed.go
@@ -37,7 +37,10 @@
 	Pool      *httpconn.Pool
 	// Configuration reads a record; ok is false where it holds no configuration.
 	Configuration func(port.KeyedRecord) (c Configuration, ok bool, err error)
-	Entry         func(port.KeyedRecord) (upstream.Entry, error)
+	// Evacuation reads a record of the same topic that empties a data centre or gives it back;
+	// ok is false for others.
+	Evacuation func(port.KeyedRecord) (dataCentre string, evacuated, ok bool)
+	Entry      func(port.KeyedRecord) (upstream.Entry, error)
 	// ReadyPath is where the balancer asks.
 	ReadyPath string
 }
--- a/upstream/directory.go
+++ b/upstream/directory.go
@@ -3,6 +3,7 @@
 package upstream
 
 import (
+	"maps"
 	"slices"
 	"sync"
 )
@@ -63,6 +64,8 @@
 	// gone are ids that refused work as another run, or were told to be leaving by
 	// the upstream itself, with the entry that this was learnt about.
 	gone map[string]Entry
+	// evacuated are data centres whose upstreams take no new work by the operators' word.
+	evacuated map[string]bool
 	// byService is rebuilt on each change; readers share it.
 	byService map[string][]Entry
 	version   uint64
@@ -70,7 +73,7 @@
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	return &Directory{entries: make(map[string]Entry), gone: make(map[string]Entry), byService: make(map[string][]Entry)}
+	return &Directory{entries: make(map[string]Entry), gone: make(map[string]Entry), evacuated: make(map[string]bool), byService: make(map[string][]Entry)}
 }
 
 // Put takes in an entry. An older one of the same id than is known is ignored: a
@@ -131,6 +134,34 @@
 	d.rebuild()
 }
 
+// Evacuate sets whether the upstreams of a data centre are to get no new work. It reports
+// whether that is new.
+//
+// Operators empty a data centre before they take it away. Its upstreams do not know of it and
+// go on saying that they are ready, so that requests sent there by their word alone end with
+// the power; they count as leaving here.
+func (d *Directory) Evacuate(dataCentre string, evacuated bool) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.evacuated[dataCentre] == evacuated {
+		return false
+	}
+	if evacuated {
+		d.evacuated[dataCentre] = true
+	} else {
+		delete(d.evacuated, dataCentre)
+	}
+	d.rebuild()
+	return true
+}
+
+// Evacuated lists the data centres that are evacuated.
+func (d *Directory) Evacuated() []string {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return slices.Sorted(maps.Keys(d.evacuated))
+}
+
 // rebuild makes the lists by service.
 func (d *Directory) rebuild() {
 	d.version++
@@ -142,6 +173,7 @@
 			}
 			delete(d.gone, id)
 		}
+		e.Leaving = e.Leaving || d.evacuated[e.DataCentre]
 		d.byService[e.Service] = append(d.byService[e.Service], e)
 	}
 	for _, list := range d.byService {
@@ -170,7 +202,7 @@
 	if g, marked := d.gone[id]; marked && g == e.unnumbered() {
 		return Entry{}, false
 	}
-	return e, ok && !e.Leaving
+	return e, ok && !e.Leaving && !d.evacuated[e.DataCentre]
 }
 
 // Version grows with each change of the lists.
--- a/upstream/directory_test.go
+++ b/upstream/directory_test.go
@@ -52,3 +52,27 @@
 	assert.Assert(t, d.Remove("a") && !d.Remove("a"))
 	assert.Equal(t, d.Len(), 0)
 }
+
+// Operators empty a data centre before it loses power. Its upstreams go on saying that they
+// are ready; requests that are sent there all the same are lost with it.
+func TestEvacuatedUpstreamsTakeNoWork(t *testing.T) {
+	d := NewDirectory()
+	here, there := entry("a", 1, 1), entry("b", 1, 1)
+	here.DataCentre, there.DataCentre = "here", "there"
+	d.Put(here)
+	assert.Assert(t, d.Evacuate("there", true) && !d.Evacuate("there", true))
+	d.Put(there)
+	_, ok := d.Current("b")
+	assert.Assert(t, !ok)
+	_, ok = d.Current("a")
+	assert.Assert(t, ok)
+	for _, e := range d.Service("s") {
+		assert.Equal(t, e.Leaving, e.ID == "b")
+	}
+	assert.DeepEqual(t, d.Evacuated(), []string{"there"})
+	there.Sequence = 2
+	assert.Assert(t, !d.Put(there), "a renewal changes nothing")
+	assert.Assert(t, d.Evacuate("there", false))
+	_, ok = d.Current("b")
+	assert.Assert(t, ok)
+}
