--- a/e2e/once_test.go
+++ b/e2e/once_test.go
@@ -32,6 +32,10 @@
 // A keeper's client does not hear back in time and sends its swap again, to
 // whichever instance the balancer picks, while the first is still on its way. A
 // swap that ran twice leaves one enclosure double-staffed and another unwatched.
+//
+// Once a swap did, while the tests of several fleets ran at the same time. An instance of
+// another fleet had become a member of this one, and claimed keys on its own log; how it came
+// here and what showed it, TestSurvivorOfAnotherFleetTakesNoPart tells.
 func TestResentSwapsRunOnce(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, fleetConfig{instances: 3, prefill: 1, decode: 1, plain: 2, tokenTime: time.Millisecond})
