Soak: another deployment that the fleet meets

A second store and instance run beside the fleet, with higher versions, offsets that agree and a key of their own, and both lists name the other's instances.

Routed instances take a name of their fleet, as those of our own interface do: in the soak each has its own way to the store, and one that starts while the store is away would else not know its peers.

--- a/instance/routed/routed.go
+++ b/instance/routed/routed.go
@@ -147,7 +147,7 @@
 	exchange.OnReport(i.members.Introduce)
 	exchange.OnlyFrom(i.members.Current)
 	i.fleet = fleetid.NewKeeper(fleetid.KeeperConfig{
-		Store: fleetid.NewKeyedStore(outside.Log), Name: s.Store, Logger: log, Metrics: metrics.Scope,
+		Store: fleetid.NewKeyedStore(outside.Log), Name: s.FleetName(), Logger: log, Metrics: metrics.Scope,
 	})
 	exchange.Of(i.fleet)
 	return i, nil
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -11,7 +11,7 @@
 	DataCentre string `json:"data_centre" doc:"data centre of this instance; upstreams in it are preferred when all else is equal" unit:"name" default:"required"`
 
 	// Fleet is what people call the fleet.
-	Fleet string `json:"fleet" doc:"name of the fleet in logs, up to 64 bytes; what makes a fleet is its log, which keeps the fleet's id" unit:"name" default:"the address of the log"`
+	Fleet string `json:"fleet" doc:"name of the fleet in logs, up to 64 bytes. It tells fleets apart until the log has been read, so no two fleets on one network may share it; what makes a fleet is its log, which keeps the fleet's id" unit:"name" default:"the address of the log"`
 
 	Callers   Callers   `json:"callers"`
 	Peers     Peers     `json:"peers"`
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -41,6 +41,8 @@
 	}
 	s := settings.DefaultRouted()
 	s.Instance, s.DataCentre, s.FirstStart = name, "z", first
+	// Each instance has its own way to the store, so that its address names nothing.
+	s.Fleet = "soak"
 	s.Store, s.MemoryMB = p.address(), memoryMB
 	s.RevokeMS = int(revokeBound / time.Millisecond)
 	s.QuotaS, s.QuotaOver, s.QuotaSlack = quotaWindow.Seconds(), quotaOver, quotaSlack
--- a/soak/run.go
+++ b/soak/run.go
@@ -72,7 +72,9 @@
 
 type run struct {
 	Options
-	store     *standin.Store
+	store *standin.Store
+	// stranger is the other deployment that the fleet meets.
+	stranger  *stranger
 	engines   []way
 	instances []*instance
 	ledger    *ledger
@@ -95,7 +97,13 @@
 	r := &run{Options: o, store: standin.NewStore(), ledger: newLedger(), key: "k0", stale: "none"}
 	server := httptest.NewServer(r.store)
 	defer server.Close()
+	var err error
+	if r.stranger, err = newStranger(); err != nil {
+		return nil, err
+	}
+	defer r.stranger.close()
 	r.publish("k0")
+	r.ledger.withdraw(strangersKey)
 	if err := r.startEngines(); err != nil {
 		return nil, err
 	}
@@ -159,6 +167,8 @@
 		processes.Go(func() error { return i.run(r.Daemon, r.Dir, stop) })
 		go i.watch(stop)
 	}
+	processes.Go(func() error { return r.stranger.instance.run(r.Daemon, r.Dir, stop) })
+	processes.Go(func() error { return r.stranger.meet(r.store, r.instances, stop) })
 	end := func() error {
 		close(stop)
 		return processes.Wait()
@@ -248,6 +258,7 @@
 	r.store.Publish(r.version, []standin.Organisation{
 		{Name: open, Keys: keys}, {Name: limited, Keys: []string{"limited"}, Rate: quotaRate, Burst: quotaBurst},
 	})
+	r.stranger.publish(r.version)
 }
 
 // renewKey adds a key, and some time later withdraws the one before.
@@ -291,6 +302,10 @@
 			s.kind, s.organisation, s.key = standin.Draft, limited, "limited"
 		case 1:
 			s.key = stale
+		case 2:
+			if count%3 == 0 {
+				s.key = strangersKey
+			}
 		}
 		r.ask(client, fmt.Sprintf("s%d.c%d.%d", r.Seed, n, count), r.pick(rng), s)
 		time.Sleep(time.Duration(rng.Int64N(int64(60 * time.Millisecond))))
