Soak: writes and orders carried out late, leaving engines, holders of orders

What the soak said that it does not cover: writes to the store and orders to engines that get no answer and take effect 2.5 s later, drawn apart from the other faults so that a seed's schedule of these stays as it was; engines that leave and still get work from instances that nothing disturbs; fencing tokens of two holders.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -32,12 +32,15 @@
 	series = 3
 )
 
-// kinds are the faults, each with its share among them.
-var kinds = []struct {
+// kind is a kind of fault: its share among those that are drawn with it, and what it does.
+type kind struct {
 	name   string
 	weight int
 	apply  func(r *run, f fault)
-}{
+}
+
+// kinds are the faults, each with its share among them.
+var kinds = []kind{
 	{"kill", 3, func(r *run, f fault) { r.instance(f).signal(syscall.SIGKILL) }},
 	{"terminate", 3, func(r *run, f fault) { r.instance(f).signal(syscall.SIGTERM) }},
 	{"pause", 4, func(r *run, f fault) {
@@ -100,7 +103,7 @@
 	}},
 	{"engine leaves", 2, func(r *run, f fault) {
 		e := r.engine(f)
-		e.engine.Leave()
+		r.ledger.leaves(e.engine.Leave())
 		time.Sleep(max(f.For, leaveTime))
 		e.way.reset()
 		e.engine.Replace()
@@ -108,21 +111,49 @@
 	{"key withdrawn", 2, func(r *run, _ fault) { r.renewKey() }},
 }
 
+// lateKinds leave what instances ask for unanswered and carry it out later. They are drawn apart,
+// with a gap of their own, so that the other faults of a seed stay as they were.
+var lateKinds = []kind{
+	{"writes late", 1, func(r *run, f fault) {
+		r.store.SetLate(lateBy)
+		time.Sleep(f.For)
+		r.store.SetLate(0)
+	}},
+	{"orders late", 1, func(r *run, f fault) {
+		e := r.engine(f).engine
+		e.SetLate(lateBy)
+		time.Sleep(f.For)
+		e.SetLate(0)
+	}},
+}
+
+const (
+	// lateBy is how long after it was asked for it is carried out.
+	lateBy = 2500 * time.Millisecond
+	// lateGap is the mean time between two faults of lateKinds.
+	lateGap = 4 * time.Second
+)
+
 // schedule draws the faults of a run.
 func schedule(seed uint64, length time.Duration, instances, engines int) []fault {
-	rng := rand.New(rand.NewPCG(seed, 1))
+	out := draw(rand.New(rand.NewPCG(seed, 1)), kinds, faultGap, length, instances*engines)
+	return append(out, draw(rand.New(rand.NewPCG(seed, 2)), lateKinds, lateGap, length, instances*engines)...)
+}
+
+// draw draws faults of some kinds with a mean gap between them.
+func draw(rng *rand.Rand, from []kind, gap, length time.Duration, targets int) []fault {
 	total := 0
-	for _, k := range kinds {
+	for _, k := range from {
 		total += k.weight
 	}
 	var out []fault
-	for at := faultGap; at < length; at += time.Duration(rng.ExpFloat64() * float64(faultGap)) {
-		draw := rng.IntN(total)
+	for at := gap; at < length; at += time.Duration(rng.ExpFloat64() * float64(gap)) {
+		drawn := rng.IntN(total)
 		n := 0
-		for ; draw >= kinds[n].weight; n++ {
-			draw -= kinds[n].weight
+		for ; drawn >= from[n].weight; n++ {
+			drawn -= from[n].weight
 		}
-		f := fault{At: at, For: time.Duration(rng.Int64N(int64(longestFault))), Kind: kinds[n].name, Target: rng.IntN(instances * engines)}
+		f := fault{At: at, For: time.Duration(rng.Int64N(int64(longestFault))), Kind: from[n].name, Target: rng.IntN(targets)}
 		out = append(out, f)
 		if rng.IntN(10) < series {
 			f.At += f.For + time.Duration(rng.Int64N(int64(time.Second)))
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -15,7 +15,9 @@
 	kind         standin.Kind
 	organisation string
 	key          string
-	at           time.Time
+	// instance is whom it was sent to.
+	instance string
+	at       time.Time
 	// status is 0 where no answer came.
 	status int
 	answer string
@@ -32,12 +34,40 @@
 	runs map[string][]standin.Run
 	// withdrawn is when a key was withdrawn.
 	withdrawn map[string]time.Time
+	// leaving is when an engine has said that it leaves.
+	leaving      map[string]time.Time
+	disturbances []disturbance
+	orders       []standin.Order
 	// from is when the fleet must serve again.
 	from time.Time
 }
 
+// disturbance is a fault at an instance, or at everybody.
+type disturbance struct {
+	instance     string
+	began, ended time.Time
+}
+
 func newLedger() *ledger {
-	return &ledger{sent: make(map[string]*sent), runs: make(map[string][]standin.Run), withdrawn: make(map[string]time.Time)}
+	return &ledger{sent: make(map[string]*sent), runs: make(map[string][]standin.Run), withdrawn: make(map[string]time.Time), leaving: make(map[string]time.Time)}
+}
+
+func (l *ledger) leaves(engine string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.leaving[engine] = time.Now()
+}
+
+func (l *ledger) disturbed(instance string, began, ended time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.disturbances = append(l.disturbances, disturbance{instance, began, ended})
+}
+
+func (l *ledger) ordered(o standin.Order) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.orders = append(l.orders, o)
 }
 
 func (l *ledger) send(id string, s *sent) {
@@ -85,6 +115,7 @@
 		out = append(out, l.checkRuns(id, runs)...)
 	}
 	out = append(out, l.checkQuota()...)
+	out = append(out, l.checkOrders()...)
 	sort.Slice(out, func(i, j int) bool { return out[i].At.Before(out[j].At) })
 	return out
 }
@@ -135,6 +166,9 @@
 		case r.Mixed:
 			add("its own prompt", "went on from another request's prompt")
 		}
+		if detail, late := l.checkLeaving(s, r); late {
+			add("leaving engines", detail)
+		}
 		if at, gone := l.withdrawn[s.key]; gone && r.At.Sub(at) > revokeBound+clockSlack {
 			add("withdrawn keys", fmt.Sprintf("ran %v after its key was withdrawn", r.At.Sub(at)))
 		}
@@ -142,6 +176,41 @@
 	return out
 }
 
+// inTouch reports whether an instance was disturbed by nothing from contactTime before a time
+// until another. Faults that go on are not in the list yet; checks are made at the end.
+func (l *ledger) inTouch(instance string, from, until time.Time) bool {
+	for _, d := range l.disturbances {
+		concerns := d.instance == instance || d.instance == everybody
+		if concerns && d.began.Before(until) && d.ended.After(from.Add(-contactTime)) {
+			return false
+		}
+	}
+	return true
+}
+
+// checkLeaving checks that an engine that has said that it leaves gets no more work from
+// instances that can know it.
+func (l *ledger) checkLeaving(s *sent, r standin.Run) (detail string, late bool) {
+	at, leaving := l.leaving[r.Engine]
+	if !leaving || r.At.Sub(at) <= leaveBound+clockSlack || !l.inTouch(s.instance, at, r.At) {
+		return "", false
+	}
+	return fmt.Sprintf("%s got it %v after it had said that it leaves, from %s", r.Engine, r.At.Sub(at), s.instance), true
+}
+
+// checkOrders checks that each fencing token belongs to one holder.
+func (l *ledger) checkOrders() []Finding {
+	var out []Finding
+	holders := make(map[int64]string)
+	for _, o := range l.orders {
+		if holder, known := holders[o.Token]; known && holder != o.Holder {
+			out = append(out, Finding{"one holder of orders", "", fmt.Sprintf("token %d of %s and %s", o.Token, holder, o.Holder), o.At})
+		}
+		holders[o.Token] = o.Holder
+	}
+	return out
+}
+
 // checkQuota checks the organisation that has a quota over every window.
 func (l *ledger) checkQuota() []Finding {
 	var at []time.Time
--- a/soak/run.go
+++ b/soak/run.go
@@ -12,7 +12,9 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,6 +30,10 @@
 	// engines' view of it may differ by on a busy machine.
 	revokeBound = 5 * time.Second
 	clockSlack  = time.Second
+	// leaveBound is how long an instance may go on sending to an engine that leaves.
+	leaveBound = 2 * time.Second
+	// contactTime is how long an instance must have been undisturbed to be held to that.
+	contactTime = 3 * time.Second
 	// leaveTime is how long an engine serves on after it has said that it leaves.
 	leaveTime = 3 * time.Second
 	memoryMB  = 200
@@ -125,6 +131,7 @@
 
 func (r *run) startEngines() error {
 	all := standin.NewEngines(r.store, r.ledger.ran)
+	all.Ordered = r.ledger.ordered
 	start := func(n int, service, stage string) error {
 		for range n {
 			var p *proxy
@@ -219,9 +226,11 @@
 				return
 			case <-time.After(time.Until(r.began.Add(f.At))):
 			}
-			for _, k := range kinds {
+			for _, k := range slices.Concat(kinds, lateKinds) {
 				if k.name == f.Kind {
+					began := time.Now()
 					k.apply(r, f)
+					r.ledger.disturbed(r.disturbs(f), began, time.Now())
 				}
 			}
 		})
@@ -249,6 +258,21 @@
 	time.Sleep(probeTime)
 }
 
+// everybody stands for all instances among those that a fault disturbs.
+const everybody = ""
+
+// disturbs names the instance that a fault disturbs, or everybody.
+func (r *run) disturbs(f fault) string {
+	switch {
+	case f.Kind == "store down":
+		return everybody
+	case strings.HasPrefix(f.Kind, "engine") || strings.HasSuffix(f.Kind, "late"):
+		return "none"
+	default:
+		return r.instance(f).name
+	}
+}
+
 func (r *run) instance(f fault) *instance { return r.instances[f.Target%len(r.instances)] }
 func (r *run) engine(f fault) way         { return r.engines[f.Target%len(r.engines)] }
 
@@ -333,6 +357,7 @@
 		return
 	}
 	r.requests.Add(1)
+	s.instance = to.name
 	r.ledger.send(id, s)
 	resp, err := client.Do(request)
 	if err != nil {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -64,6 +64,22 @@
 	foreign.sign = standin.Signature("b")
 	late := ledgerOf(sent{kind: standin.Book, key: "k", status: http.StatusOK, answer: whole.answer, sign: whole.sign}, standin.Run{At: time.Now().Add(time.Hour)})
 	late.withdraw("k")
+	atLeaving := func(after time.Duration) *ledger {
+		l := ledgerOf(sent{kind: standin.Book, instance: "i0", status: http.StatusOK, answer: whole.answer, sign: whole.sign},
+			standin.Run{Engine: "e", At: time.Now().Add(after)})
+		l.leaves("e")
+		return l
+	}
+	soon, tooLate, excused := atLeaving(leaveBound), atLeaving(time.Minute), atLeaving(time.Minute)
+	tooLate.disturbed("i1", time.Now(), time.Now().Add(time.Second))
+	excused.disturbed("i0", time.Now(), time.Now().Add(time.Second))
+	ordered := func(holders ...string) *ledger {
+		l := newLedger()
+		for _, holder := range holders {
+			l.ordered(standin.Order{Engine: "e", Holder: holder, Token: 7})
+		}
+		return l
+	}
 	unasked := newLedger()
 	unasked.ran(standin.Run{ID: "x"})
 	for _, c := range []struct {
@@ -82,6 +98,11 @@
 		{"nobody asked", unasked, "nothing unasked"},
 		{"another prompt", ledgerOf(whole, standin.Run{Mixed: true}), "its own prompt"},
 		{"a withdrawn key", late, "withdrawn keys"},
+		{"just after an engine has said that it leaves", soon, ""},
+		{"long after an engine has said that it leaves", tooLate, "leaving engines"},
+		{"from an instance that could not know", excused, ""},
+		{"one holder's token", ordered("i0", "i0"), ""},
+		{"a token of two holders", ordered("i0", "i1"), "one holder of orders"},
 	} {
 		findings := c.ledger.check()
 		if c.promise == "" {
