--- a/soak/faults.go
+++ b/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 )
@@ -127,7 +128,26 @@
 	}},
 }
 
+// reportKinds lose what instances report to one another. They are drawn apart like lateKinds.
+var reportKinds = []kind{
+	{"reports lost", 2, func(r *run, f fault) { r.loseReports(f, allLost/2, allLost/2) }},
+	{"reports cut", 1, func(r *run, f fault) { r.loseReports(f, allLost, allLost) }},
+	{"reports unheard", 1, func(r *run, f fault) { r.loseReports(f, allLost, 0) }},
+}
+
+// loseReports loses parts, in hundredths, of what an instance reports and is reported.
+func (r *run) loseReports(f fault, sent, got int32) {
+	end := r.relays.end(r.instance(f).name)
+	end.sentLost.Store(sent)
+	end.gotLost.Store(got)
+	time.Sleep(f.For)
+	end.sentLost.Store(0)
+	end.gotLost.Store(0)
+}
+
 const (
+	// reportGap is the mean time between two faults of reportKinds.
+	reportGap = 3 * time.Second
 	// lateBy is how long after it was asked for it is carried out.
 	lateBy = 2500 * time.Millisecond
 	// lateGap is the mean time between two faults of lateKinds.
@@ -136,8 +156,12 @@
 
 // schedule draws the faults of a run.
 func schedule(seed uint64, length time.Duration, instances, engines int) []fault {
-	out := draw(rand.New(rand.NewPCG(seed, 1)), kinds, faultGap, length, instances*engines)
-	return append(out, draw(rand.New(rand.NewPCG(seed, 2)), lateKinds, lateGap, length, instances*engines)...)
+	targets := instances * engines
+	return slices.Concat(
+		draw(rand.New(rand.NewPCG(seed, 1)), kinds, faultGap, length, targets),
+		draw(rand.New(rand.NewPCG(seed, 2)), lateKinds, lateGap, length, targets),
+		draw(rand.New(rand.NewPCG(seed, 3)), reportKinds, reportGap, length, targets),
+	)
 }
 
 // draw draws faults of some kinds with a mean gap between them.
--- a/soak/run.go
+++ b/soak/run.go
@@ -79,6 +79,8 @@
 type run struct {
 	Options
 	store *standin.Store
+	// relays carry what instances report to one another.
+	relays *relays
 	// stranger is the other deployment that the fleet meets.
 	stranger  *stranger
 	engines   []way
@@ -100,9 +102,8 @@
 	if err := os.MkdirAll(o.Dir, 0o755); err != nil {
 		return nil, err
 	}
-	r := &run{Options: o, store: standin.NewStore(), ledger: newLedger(), key: "k0", stale: "none"}
-	server := httptest.NewServer(r.store)
-	defer server.Close()
+	r := &run{Options: o, store: standin.NewStore(), relays: newRelays(), ledger: newLedger(), key: "k0", stale: "none"}
+	defer r.relays.close()
 	var err error
 	if r.stranger, err = newStranger(); err != nil {
 		return nil, err
@@ -115,11 +116,19 @@
 	}
 	defer r.stopEngines()
 	for n := range o.Instances {
-		i, err := newInstance("i"+strconv.Itoa(n), server.Listener.Addr().String(), true)
+		name := "i" + strconv.Itoa(n)
+		server := httptest.NewServer(standin.View{Store: r.store, Address: func(other, address string) string {
+			return r.relays.address(name, other, address)
+		}})
+		defer server.Close()
+		i, err := newInstance(name, server.Listener.Addr().String(), true)
 		if err != nil {
 			return nil, err
 		}
 		defer i.store.close()
+		if err := r.relays.add(name, i.settings.Reports); err != nil {
+			return nil, err
+		}
 		r.instances = append(r.instances, i)
 	}
 	r.faults = schedule(o.Seed, o.Length, o.Instances, len(r.engines))
@@ -226,7 +235,7 @@
 				return
 			case <-time.After(time.Until(r.began.Add(f.At))):
 			}
-			for _, k := range slices.Concat(kinds, lateKinds) {
+			for _, k := range slices.Concat(kinds, lateKinds, reportKinds) {
 				if k.name == f.Kind {
 					began := time.Now()
 					k.apply(r, f)
