--- a/rate/fault_test.go
+++ b/rate/fault_test.go
@@ -390,3 +390,23 @@
 		assert.Assert(t, after-before < 60)
 	})
 }
+
+// Two instances use one log and do not hear one another, as when neither was told of the other.
+// Each takes the other's shards, and callers of both are refused. The log is where they can find
+// each other, and the line about a lost shard is all that on-call engineers have: it must name
+// who has it and where.
+func TestAShardLostToAnUnheardInstanceNamesIt(t *testing.T) {
+	inFleet(t, 2, func(f *fleet, _ *meter) {
+		one, other := f.members["addr-entry-1"], f.members["addr-entry-2"]
+		f.setApart(one, []*member{other})
+		time.Sleep(30 * time.Second)
+		lines := f.lines.FilterMessage("rate shard lost to an instance that is not heard; it uses the same log").All()
+		assert.Assert(t, len(lines) > 0)
+		for _, line := range lines {
+			fields := line.ContextMap()
+			assert.Assert(t, fields["instance"] != fields["successor"])
+			assert.Equal(t, fields["address"], "addr-"+fields["successor"].(string))
+		}
+		assert.Equal(t, len(one.service.Holders()), 2)
+	})
+}
--- a/rate/fleet_test.go
+++ b/rate/fleet_test.go
@@ -12,6 +12,9 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 
 	peerv1 "github.com/cairnworks/cairnworks/gen/cairnworks/peer/v1"
@@ -190,6 +193,9 @@
 	// apart is the instance that no other sees, if any.
 	apart *member
 	calls atomic.Int64
+	// lines are what all instances log.
+	lines *observer.ObservedLogs
+	core  zapcore.Core
 }
 
 // inFleet runs a test with n instances in a synctest bubble, after all shards have
@@ -198,6 +204,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		f := &fleet{t: t, log: newFakeLog(), members: map[string]*member{}}
+		f.core, f.lines = observer.New(zap.WarnLevel)
 		for i := range n {
 			f.start(fmt.Sprintf("entry-%d", i+1), 1)
 		}
@@ -233,6 +240,7 @@
 		Members: func() []request.Holder { return f.aliveFor(m) },
 		Limit:   func(string) (object.Limit, bool) { return *f.limit.Load(), true },
 		Dial:    func(address string) peerv1connect.RateServiceClient { return fakeClient{from: m, address: address} },
+		Logger:  zap.New(f.core).With(zap.String("instance", name)),
 		Clock: func() time.Time {
 			m.gate.wait()
 			return time.Now()
