--- a/e2e/once_test.go
+++ b/e2e/once_test.go
@@ -33,9 +33,12 @@
 // whichever instance the balancer picks, while the first is still on its way. A
 // swap that ran twice leaves one enclosure double-staffed and another unwatched.
 //
-// Once a swap did, while the tests of several fleets ran at the same time. An instance of
-// another fleet had become a member of this one, and claimed keys on its own log; how it came
-// here and what showed it, TestSurvivorOfAnotherFleetTakesNoPart tells.
+// Once a swap did, while the tests of several fleets ran at the same time, and callers were told
+// in_progress for seconds. The survivor of another fleet had reached an instance of this one at
+// a port that its own dead peer had before, became a member, and claimed keys on its own log.
+// The log told it by "member changed member=instance-2" at two addresses in turn, eight lines
+// "declared dead, new incarnation" in four seconds, and "recorded answer has left the log" for
+// swaps just made. TestSurvivorOfAnotherFleetTakesNoPart brings it about.
 func TestResentSwapsRunOnce(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, fleetConfig{instances: 3, prefill: 1, decode: 1, plain: 2, tokenTime: time.Millisecond})
--- a/soak/run.go
+++ b/soak/run.go
@@ -89,6 +89,8 @@
 	faults    []fault
 	began     time.Time
 	requests  atomic.Int64
+	// closers end what was begun.
+	closers []func()
 
 	mu sync.Mutex
 	// key is the newest key of the open organisation that holds everywhere, stale the
@@ -103,39 +105,60 @@
 		return nil, err
 	}
 	r := &run{Options: o, store: standin.NewStore(), relays: newRelays(), ledger: newLedger(), key: "k0", stale: "none"}
-	defer r.relays.close()
-	var err error
-	if r.stranger, err = newStranger(); err != nil {
+	defer r.close()
+	if err := r.prepare(); err != nil {
 		return nil, err
 	}
-	defer r.stranger.close()
-	r.publish("k0")
+	r.faults = schedule(o.Seed, o.Length, o.Instances, len(r.engines))
+	if err := r.play(ctx); err != nil {
+		return nil, err
+	}
+	return r.report(), nil
+}
+
+// prepare makes both deployments ready to run.
+func (r *run) prepare() error {
+	other, err := newStranger()
+	if err != nil {
+		return err
+	}
+	r.stranger = other
+	r.closers = append(r.closers, r.relays.close, other.close)
+	r.publish(r.key)
 	r.ledger.withdraw(strangersKey)
+	r.closers = append(r.closers, r.stopEngines)
 	if err := r.startEngines(); err != nil {
-		return nil, err
+		return err
 	}
-	defer r.stopEngines()
-	for n := range o.Instances {
-		name := "i" + strconv.Itoa(n)
-		server := httptest.NewServer(standin.View{Store: r.store, Address: func(other, address string) string {
-			return r.relays.address(name, other, address)
-		}})
-		defer server.Close()
-		i, err := newInstance(name, server.Listener.Addr().String(), true)
-		if err != nil {
-			return nil, err
+	for n := range r.Instances {
+		if err := r.addInstance("i" + strconv.Itoa(n)); err != nil {
+			return err
 		}
-		defer i.store.close()
-		if err := r.relays.add(name, i.settings.Reports); err != nil {
-			return nil, err
-		}
-		r.instances = append(r.instances, i)
 	}
-	r.faults = schedule(o.Seed, o.Length, o.Instances, len(r.engines))
-	if err := r.play(ctx); err != nil {
-		return nil, err
+	return nil
+}
+
+// addInstance prepares an instance with a way of its own to the store, which tells it the
+// relays' addresses in place of other instances'.
+func (r *run) addInstance(name string) error {
+	server := httptest.NewServer(standin.View{Store: r.store, Address: func(other, address string) string {
+		return r.relays.address(name, other, address)
+	}})
+	r.closers = append(r.closers, server.Close)
+	i, err := newInstance(name, server.Listener.Addr().String(), true)
+	if err != nil {
+		return err
+	}
+	r.closers = append(r.closers, i.store.close)
+	r.instances = append(r.instances, i)
+	return r.relays.add(name, i.settings.Reports)
+}
+
+// close ends what prepare has begun, the last first.
+func (r *run) close() {
+	for _, end := range slices.Backward(r.closers) {
+		end()
 	}
-	return r.report(), nil
 }
 
 func (r *run) startEngines() error {
