Decode engines are not rounded away, and waits are not slow reading

Cause, from the lines "role change wanted": the prompts' share of the work was rounded up to whole engines (3.7 of five, at which four read and one answers 78 requests a second, where three and two take 82), and the speed of reading was taken from prompts that had waited behind others (7,644 to 16,605 tokens a second of engines that read 26,700).

Change: the last engine turns only if the division then takes more; speed is learnt from prompts that were alone at their engine.

Both new tests failed before.

--- a/decision/split/split.go
+++ b/decision/split/split.go
@@ -64,8 +64,8 @@
 	// n is the weight of the samples, prompt the mean prompt in tokens, decode the mean
 	// work at decode engines in seconds of one whole engine.
 	n, prompt, decode float64
-	// speeds are at what tokens a second the last prompts were read, oldest first.
-	speeds []float64
+	// speeds are those of the last prompts, alone of those that were alone at their engine.
+	speeds, alone speeds
 	// peers is what other instances have seen, by name.
 	peers map[string]View
 }
@@ -84,24 +84,43 @@
 	speedQuantile = 0.75
 )
 
-// Prefilled takes in how long the prompt of a request took.
-func (a *Advisor) Prefilled(tokens int, took time.Duration) {
+// Prefilled takes in how long the prompt of a request took. alone tells that no other prompt
+// was known to be at the engine, so that the time has no wait in it.
+func (a *Advisor) Prefilled(tokens int, took time.Duration, alone bool) {
 	if took <= 0 || tokens <= 0 {
 		return
 	}
-	if len(a.speeds) == speedMemory {
-		a.speeds = a.speeds[:copy(a.speeds, a.speeds[1:])]
+	speed := float64(tokens) / took.Seconds()
+	a.speeds.add(speed)
+	if alone {
+		a.alone.add(speed)
 	}
-	a.speeds = append(a.speeds, float64(tokens)/took.Seconds())
 }
 
 // speed is at how many tokens a second an engine reads a prompt when it is free, 0 if
-// none was read.
+// none was read. Prompts that were alone tell it; while they are few, all do.
 func (a *Advisor) speed() float64 {
-	if len(a.speeds) == 0 {
+	if float64(len(a.alone)) >= a.cfg.MinSamples {
+		return a.alone.quantile()
+	}
+	return a.speeds.quantile()
+}
+
+// speeds are the last speeds at which prompts were read, oldest first.
+type speeds []float64
+
+func (s *speeds) add(speed float64) {
+	if len(*s) == speedMemory {
+		*s = (*s)[:copy(*s, (*s)[1:])]
+	}
+	*s = append(*s, speed)
+}
+
+func (s speeds) quantile() float64 {
+	if len(s) == 0 {
 		return 0
 	}
-	sorted := slices.Sorted(slices.Values(a.speeds))
+	sorted := slices.Sorted(slices.Values(s))
 	return sorted[int(speedQuantile*float64(len(sorted)-1))]
 }
 
@@ -186,11 +205,11 @@
 	if few || seen.Speed <= 0 || seen.Decode <= 0 || engines < 2 {
 		return 0, false
 	}
-	work := seen.Prompt / seen.Speed / a.cfg.PrefillUse
-	exact := work / (work + seen.Decode) * float64(engines)
+	l := load{engines: engines, reading: seen.Prompt / seen.Speed / a.cfg.PrefillUse, decode: seen.Decode}
+	exact := l.reading / (l.reading + l.decode) * float64(engines)
 	switch {
 	case exact > float64(have)+a.cfg.Margin:
-		prefill = int(math.Ceil(exact - a.cfg.Margin))
+		prefill = l.worthwhile(have, int(math.Ceil(exact-a.cfg.Margin)))
 	case exact < float64(have)-1-a.cfg.Margin:
 		prefill = int(math.Ceil(exact + a.cfg.Margin))
 	default:
@@ -198,3 +217,24 @@
 	}
 	return min(max(prefill, leastPrefill), engines-1), true
 }
+
+// load is the work of one request at each pool, in seconds of a whole engine.
+type load struct {
+	engines         int
+	reading, decode float64
+}
+
+// served is how many requests a second a division can take: what its fuller pool can.
+func (l load) served(prefill int) float64 {
+	return min(float64(prefill)/l.reading, float64(l.engines-prefill)/l.decode)
+}
+
+// worthwhile is how many engines up to a number should prefill. The work gives a fraction of
+// an engine; rounded up, the last one may cost the decode engines more than it gives: of two
+// of them the second is half of what can be answered.
+func (l load) worthwhile(have, most int) int {
+	if most-1 >= have && l.served(most) <= l.served(most-1) {
+		return most - 1
+	}
+	return most
+}
--- a/decision/split/split_test.go
+++ b/decision/split/split_test.go
@@ -10,7 +10,7 @@
 func learnt(prompt int, share float64, took time.Duration) *Advisor {
 	a := New(DefaultConfig())
 	for range 20 {
-		a.Prefilled(prompt, time.Duration(float64(prompt)/50_000*float64(time.Second)))
+		a.Prefilled(prompt, time.Duration(float64(prompt)/50_000*float64(time.Second)), false)
 		a.Finished(prompt, share, took)
 	}
 	return a
@@ -81,7 +81,7 @@
 			if i == before {
 				took = 4 * time.Millisecond
 			}
-			a.Prefilled(5_000, took)
+			a.Prefilled(5_000, took, false)
 			a.Finished(5_000, 0.15, 3*time.Second)
 		}
 		got, ok := a.Wanted(14, 5)
@@ -137,7 +137,7 @@
 func learntFrom(requests int) *Advisor {
 	a := New(DefaultConfig())
 	for range requests {
-		a.Prefilled(5_000, 100*time.Millisecond)
+		a.Prefilled(5_000, 100*time.Millisecond, false)
 		a.Finished(5_000, 0.13, 3*time.Second)
 	}
 	return a
@@ -155,7 +155,7 @@
 	finish := func(until time.Duration) {
 		for i := range running {
 			if took(i) <= until {
-				a.Prefilled(3_000, 120*time.Millisecond)
+				a.Prefilled(3_000, 120*time.Millisecond, false)
 				a.Finished(3_000, 0.13, took(i))
 			}
 		}
@@ -171,3 +171,37 @@
 	assert.Assert(t, ok && early > want, "%d engines by the first, %d by all", early, want)
 	assert.Assert(t, !learnt(3_000, 0.13, 3*time.Second).Early(5), "few run, and twenty have finished")
 }
+
+// Two prefill engines of five turn into four, and one decode engine holds fewer answers than
+// callers ask for: the share of the work was rounded up.
+func TestRoundingLeavesEnoughDecodeEngines(t *testing.T) {
+	a := New(DefaultConfig())
+	for range 20 {
+		a.Prefilled(800, 31*time.Millisecond, false)
+		a.Finished(800, 1.0/16, 205*time.Millisecond)
+	}
+	for have := 2; have <= 3; have++ {
+		want, ok := a.Wanted(5, have)
+		assert.Assert(t, ok)
+		assert.Equal(t, want, 3, "with %d prefill engines", have)
+	}
+}
+
+// Prompts wait behind others at busy engines. Taken for slow reading, the wait turns decode
+// engines into prefill engines that are not needed, and callers are refused for lack of room.
+func TestWaitsAreNotSlowReading(t *testing.T) {
+	a := New(DefaultConfig())
+	for i := range 40 {
+		alone := i%4 == 0
+		took := 30 * time.Millisecond
+		if !alone {
+			took *= time.Duration(2 + i%3)
+		}
+		a.Prefilled(800, took, alone)
+		a.Finished(800, 1.0/16, 280*time.Millisecond)
+	}
+	want, ok := a.Wanted(5, 3)
+	assert.Assert(t, ok)
+	assert.Equal(t, want, 3)
+	assert.Assert(t, a.View().Speed > 26_000, "%.0f tokens a second", a.View().Speed)
+}
--- a/gateway/desk.go
+++ b/gateway/desk.go
@@ -192,11 +192,11 @@
 	k.work.Finished(c.PromptTokens, share, took)
 }
 
-// prefilled learns from a prompt that was read.
-func (k *desk) prefilled(tokens int, took time.Duration) {
+// prefilled learns from a prompt that was read, alone at its engine or behind others.
+func (k *desk) prefilled(tokens int, took time.Duration, alone bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.work.Prefilled(tokens, took)
+	k.work.Prefilled(tokens, took, alone)
 }
 
 // workView is what a decision about the division of engines rests on.
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -357,6 +357,7 @@
 
 func (r *modelRun) prefillAt(ctx context.Context, entry upstream.Entry) (string, *verdict.Verdict) {
 	tokens := r.admitted.call.PromptTokens
+	alone := r.desk.prefill.requests(entry.ID) == 1
 	r.gateway.changed()
 	defer func() {
 		r.desk.prefill.release(entry.ID, tokens)
@@ -369,7 +370,7 @@
 	if err != nil {
 		return "", verdict.From(err)
 	}
-	r.desk.prefilled(tokens, time.Since(begun))
+	r.desk.prefilled(tokens, time.Since(begun), alone)
 	r.gateway.Metrics.Took("prefill", r.admitted.service.Name, time.Since(begun))
 	r.gateway.suspects.succeed(entry)
 	return handle, nil
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -173,6 +173,13 @@
 	return p.room.Free()
 }
 
+// requests is how many requests all instances have placed at an engine.
+func (p *pool) requests(id string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.room.Load(id).Requests
+}
+
 // running is how many requests all instances have placed.
 func (p *pool) running() int {
 	p.mu.Lock()
--- a/gateway/roles_test.go
+++ b/gateway/roles_test.go
@@ -168,7 +168,7 @@
 	w.state.Directory.Put(upstream.Entry{ID: "prefill9", Service: "model", Address: "1.2.3.4:9", Role: upstream.Prefill, Slots: 4})
 	d := modelDesk(w)
 	for range 20 {
-		d.prefilled(5_000, 10*time.Millisecond)
+		d.prefilled(5_000, 10*time.Millisecond, false)
 		d.finished(&Call{PromptTokens: 5_000}, 100, 1000, 10*time.Second)
 	}
 	engines := &ordered{state: EngineState{Role: upstream.Prefill}}
