--- a/decision/length/length.go
+++ b/decision/length/length.go
@@ -67,6 +67,7 @@
 
 // SetPeer replaces what another instance has seen. Sums without weight forget it.
 func (e *Estimator) SetPeer(name string, s Sums) {
+	delete(e.peers, allOthers)
 	if s.N <= 0 {
 		delete(e.peers, name)
 		return
@@ -74,11 +75,27 @@
 	e.peers[name] = s
 }
 
+// allOthers is the name under which the sum of all others is kept.
+const allOthers = ""
+
+// SetOthers replaces what all other instances have seen by their sum.
+func (e *Estimator) SetOthers(s Sums) {
+	clear(e.peers)
+	e.peers[allOthers] = s
+}
+
 // pooled is what all instances have seen.
-func (e *Estimator) pooled() Sums {
+func (e *Estimator) pooled() Sums { return e.sum("", false) }
+
+// Without is what all instances but one have seen.
+func (e *Estimator) Without(name string) Sums { return e.sum(name, true) }
+
+func (e *Estimator) sum(name string, without bool) Sums {
 	all := e.own
-	for _, s := range e.peers {
-		all = all.add(s)
+	for peer, s := range e.peers {
+		if !without || peer != name {
+			all = all.add(s)
+		}
 	}
 	return all
 }
--- a/decision/room/room.go
+++ b/decision/room/room.go
@@ -101,6 +101,9 @@
 // Own returns what this instance has placed, by engine id.
 func (r *Room) Own() map[string]Load { return r.own }
 
+// Peer is what another instance has placed at an engine.
+func (r *Room) Peer(instance, id string) Load { return r.peers[instance][id] }
+
 // Load is what all instances have placed at an engine.
 func (r *Room) Load(id string) Load {
 	own, others := r.own[id], r.others[id]
--- /dev/null
+++ b/fleet/codec.go
@@ -0,0 +1,213 @@
+package fleet
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cairnworks/cairnworks/decision/length"
+	"github.com/cairnworks/cairnworks/decision/split"
+	"github.com/cairnworks/cairnworks/fleetid"
+	"github.com/cairnworks/cairnworks/follow"
+	fleetv1 "github.com/cairnworks/cairnworks/gen/cairnworks/fleet/v1"
+	"github.com/cairnworks/cairnworks/port"
+)
+
+// partUnit is the resolution of a part on the wire.
+const partUnit = 1000
+
+func (r *Report) marshal() ([]byte, error) {
+	m := &fleetv1.Report{
+		Instance: r.Instance, Incarnation: r.Incarnation, Sequence: r.Sequence, FleetId: uint64(r.Fleet.ID), FleetName: r.Fleet.Name,
+		Machine: marshalMachine(r.Machine), Instances: uint32(max(r.Instances, 0)), Leaving: r.Leaving, MadeUs: uint64(r.Made.Microseconds()),
+		Heard: marshalHeard(r.Heard), Answer: r.Answer, Whole: r.Whole, Shares: marshalShares(r.Shares),
+	}
+	if r.Poll != nil {
+		m.Poll = &fleetv1.Poll{Whole: r.Poll.Whole, Hubs: r.Poll.Hubs}
+	}
+	for upstream, l := range r.Loads {
+		m.Loads = append(m.Loads, &fleetv1.Load{Upstream: uint32(upstream), Requests: uint32(max(l.Requests, 0)), Tokens: uint32(max(l.Tokens, 0))})
+	}
+	for _, c := range r.Crashes {
+		m.Crashes = append(m.Crashes, &fleetv1.Crash{Fingerprint: c.Fingerprint, Upstream: uint64(c.Upstream), AgeMs: uint32(c.Age.Milliseconds())})
+	}
+	for _, n := range r.Notes {
+		m.Notes = append(m.Notes, marshalNote(n))
+	}
+	for service, v := range r.Works {
+		m.Works = append(m.Works, marshalWork(service, v))
+	}
+	for _, b := range r.Bills {
+		m.Bills = append(m.Bills, &fleetv1.Bill{Organisation: uint64(b.Organisation), Tokens: b.Tokens})
+	}
+	for _, organisation := range r.Short {
+		m.Short = append(m.Short, uint64(organisation))
+	}
+	for _, h := range r.Hubs {
+		m.Hubs = append(m.Hubs, &fleetv1.Peer{Instance: h.Name, Incarnation: h.Incarnation, Address: h.Address, Machine: marshalMachine(h.Machine)})
+	}
+	if a := r.Ask; a != nil {
+		m.Ask = &fleetv1.Ask{Id: a.ID, Organisation: uint64(a.Organisation), Tokens: a.Tokens}
+	}
+	if g := r.Grant; g != nil {
+		m.Grant = &fleetv1.Grant{
+			Id: g.ID, Granted: g.Granted, Unknown: g.Unknown, RetryMs: uint32(g.Retry.Milliseconds()),
+			Level: int64(g.Level), Part: uint32(g.Part * partUnit),
+		}
+	}
+	return proto.Marshal(m)
+}
+
+func marshalMachine(m Machine) *fleetv1.Machine {
+	if m == (Machine{}) {
+		return nil
+	}
+	return &fleetv1.Machine{DataCentre: m.DataCentre, Millicores: uint32(max(m.Millicores, 0))}
+}
+
+func marshalHeard(h Heard) *fleetv1.Heard {
+	if h.Run == 0 {
+		return nil
+	}
+	return &fleetv1.Heard{Run: uint32(h.Run), AgeMs: uint32(h.Age.Milliseconds()), MadeUs: uint64(h.Made.Microseconds())}
+}
+
+func marshalShares(shares map[int]time.Duration) *fleetv1.Shares {
+	if len(shares) == 0 {
+		return nil
+	}
+	m := &fleetv1.Shares{}
+	for shard, total := range shares {
+		m.Shards = append(m.Shards, uint32(shard))
+		m.Times = append(m.Times, uint64(total))
+	}
+	return m
+}
+
+// appendTo completes a report by what of it is for one receiver. Messages that follow one another are read as
+// one, so that the rest is marshalled once for all receivers.
+func (r *Report) appendTo(common []byte) ([]byte, error) {
+	one, err := r.marshal()
+	if err != nil {
+		return nil, err
+	}
+	return append(common[:len(common):len(common)], one...), nil
+}
+
+func unmarshal(data []byte) (*Report, error) {
+	var m fleetv1.Report
+	if err := proto.Unmarshal(data, &m); err != nil {
+		return nil, err
+	}
+	r := &Report{
+		Instance: m.Instance, Incarnation: m.Incarnation, Sequence: m.Sequence, Fleet: fleetid.Identity{ID: fleetid.ID(m.FleetId), Name: m.FleetName},
+		Machine: unmarshalMachine(m.Machine), Instances: int(m.Instances), Leaving: m.Leaving, Made: time.Duration(m.MadeUs) * time.Microsecond,
+		Answer: m.Answer, Whole: m.Whole, Shares: unmarshalShares(m.Shares),
+		Loads: make(map[Hash]Load, len(m.Loads)), Works: make(map[Hash]Work, len(m.Works)),
+	}
+	if h := m.Heard; h != nil {
+		r.Heard = Heard{Run(h.Run), time.Duration(h.AgeMs) * time.Millisecond, time.Duration(h.MadeUs) * time.Microsecond}
+	}
+	if m.Poll != nil {
+		r.Poll = &Poll{Whole: m.Poll.Whole, Hubs: m.Poll.Hubs}
+	}
+	for _, l := range m.Loads {
+		r.Loads[Hash(l.Upstream)] = Load{Requests: int(l.Requests), Tokens: int(l.Tokens)}
+	}
+	for _, c := range m.Crashes {
+		r.Crashes = append(r.Crashes, Crash{c.Fingerprint, Hash(c.Upstream), time.Duration(c.AgeMs) * time.Millisecond})
+	}
+	for _, n := range m.Notes {
+		note, err := unmarshalNote(n)
+		if err != nil {
+			return nil, err
+		}
+		r.Notes = append(r.Notes, note)
+	}
+	for _, w := range m.Works {
+		r.Works[Hash(w.Service)] = unmarshalWork(w)
+	}
+	r.unmarshalQuotas(&m)
+	for _, h := range m.Hubs {
+		r.Hubs = append(r.Hubs, Member{Name: h.Instance, Incarnation: h.Incarnation, Address: h.Address, Machine: unmarshalMachine(h.Machine)})
+	}
+	return r, nil
+}
+
+// unmarshalQuotas reads what a datagram says of organisations' buckets.
+func (r *Report) unmarshalQuotas(m *fleetv1.Report) {
+	for _, b := range m.Bills {
+		r.Bills = append(r.Bills, Bill{Hash(b.Organisation), b.Tokens})
+	}
+	for _, organisation := range m.Short {
+		r.Short = append(r.Short, Hash(organisation))
+	}
+	if a := m.Ask; a != nil {
+		r.Ask = &Ask{ID: a.Id, Organisation: Hash(a.Organisation), Tokens: a.Tokens}
+	}
+	if g := m.Grant; g != nil {
+		r.Grant = &Grant{
+			ID: g.Id, Granted: g.Granted, Unknown: g.Unknown, Retry: time.Duration(g.RetryMs) * time.Millisecond,
+			Level: float64(g.Level), Part: float64(g.Part) / partUnit,
+		}
+	}
+}
+
+func unmarshalMachine(m *fleetv1.Machine) Machine {
+	return Machine{DataCentre: m.GetDataCentre(), Millicores: int(m.GetMillicores())}
+}
+
+// unmarshalShares reads two lists of one length; what stands in the longer one alone says
+// nothing.
+func unmarshalShares(m *fleetv1.Shares) map[int]time.Duration {
+	n := min(len(m.GetShards()), len(m.GetTimes()))
+	if n == 0 {
+		return nil
+	}
+	shares := make(map[int]time.Duration, n)
+	for i := range n {
+		shares[int(m.Shards[i])] = time.Duration(m.Times[i])
+	}
+	return shares
+}
+
+func marshalWork(service Hash, w Work) *fleetv1.Work {
+	v, l := w.Split, w.Lengths
+	return &fleetv1.Work{
+		Service: uint64(service), Samples: uint32(v.Samples), PromptTokens: uint32(v.Prompt), DecodeUs: uint64(v.Decode * 1e6),
+		Prompts: uint32(v.Prompts), TokensPerS: uint32(v.Speed), Lengths: []float64{l.N, l.X, l.Y, l.XX, l.XY, l.YY},
+	}
+}
+
+func unmarshalWork(m *fleetv1.Work) Work {
+	w := Work{Split: split.View{
+		Samples: float64(m.Samples), Prompt: float64(m.PromptTokens), Decode: float64(m.DecodeUs) / 1e6,
+		Prompts: float64(m.Prompts), Speed: float64(m.TokensPerS),
+	}}
+	if l := m.Lengths; len(l) == 6 {
+		w.Lengths = length.Sums{N: l[0], X: l[1], Y: l[2], XX: l[3], XY: l[4], YY: l[5]}
+	}
+	return w
+}
+
+func marshalNote(n follow.Note) *fleetv1.Note {
+	// An age is rounded up: a proof must not seem newer than it is.
+	age := uint32((n.Age + time.Millisecond - 1).Milliseconds())
+	m := &fleetv1.Note{Topic: uint32(n.Topic), Mark: n.Mark, Next: n.Next, AgeMs: age, From: n.From}
+	for _, record := range n.Records {
+		m.Records = append(m.Records, marshalRecord(record))
+	}
+	return m
+}
+
+func unmarshalNote(m *fleetv1.Note) (follow.Note, error) {
+	n := follow.Note{Topic: port.Topic(m.Topic), Mark: m.Mark, Next: m.Next, Age: time.Duration(m.AgeMs) * time.Millisecond, From: m.From}
+	for _, record := range m.Records {
+		read, err := unmarshalRecord(record)
+		if err != nil {
+			return follow.Note{}, err
+		}
+		n.Records = append(n.Records, read)
+	}
+	return n, nil
+}
--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -3,27 +3,34 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/cairnworks/cairnworks/boottime"
-	"github.com/cairnworks/cairnworks/decision/quota"
+	"github.com/cairnworks/cairnworks/decision/hub"
 	"github.com/cairnworks/cairnworks/fleetid"
 )
 
 // Figures of the exchange of reports.
 const (
-	// reportInterval is the longest time between two reports.
+	// reportInterval is the longest time between two reports in a small fleet.
 	reportInterval = 200 * time.Millisecond
-	// reportSpacing is the least time between two reports; what changes within it is
+	// reportSpacing is the least time between two reports there; what changes within it is
 	// told by one.
 	reportSpacing = 15 * time.Millisecond
-	// confirmDelay is how long reports of others are gathered before one confirms them.
-	confirmDelay = 80 * time.Millisecond
+	// pollInterval is the time between two polls of one hub in a large fleet. The polls of
+	// the hubs are spread over it.
+	pollInterval = 500 * time.Millisecond
+	// compareInterval is how often the instances of a small fleet compare whom they know.
+	compareInterval = 2 * time.Second
+	// expireInterval is how often instances that give no sign of life are looked for.
+	expireInterval = time.Second
 	// stallGap is the pause of the sending loop from which the process counts as
 	// having stood still. Reports that waited in the socket meanwhile are as old as
 	// the pause, though they arrive now.
@@ -33,67 +40,86 @@
 	stallDrop = 30 * time.Millisecond
 	// maxDatagram bounds a report in bytes.
 	maxDatagram = 60 << 10
+	// nameEvery is how many reports there are to one that tells the fleet's name. Instances
+	// that know the fleet's id need none.
+	nameEvery = 8
 )
 
-// partialGap is the silence after which an instance is taken in again only by a report that
-// is not partial. It is the silence after which quotas count what it has left anew.
-var partialGap = quota.DefaultConfig().Silence
-
 // Handler fills and takes reports.
 type Handler interface {
-	// Fill completes a report that is about to be sent.
+	// Fill completes a report that is about to be sent, by what is for all receivers.
 	Fill(now time.Duration, r *Report)
+	// FillFor completes a report by what is for one receiver.
+	FillFor(now time.Duration, to Run, r *Report)
+	// Answer completes the answer to a poll.
+	Answer(now time.Duration, poll, r *Report)
 	// Take takes in a report that has just arrived.
 	Take(now time.Duration, r *Report)
+	// Asked answers an ask.
+	Asked(now time.Duration, from Run, a Ask) Grant
 }
 
-// Exchange sends this instance's reports to all others and takes theirs.
+// Exchange sends this instance's reports and takes those of others.
 type Exchange struct {
 	self    Member
 	conn    *net.UDPConn
 	handler Handler
 	logger  *zap.Logger
 	kick    chan struct{}
-	// introduce is told of every report's sender, if set.
-	introduce func(name string, incarnation uint64, address string)
+	news    chan struct{}
+	// introduce is told of every report's sender, if set, and vouched of instances that a
+	// hub names.
+	introduce, vouched func(Member)
 	// current tells whether a run is the one that holds an instance's name, if set.
 	current func(name string, incarnation uint64) bool
+	// expire is told from time to time to drop instances that are gone, if set.
+	expire func()
 	// fleet is nil where every report is taken.
 	fleet *fleetid.Keeper
 
-	mu      sync.Mutex
-	targets map[string]target
-	// last is the newest sequence taken from each run of an instance.
+	mu    sync.Mutex
+	peers map[string]*peer
+	// last is the newest report taken from each run of an instance.
 	last map[Run]lastReport
-	// sentAt is when the last reports were made, by their number modulo its length.
-	sentAt [sentKept]time.Duration
 	// awake is when the sending loop last ran, dropUntil the end of a stall's reports.
 	awake, dropUntil time.Duration
 	sequence         uint64
-	// confirming tells that a report is due that confirms those of others.
-	confirming bool
-	// outline belongs to the sending loop.
-	outline outline
-	// fullDue is how many further reports are not partial, since instances have come that
-	// know nothing yet.
-	fullDue int
+	leaving          bool
+	// told is the size of the fleet by the words of hubs, and when each came; toldSize is the
+	// largest of the last words.
+	told     map[string]toldSize
+	toldSize int
+	// compared is when others were last asked whom they know.
+	compared time.Duration
+	// wholeAt is when a whole answer was last asked for, turn which hub is polled next.
+	wholeAt time.Duration
+	turn    int
+	chosen  choice
+	pending map[uint64]chan Grant
 }
 
-// target is an instance that reports go to.
-type target struct {
+// peer is another instance.
+type peer struct {
+	Member
 	address netip.AddrPort
 	run     Run
+	// unanswered is when the first report was sent to it since it was last heard, 0 if none.
+	unanswered time.Duration
+	// suspect is until when it counts as silent.
+	suspect time.Duration
+	leaving bool
+}
+
+type toldSize struct {
+	instances int
+	at        time.Duration
 }
 
 // lastReport is what is remembered of an instance's newest report.
 type lastReport struct {
 	sequence uint64
-	// at is when it arrived.
-	at time.Duration
-	// total is all that it has spent.
-	total int64
-	// full tells that a report that is not partial has been taken.
-	full bool
+	// at is when it arrived, made when it was made by its sender's clock.
+	at, made time.Duration
 }
 
 // Listen opens the address for reports.
@@ -107,15 +133,18 @@
 		return nil, err
 	}
 	return &Exchange{
-		self: self, conn: conn, handler: handler, logger: logger, kick: make(chan struct{}, 1),
-		targets: make(map[string]target), last: make(map[Run]lastReport), awake: boottime.Now(),
+		self: self, conn: conn, handler: handler, logger: logger, kick: make(chan struct{}, 1), news: make(chan struct{}, 1),
+		peers: make(map[string]*peer), last: make(map[Run]lastReport), awake: boottime.Now(),
+		turn: rand.IntN(hub.Hubs), told: make(map[string]toldSize), pending: make(map[uint64]chan Grant),
 	}, nil
 }
 
-// SetMembers names the instances that reports go to.
+// SetMembers names the other instances that are known.
 func (x *Exchange) SetMembers(members []Member) {
-	targets := make(map[string]target, len(members))
+	peers := make(map[string]*peer, len(members))
 	listed := make(map[Run]bool, len(members))
+	x.mu.Lock()
+	defer x.mu.Unlock()
 	for _, m := range members {
 		address, err := netip.ParseAddrPort(m.Address)
 		if err != nil {
@@ -123,13 +152,16 @@
 			continue
 		}
 		run := RunOf(m.Name, m.Incarnation)
-		targets[m.Name] = target{address, run}
 		listed[run] = true
+		if old, known := x.peers[m.Name]; known && old.run == run {
+			old.Member, old.address = m, address
+			peers[m.Name] = old
+			continue
+		}
+		peers[m.Name] = &peer{Member: m, address: address, run: run}
 	}
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.greet(targets)
-	x.targets = targets
+	x.peers = peers
+	x.chosen.at = 0
 	for run := range x.last {
 		if !listed[run] {
 			delete(x.last, run)
@@ -137,251 +169,206 @@
 	}
 }
 
-// greet sees to whole reports where an instance has come that was not there before; the lock
-// is held.
-func (x *Exchange) greet(targets map[string]target) {
-	for name, to := range targets {
-		if x.targets[name].run != to.run {
-			x.fullDue = greetings
-			return
-		}
-	}
-}
+// Kick asks for a report soon, since something changed. In a large fleet the next poll tells
+// it.
+func (x *Exchange) Kick() { signal(x.kick) }
 
-// partial decides whether the next report is, and counts it; the lock is held.
-func (x *Exchange) partial() bool {
-	if x.fullDue > 0 {
-		x.fullDue--
-		return false
-	}
-	return x.stretch() > 1 && x.sequence%fullEvery != 0
-}
+// Announce asks for a report to all who pass things on, since there is something that every
+// instance waits for.
+func (x *Exchange) Announce() { signal(x.news) }
 
-// Kick asks for a report soon, since something changed.
-func (x *Exchange) Kick() {
+func signal(to chan struct{}) {
 	select {
-	case x.kick <- struct{}{}:
+	case to <- struct{}{}:
 	default:
 	}
 }
 
+// Leave makes others look for another hub.
+func (x *Exchange) Leave() {
+	x.mu.Lock()
+	x.leaving, x.chosen.at = true, 0
+	x.mu.Unlock()
+	x.Announce()
+}
+
+// OnReport sets what is told of every report's sender. It must be called before Run.
+func (x *Exchange) OnReport(introduce func(Member)) { x.introduce = introduce }
+
+// OnVouched sets what is told of instances that hubs name. It must be called before Run.
+func (x *Exchange) OnVouched(vouched func(Member)) { x.vouched = vouched }
+
+// OnlyFrom sets what tells whether a run is the one that holds an instance's name; reports of
+// others are dropped. It must be called before Run.
+func (x *Exchange) OnlyFrom(current func(name string, incarnation uint64) bool) {
+	x.current = current
+}
+
+// OnExpire sets what drops instances that are gone. It must be called before Run.
+func (x *Exchange) OnExpire(expire func()) { x.expire = expire }
+
 // Run sends and takes reports until ctx ends.
 func (x *Exchange) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = x.conn.Close() })
 	defer stop()
 	go x.receive(ctx)
-	timer := time.NewTimer(reportInterval)
+	timer := time.NewTimer(0)
 	defer timer.Stop()
+	var expired time.Duration
 	for {
+		kick := x.kick
+		if x.large() {
+			kick = nil
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-timer.C:
-		case <-x.kick:
+			timer.Reset(x.send(false))
+		case <-kick:
+			timer.Reset(x.send(true))
+		case <-x.news:
+			timer.Reset(x.send(true))
+		}
+		if now := boottime.Now(); x.expire != nil && now-expired > expireInterval && x.hears(now) {
+			expired = now
+			x.expire()
 		}
-		stretch := x.send()
-		time.Sleep(scaled(reportSpacing, stretch*stretch))
-		timer.Reset(scaled(reportInterval, stretch))
 	}
 }
 
-// scaled returns a time multiplied by a factor.
-func scaled(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
-
-// stretch is by how much the pace of reports is slowed down; the lock is held.
-func (x *Exchange) stretch() float64 { return quota.Stretch(len(x.targets) + 1) }
-
-// send tells all members what holds now, and returns by how much the pace is slowed
-// down.
-func (x *Exchange) send() float64 {
+// send reports, and returns the time until the next report is due at the latest.
+func (x *Exchange) send(toAll bool) time.Duration {
 	now := x.wake()
-	x.mu.Lock()
-	x.sequence++
-	x.confirming = false
-	r := &Report{Instance: x.self.Name, Incarnation: x.self.Incarnation, Sequence: x.sequence, Partial: x.partial(), Fleet: x.identity()}
-	targets, stretch := x.targets, x.stretch()
-	x.mu.Unlock()
-	x.handler.Fill(now, r)
-	x.number(now, r)
-	x.outline.trim(r)
-	if err := x.sendTo(targets, r); err != nil {
-		x.logger.Error("report not sent", zap.Error(err))
+	if !x.large() {
+		x.report(now, x.everyone(), false)
+		time.Sleep(reportSpacing)
+		return reportInterval
 	}
-	return stretch
+	hubs := x.others(x.choose(now).hubs)
+	if len(hubs) == 0 {
+		x.forgive()
+		return pollInterval
+	}
+	if !toAll {
+		hubs = x.next(hubs)
+	}
+	x.report(now, hubs, true)
+	return pollInterval / time.Duration(max(len(x.choose(now).hubs), 1))
+}
+
+// next is the hub whose turn it is.
+func (x *Exchange) next(hubs []*peer) []*peer {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.turn++
+	return hubs[x.turn%len(hubs):][:1]
 }
 
 var errLargeReport = errors.New("the report is larger than a datagram")
 
-// sendTo sends a report to all targets. A partial one tells each whether it is heard itself.
-func (x *Exchange) sendTo(targets map[string]target, r *Report) error {
-	heard := make(map[Run]Heard, len(r.Heard))
-	if r.Partial {
-		for _, h := range r.Heard {
-			heard[h.Run] = h
-		}
-		r.Heard = nil
-	}
+// report tells some instances what holds now.
+func (x *Exchange) report(now time.Duration, to []*peer, poll bool) {
+	r := x.begin(now)
+	r.Machine = x.self.Machine
+	x.handler.Fill(now, r)
 	common, err := r.marshal()
-	if err != nil {
-		return err
+	if err == nil && len(common) > maxDatagram {
+		err = errLargeReport
 	}
-	if len(common) > maxDatagram {
-		return errLargeReport
+	if err != nil {
+		x.logger.Error("report not sent", zap.Error(err))
+		return
 	}
-	for name, to := range targets {
-		data := common
-		if h, hears := heard[to.run]; hears {
-			if data, err = appendHeard(common[:len(common):len(common)], []Heard{h}); err != nil {
-				return err
-			}
+	compare := x.compare(now)
+	for _, p := range to {
+		one := &Report{Heard: x.heardOf(now, p.run)}
+		if poll || compare || one.Heard.Run == 0 {
+			one.Poll = x.poll(now)
 		}
-		if _, err := x.conn.WriteToUDPAddrPort(data, to.address); err != nil {
-			x.logger.Debug("report not sent", zap.String("peer", name), zap.Error(err))
+		x.handler.FillFor(now, p.run, one)
+		data, err := one.appendTo(common)
+		if err != nil {
+			x.logger.Error("report not sent", zap.Error(err))
+			return
 		}
+		x.write(now, p, data)
 	}
-	return nil
 }
 
-// wake notes that the process runs, and whether it stood still before.
-func (x *Exchange) wake() time.Duration {
-	now := boottime.Now()
+// compare reports whether it is time to ask others which hubs they know. In a small fleet two
+// that both know a third would not hear of one another otherwise.
+func (x *Exchange) compare(now time.Duration) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if now-x.awake > scaled(stallGap, x.stretch()) {
-		x.dropUntil = now + stallDrop
-		x.logger.Warn("process stood still", zap.Duration("gap", now-x.awake))
-	}
-	x.awake = now
-	return now
-}
-
-// receive takes reports until the socket is closed.
-func (x *Exchange) receive(ctx context.Context) {
-	buffer := make([]byte, maxDatagram)
-	for {
-		n, from, err := x.conn.ReadFromUDPAddrPort(buffer)
-		if err != nil {
-			if ctx.Err() == nil {
-				x.logger.Error("reports not received", zap.Error(err))
-			}
-			return
-		}
-		r, err := unmarshal(buffer[:n])
-		if err != nil {
-			x.logger.Warn("unreadable report", zap.Error(err))
-			continue
-		}
-		now := boottime.Now()
-		if !x.ownFleet(r, from) || !x.accept(now, r) {
-			continue
-		}
-		r.Earliest = x.earliest(r)
-		if x.introduce != nil {
-			x.introduce(r.Instance, r.Incarnation, from.String())
-		}
-		if x.current != nil && !x.current(r.Instance, r.Incarnation) {
-			continue
-		}
-		x.handler.Take(now, r)
-		if x.spent(r) {
-			x.confirm()
-		}
+	if now-x.compared < compareInterval {
+		return false
 	}
+	x.compared = now
+	return true
 }
 
-// spent reports whether an instance has spent something since its last report.
-func (x *Exchange) spent(r *Report) bool {
-	var total int64
-	for _, s := range r.Spends {
-		total += s.Tokens
-	}
+// begin returns a report that tells who makes it, and when.
+func (x *Exchange) begin(now time.Duration) *Report {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if r.Partial {
-		// It tells of nothing but what was spent lately.
-		return len(r.Spends) > 0
+	x.sequence++
+	r := &Report{
+		Instance: x.self.Name, Incarnation: x.self.Incarnation, Sequence: x.sequence, Made: now, Leaving: x.leaving,
+		Instances: len(x.peers) + 1, Fleet: x.identity(),
 	}
-	last := x.last[RunOf(r.Instance, r.Incarnation)]
-	changed := last.total != total
-	last.total = total
-	x.last[RunOf(r.Instance, r.Incarnation)] = last
-	return changed
+	if r.Fleet.ID != 0 && x.sequence%nameEvery != 0 {
+		r.Fleet.Name = ""
+	}
+	return r
 }
 
-// confirm sees to a report soon, which tells the others that theirs were heard. What
-// they have spent and nobody has confirmed holds them back.
-func (x *Exchange) confirm() {
+// poll asks for a whole answer once in each round. A hub hears all by itself.
+func (x *Exchange) poll(now time.Duration) *Poll {
+	hubs := x.choose(now).hubs
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.confirming {
-		return
+	p := &Poll{Hubs: digest(hubs)}
+	p.Whole = now-x.wholeAt >= pollInterval*9/10 && !slices.Contains(names(hubs), x.self.Name)
+	if p.Whole {
+		x.wholeAt = now
 	}
-	x.confirming = true
-	time.AfterFunc(scaled(confirmDelay, x.stretch()), x.Kick)
+	return p
 }
 
-// OnReport sets what is told of every report's sender. It must be called before Run.
-func (x *Exchange) OnReport(introduce func(name string, incarnation uint64, address string)) {
-	x.introduce = introduce
-}
-
-// OnlyFrom sets what tells whether a run is the one that holds an instance's name; reports of
-// others are dropped. It must be called before Run.
-func (x *Exchange) OnlyFrom(current func(name string, incarnation uint64) bool) {
-	x.current = current
-}
-
-// sentKept is how many of its reports an instance remembers: at the fastest pace, what
-// it sends in four seconds.
-const sentKept = 256
-
-// number notes when a report was made, and completes in it which reports of others were
-// heard. Both of one instance's figures are set together: an older report's age with a
-// newer one's number would make what is told look newer than it is.
-func (x *Exchange) number(now time.Duration, r *Report) {
+// heardOf tells when a run was last heard.
+func (x *Exchange) heardOf(now time.Duration, run Run) Heard {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.sentAt[r.Sequence%sentKept] = now
-	for i := range r.Heard {
-		h := &r.Heard[i]
-		if last, known := x.last[h.Run]; known && last.at <= now {
-			h.Sequence, h.Age = last.sequence, now-last.at
-		}
+	last, known := x.last[run]
+	if !known || last.at > now {
+		return Heard{}
 	}
+	return Heard{Run: run, Age: now - last.at, Made: last.made}
 }
 
-// earliest is the earliest time at which a report can have been made: its sender had
-// heard a report of this instance before, and tells how long ago. Clocks are not
-// compared, and a report that waited on its way only looks older.
-func (x *Exchange) earliest(r *Report) time.Duration {
-	self := RunOf(x.self.Name, x.self.Incarnation)
+// write sends a datagram to an instance.
+func (x *Exchange) write(now time.Duration, p *peer, data []byte) {
 	x.mu.Lock()
-	defer x.mu.Unlock()
-	for _, h := range r.Heard {
-		if h.Run != self || h.Sequence == 0 {
-			continue
-		}
-		if h.Sequence > x.sequence || x.sequence-h.Sequence >= sentKept {
-			return 0
-		}
-		return x.sentAt[h.Sequence%sentKept] + h.Age
+	if p.unanswered == 0 {
+		p.unanswered = now
+	}
+	address := p.address
+	x.mu.Unlock()
+	if _, err := x.conn.WriteToUDPAddrPort(data, address); err != nil {
+		x.logger.Debug("report not sent", zap.String("peer", p.Name), zap.Error(err))
 	}
-	return 0
 }
 
-// accept drops reports that were overtaken by newer ones, and those that waited while
-// the process stood still.
-func (x *Exchange) accept(now time.Duration, r *Report) bool {
+// wake notes that the process runs, and whether it stood still before.
+func (x *Exchange) wake() time.Duration {
+	now := boottime.Now()
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if now < x.dropUntil || now-x.awake > scaled(stallGap, x.stretch()) {
-		return false
-	}
-	last := x.last[RunOf(r.Instance, r.Incarnation)]
-	if r.Sequence <= last.sequence || !last.whole(now, r, scaled(partialGap, x.stretch())) {
-		return false
+	if now-x.awake > stallGap {
+		x.dropUntil = now + stallDrop
+		x.logger.Warn("process stood still", zap.Duration("gap", now-x.awake))
 	}
-	last.sequence, last.at, last.full = r.Sequence, now, true
-	x.last[RunOf(r.Instance, r.Incarnation)] = last
-	return true
+	x.awake = now
+	return now
 }
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -40,7 +40,8 @@
 	Name        string `json:"-"`
 	Incarnation uint64 `json:"incarnation"`
 	// Address for reports, IP:port over UDP.
-	Address string `json:"address"`
+	Address string  `json:"address"`
+	Machine Machine `json:"machine"`
 	// Beat grows with each renewal.
 	Beat uint64 `json:"beat"`
 	// changed is when this instance saw the entry change, heard when the last report came.
@@ -67,10 +68,12 @@
 	log     port.KeyedLog
 	logger  *zap.Logger
 	changed func([]Member)
-	// Slow multiplies the times of entries, if set: all instances' renewals together are
-	// bounded by what the store bears and each is paid for. It must not be changed once
-	// the list is in use.
+	// Slow multiplies the time between renewals of this instance's entry, if set: all
+	// instances' renewals together are bounded by what the store bears and each is paid for.
+	// It must not be changed once the list is in use.
 	Slow func() float64
+	// Informs returns what tells of instances that are gone; nil means the logger.
+	Informs func() func(string, ...zap.Field)
 
 	mu     sync.Mutex
 	others map[string]Member
@@ -107,7 +110,7 @@
 	if m.Slow == nil {
 		return d
 	}
-	return scaled(d, m.Slow())
+	return time.Duration(float64(d) * m.Slow())
 }
 
 func (m *Members) beat(ctx context.Context) error {
@@ -131,37 +134,83 @@
 // Introduce takes in an instance that reports before its entry was read here. Until
 // the next read an instance that has just started would otherwise neither be counted
 // nor told of anything.
-func (m *Members) Introduce(name string, incarnation uint64, address string) {
+func (m *Members) Introduce(sender Member) {
 	now := boottime.Now()
 	m.mu.Lock()
-	if name == m.self.Name {
+	old, known := m.others[sender.Name]
+	if known && old.Incarnation == sender.Incarnation {
+		old.heard = now
+		m.others[sender.Name] = old
 		m.mu.Unlock()
 		return
 	}
-	old, known := m.others[name]
-	if known && old.Incarnation == incarnation {
-		old.heard = now
-		m.others[name] = old
+	m.takeIn(now, sender, now)
+}
+
+// Vouch takes in an instance that another hears.
+func (m *Members) Vouch(named Member) {
+	now := boottime.Now()
+	m.mu.Lock()
+	old, known := m.others[named.Name]
+	if known && old.Incarnation == named.Incarnation {
+		old.changed = now
+		m.others[named.Name] = old
 		m.mu.Unlock()
 		return
 	}
-	if known && !m.replaces(incarnation, old, now) || !known && m.full() {
+	m.takeIn(now, named, 0)
+}
+
+// takeIn takes in a run that is not known and releases the lock, which is held.
+func (m *Members) takeIn(now time.Duration, run Member, heard time.Duration) {
+	old, known := m.others[run.Name]
+	newer := !known || old.Incarnation == run.Incarnation || m.replaces(run.Incarnation, old, now)
+	if run.Name == m.self.Name || !newer || !known && m.full() {
 		m.mu.Unlock()
 		return
 	}
-	m.others[name] = Member{Name: name, Incarnation: incarnation, Address: address, changed: now, heard: now}
+	m.others[run.Name] = Member{Name: run.Name, Incarnation: run.Incarnation, Address: run.Address, Machine: run.Machine, changed: now, heard: heard}
 	list := m.list()
 	m.mu.Unlock()
 	m.changed(list)
 }
 
+// Expire drops instances that have given no sign of life for long. An instance that hears
+// nobody must not call it: it would drop all whom it may still reach.
+func (m *Members) Expire() {
+	now := boottime.Now()
+	m.mu.Lock()
+	gone := m.drop(now)
+	list := m.list()
+	m.mu.Unlock()
+	if gone {
+		m.changed(list)
+	}
+}
+
+// drop drops instances that are gone and reports whether there were any; the lock is held.
+func (m *Members) drop(now time.Duration) (gone bool) {
+	for name, member := range m.others {
+		if silent := now - member.seen(); silent > Lapse {
+			delete(m.others, name)
+			gone = true
+			tell := m.logger.Info
+			if m.Informs != nil {
+				tell = m.Informs()
+			}
+			tell("instance gone", zap.String("peer", name), zap.Duration("silent", silent))
+		}
+	}
+	return gone
+}
+
 // replaces reports whether a run takes over an instance's name from the one that is known. A
 // datagram of an earlier run may arrive late, when the next run works already: taken in, it
 // would turn all reports to the address of a process that is gone, and the instance that
 // works would hear nothing of its fleet. The time of day decides between the two unless it was
 // set back, and then the silence of the run that ended does; the lock is held.
 func (m *Members) replaces(incarnation uint64, old Member, now time.Duration) bool {
-	return incarnation > old.Incarnation || now-old.seen() > m.slowed(replacedAfter)
+	return incarnation > old.Incarnation || now-old.seen() > replacedAfter
 }
 
 // full reports whether as many instances are known by their reports only as may be, so that
@@ -259,7 +308,7 @@
 
 // Proven implements follow.Reader: entries that were not renewed for long lapse.
 func (m *Members) Proven(time.Duration) {
-	now, lapse := boottime.Now(), m.slowed(Lapse)
+	now := boottime.Now()
 	m.mu.Lock()
 	for name, member := range m.others {
 		if m.lost {
@@ -267,11 +316,8 @@
 			member.changed = now
 			m.others[name] = member
 		}
-		if silent := now - member.seen(); silent > lapse {
-			delete(m.others, name)
-			m.logger.Info("instance gone", zap.String("peer", name), zap.Duration("silent", silent))
-		}
 	}
+	m.drop(now)
 	m.lost = false
 	list := m.list()
 	m.mu.Unlock()
--- a/fleet/sender.go
+++ b/fleet/sender.go
@@ -30,7 +30,7 @@
 	case r.Fleet == (fleetid.Identity{}):
 		// A version that does not tell its fleet is known by the store's list.
 		return x.listed(RunOf(r.Instance, r.Incarnation), r.Instance)
-	case r.Partial && x.identity().ID == 0:
+	case r.Fleet.Name == "" && x.identity().ID == 0:
 		// Without its name it says nothing to an instance that does not know its own id.
 		return false
 	default:
@@ -38,9 +38,10 @@
 	}
 }
 
-// listed reports whether a run is one that reports go to.
+// listed reports whether a run is one that is known here.
 func (x *Exchange) listed(run Run, name string) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.targets[name].run == run
+	p, known := x.peers[name]
+	return known && p.run == run
 }
--- a/follow/share.go
+++ b/follow/share.go
@@ -66,16 +66,41 @@
 	if f.Turn == nil || !f.known || !f.marked {
 		return Note{}, false
 	}
-	n = Note{Topic: f.Topic, Mark: f.mark, Next: f.next, Age: now - f.proof}
+	n = f.note(now)
 	if f.relay.reports > 0 {
 		f.relay.reports--
 		n.From, n.Records = f.relay.from, f.relay.records
-	} else {
-		f.relay = relay{}
 	}
 	return n, true
 }
 
+// Tell returns what to tell an instance that knows the topic up to an offset: the records that
+// it lacks as well, if they are still kept.
+func (f *Follower) Tell(now time.Duration, known uint64) (n Note, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.Turn == nil || !f.known || !f.marked {
+		return Note{}, false
+	}
+	n = f.note(now)
+	if len(f.relay.records) > 0 && known < f.mark && f.relay.from <= known {
+		n.From, n.Records = f.relay.from, f.relay.records
+	}
+	return n, true
+}
+
+// Known is the offset up to which the topic is known, 0 while it is not.
+func (f *Follower) Known() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.next
+}
+
+// note is what to tell without records; the lock is held.
+func (f *Follower) note(now time.Duration) Note {
+	return Note{Topic: f.Topic, Mark: f.mark, Next: f.next, Age: now - f.proof}
+}
+
 // Hear takes in what another instance tells. earliest is the earliest time, of the clock
 // that counts through suspensions, at which it can have been told: a report may have
 // waited anywhere on its way, and what it proves is older by that.
@@ -139,7 +164,7 @@
 	}
 	if f.marked && f.mark < n.Mark {
 		// What this instance was about to tell would leave out what it has just learnt.
-		f.mark, f.relay = n.Mark, relay{}
+		f.mark, f.relay = n.Mark, relay{from: n.From, records: n.Records}
 	}
 	f.next = max(f.next, n.Next)
 }
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -21,13 +21,13 @@
 	// With an older one the caller of a route that was just added would be told never to
 	// ask again.
 	certainMargin = 100 * time.Millisecond
-	// minQuotaRetry keeps callers from coming back before other requests that were
-	// admitted in the same moment are counted.
+	// minQuotaRetry is the least time after which a caller is told to come back.
 	minQuotaRetry = 100 * time.Millisecond
-	// confirmPatience is how long a request waits for others to confirm what this
-	// instance has spent, looking each confirmStep: two reports that cross a loss.
-	confirmPatience = 250 * time.Millisecond
-	confirmStep     = 25 * time.Millisecond
+	// quotaPatience is how long a request without an objective waits for tokens, quotaShare
+	// the part of the objective that others wait. A prompt that is read later is still
+	// answered in time.
+	quotaPatience = 200 * time.Millisecond
+	quotaShare    = 1.0 / 3
 )
 
 // admitted is a request that may run.
@@ -128,26 +128,32 @@
 			a.charge = limit.CallTokens
 		}
 	}
-	d := g.quotas.Admit(c.Organisation, a.charge)
-	for waited := time.Duration(0); d.Unconfirmed && waited < confirmPatience; waited += confirmStep {
-		select {
-		case <-ctx.Done():
-			a.charge = 0
-			return verdict.Refuse(verdict.ReasonCancelled, 0, "the caller left")
-		case <-time.After(confirmStep):
-		}
-		g.Metrics.Quota("waited")
-		d = g.quotas.Admit(c.Organisation, a.charge)
+	d := g.quotas.Take(ctx, c.Organisation, a.charge, quotaWait(a.route))
+	g.Metrics.QuotaWait(d.Waited)
+	if d.Admitted {
+		g.Metrics.Quota("admitted")
+		return nil
 	}
-	if !d.Admitted {
-		g.Metrics.Quota("refused")
-		tokens := a.charge
-		a.charge = 0
-		return verdict.Refuse(verdict.ReasonRateLimited, max(d.Retry, minQuotaRetry), "the organisation's quota is used up: %s", g.quotas.Describe(c.Organisation, tokens))
+	tokens := a.charge
+	a.charge = 0
+	switch {
+	case ctx.Err() != nil:
+		return verdict.Refuse(verdict.ReasonCancelled, 0, "the caller left")
+	case d.Unanswered:
+		g.Metrics.Quota("unanswered")
+		return verdict.Refuse(verdict.ReasonRateHomeUnknown, d.Retry, "%s", d)
+	}
+	g.Metrics.Quota("refused")
+	retry := max(min(d.Retry, time.Until(c.Deadline)), minQuotaRetry)
+	return verdict.Refuse(verdict.ReasonRateLimited, retry, "the organisation's quota is used up: %d tokens asked, %s", tokens, d)
+}
+
+// quotaWait is how long a request waits for tokens.
+func quotaWait(route *object.Route) time.Duration {
+	if route.ObjectiveMS == 0 {
+		return quotaPatience
 	}
-	g.Metrics.Quota("admitted")
-	g.changed()
-	return nil
+	return time.Duration(quotaShare * float64(route.ObjectiveMS) * float64(time.Millisecond))
 }
 
 // refund gives the charge of a request that did not run back.
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -97,8 +97,8 @@
 	})
 }
 
-// crashed charges a crash to a request; own ones are told to the others.
-func (k *crashes) crashed(now time.Duration, c fleet.Crash, own bool) {
+// crashed charges a crash to a request, and sees to it that others are told.
+func (k *crashes) crashed(now time.Duration, c fleet.Crash, tell bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	key := heardCrash{c.Fingerprint, c.Upstream}
@@ -106,8 +106,8 @@
 		return
 	}
 	k.heard[key] = true
-	if own {
-		k.told = append(k.told, toldCrash{now, c})
+	if tell {
+		k.told = append(k.told, toldCrash{now - c.Age, c})
 	}
 	at := clock(now - c.Age)
 	// Each request is charged by itself: instances tell of those that ran with them, and
@@ -145,9 +145,9 @@
 	}
 }
 
-// take takes in what another instance tells.
-func (k *crashes) take(now time.Duration, r *fleet.Report) {
+// take takes in what another instance tells. A hub tells it to others.
+func (k *crashes) take(now time.Duration, r *fleet.Report, tell bool) {
 	for _, c := range r.Crashes {
-		k.crashed(now, c, false)
+		k.crashed(now, c, tell)
 	}
 }
--- a/gateway/desk.go
+++ b/gateway/desk.go
@@ -85,12 +85,29 @@
 	}
 }
 
+// fillAll adds what all instances but one have placed, and what all have seen.
+func (d *desks) fillAll(but string, r *fleet.Report) {
+	r.Works = make(map[fleet.Hash]fleet.Work)
+	for _, k := range d.all() {
+		k.decode.fillAll(but, r.Loads)
+		k.prefill.fillAll(but, r.Loads)
+		if all := k.allWork(but); all.Lengths.N > 0 {
+			r.Works[fleet.HashOf(k.service)] = all
+		}
+	}
+}
+
 func (d *desks) take(r *fleet.Report) {
 	now := boottime.Now()
 	for _, k := range d.all() {
 		k.decode.take(now, r)
 		k.prefill.take(now, r)
-		k.peerWork(r.Instance, r.Works[fleet.HashOf(k.service)])
+		work := r.Works[fleet.HashOf(k.service)]
+		if r.Answer {
+			k.othersLengths(work.Lengths)
+		} else {
+			k.peerWork(r.Instance, work)
+		}
 		k.look()
 	}
 }
@@ -224,6 +241,23 @@
 	}
 }
 
+// allWork is what all instances but one have seen of the lengths of answers. How engines are
+// divided is decided where all is known.
+func (k *desk) allWork(but string) fleet.Work {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return fleet.Work{Lengths: k.lengths.Without(but)}
+}
+
+// othersLengths takes in what all others have seen of the lengths of answers.
+func (k *desk) othersLengths(s length.Sums) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if s.N > 0 {
+		k.lengths.SetOthers(s)
+	}
+}
+
 // wantedPrefill is how many of the service's engines should prefill.
 func (k *desk) wantedPrefill(engines, have int) (int, bool) {
 	running := k.decode.running()
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -12,7 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cairnworks/cairnworks/boottime"
-	"github.com/cairnworks/cairnworks/decision/quota"
+	"github.com/cairnworks/cairnworks/decision/hub"
 	"github.com/cairnworks/cairnworks/fleet"
 	"github.com/cairnworks/cairnworks/object"
 	"github.com/cairnworks/cairnworks/observe"
@@ -190,22 +190,41 @@
 // hashPoint spreads requests evenly over a route's targets.
 func hashPoint(id string) uint64 { return xxhash.Sum64String(id) }
 
-// reportsLate reports whether the fleet is so large that its reports are slowed down.
-func (g *Gateway) reportsLate() bool { return quota.Stretch(g.Members()) > 1 }
+// reportsLate reports whether the fleet is so large that reports go by way of hubs.
+func (g *Gateway) reportsLate() bool { return g.Members() > hub.SmallFleet }
 
-// Fill completes a report to the other instances.
+// Fill completes a report to other instances.
 func (g *Gateway) Fill(now time.Duration, r *fleet.Report) {
-	g.quotas.Fill(now, r)
 	r.Loads = make(map[fleet.Hash]fleet.Load)
 	g.plain.fill(r.Loads)
 	g.desks.fill(r)
 	g.crashes.fill(now, r)
 }
 
+// FillFor completes a report by what is for one receiver.
+func (g *Gateway) FillFor(now time.Duration, to fleet.Run, r *fleet.Report) {
+	g.quotas.FillFor(now, to, r)
+}
+
+// Answer completes the answer to a poll.
+func (g *Gateway) Answer(now time.Duration, poll, r *fleet.Report) {
+	g.quotas.Answer(r)
+	if !r.Whole {
+		return
+	}
+	r.Loads = make(map[fleet.Hash]fleet.Load)
+	g.plain.fillAll(poll.Instance, r.Loads)
+	g.desks.fillAll(poll.Instance, r)
+	g.crashes.fill(now, r)
+}
+
 // Take takes in a report of another instance.
 func (g *Gateway) Take(now time.Duration, r *fleet.Report) {
-	g.quotas.Take(now, r)
+	g.quotas.TakeReport(now, r)
+	if r.Answer && !r.Whole {
+		return
+	}
 	g.plain.take(r)
 	g.desks.take(r)
-	g.crashes.take(now, r)
+	g.crashes.take(now, r, !r.Answer && g.reportsLate())
 }
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -71,6 +71,12 @@
 	}
 }
 
+func (p *plainRooms) fillAll(but string, loads map[fleet.Hash]fleet.Load) {
+	for _, s := range p.all() {
+		s.fillAll(but, loads)
+	}
+}
+
 func (p *plainRooms) take(r *fleet.Report) {
 	now := boottime.Now()
 	for _, s := range p.all() {
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -6,17 +6,19 @@
 	"time"
 
 	"github.com/cairnworks/cairnworks/boottime"
-	"github.com/cairnworks/cairnworks/decision/quota"
 	"github.com/cairnworks/cairnworks/decision/room"
 	"github.com/cairnworks/cairnworks/fleet"
 	"github.com/cairnworks/cairnworks/upstream"
 )
 
 // peerLoadAge is how long another instance's placements count without a new report.
-// Reports come every 200 ms; an instance that died no longer holds anything once
+// Reports come at least every 500 ms; an instance that died no longer holds anything once
 // upstreams have seen its connections end.
 const peerLoadAge = 1200 * time.Millisecond
 
+// ofAll is the name under which the placements of all others are kept that a hub tells.
+const ofAll = ""
+
 // pool is the upstreams of one service and role with what all instances have placed
 // there. It is safe for concurrent use.
 type pool struct {
@@ -52,7 +54,7 @@
 			continue
 		}
 		p.entries[e.ID] = e
-		p.ids[fleet.HashOf(e.ID)] = e.ID
+		p.ids[fleet.ShortHashOf(e.ID)] = e.ID
 		if !e.Leaving {
 			engines = append(engines, shape(e))
 		}
@@ -90,7 +92,7 @@
 func (p *pool) dropSilent() {
 	now := boottime.Now()
 	for instance, at := range p.heard {
-		if now-at > time.Duration(float64(peerLoadAge)*quota.Stretch(len(p.heard)+1)) {
+		if now-at > peerLoadAge {
 			delete(p.heard, instance)
 			p.room.SetPeer(instance, nil)
 		}
@@ -192,20 +194,46 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, l := range p.room.Own() {
-		loads[fleet.HashOf(id)] = fleet.Load{Requests: l.Requests, Tokens: l.Tokens}
+		loads[fleet.ShortHashOf(id)] = fleet.Load{Requests: l.Requests, Tokens: l.Tokens}
+	}
+}
+
+// forgetPeers drops what others have placed, before their sum takes its place; the lock is held.
+func (p *pool) forgetPeers() {
+	for instance := range p.heard {
+		p.room.SetPeer(instance, nil)
+	}
+	clear(p.heard)
+}
+
+// fillAll adds the placements of all instances but one.
+func (p *pool) fillAll(but string, loads map[fleet.Hash]fleet.Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dropSilent()
+	for id := range p.entries {
+		l, less := p.room.Load(id), p.room.Peer(but, id)
+		if l.Requests > less.Requests {
+			loads[fleet.ShortHashOf(id)] = fleet.Load{Requests: l.Requests - less.Requests, Tokens: l.Tokens - less.Tokens}
+		}
 	}
 }
 
-// take takes over another instance's placements.
+// take takes over another instance's placements, or those of all others.
 func (p *pool) take(now time.Duration, r *fleet.Report) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	from := r.Instance
+	if r.Answer {
+		from = ofAll
+		p.forgetPeers()
+	}
 	loads := make(map[string]room.Load)
 	for hash, l := range r.Loads {
 		if id, known := p.ids[hash]; known {
 			loads[id] = room.Load{Requests: l.Requests, Tokens: l.Tokens}
 		}
 	}
-	p.heard[r.Instance] = now
-	p.room.SetPeer(r.Instance, loads)
+	p.heard[from] = now
+	p.room.SetPeer(from, loads)
 }
--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -1,33 +1,40 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/cairnworks/cairnworks/boottime"
-	"github.com/cairnworks/cairnworks/decision/quota"
+	"github.com/cairnworks/cairnworks/decision/escrow"
+	"github.com/cairnworks/cairnworks/decision/hub"
 	"github.com/cairnworks/cairnworks/fleet"
 	"github.com/cairnworks/cairnworks/object"
 )
 
-// Quotas keeps the organisations' quotas with the other instances. It is safe for
-// concurrent use.
-type Quotas struct {
-	now boottime.Clock
-
-	mu     sync.Mutex
-	ledger *quota.Ledger
-	bound  QuotaBound
-	// OnRestricted is told when this instance is restricted to its share, and when no
-	// more; it must not call back. Nil is allowed.
-	OnRestricted func(restricted bool)
-	restricted   bool
-	self         quota.MemberID
-	// names and members resolve the short forms in reports.
-	names   map[fleet.Hash]string
-	members map[fleet.Run]quota.MemberID
-}
+// Figures of quotas.
+const (
+	// smallShare is the part of the burst up to which a request is charged without asking: it
+	// is small beside what a bucket may fall below nothing by, and its caller waits for
+	// milliseconds only.
+	smallShare = 0.02
+	// shortTime is how long such requests ask as well once their organisation's bucket is
+	// known to be empty.
+	shortTime = time.Second
+	// unansweredRetry is when a caller is told to come back where no home answers: by then
+	// another one has been chosen.
+	unansweredRetry = 300 * time.Millisecond
+	// billsTold is how many reports tell of a bill after its last change.
+	billsTold = 4
+	// answersKept is how long the answer to an ask is kept for repetitions, which come
+	// within the tries of one ask.
+	answersKept = 2 * time.Second
+	// boundShare is the part of the bound on a quota that bursts and what instances hold may
+	// use up. The rest is for requests that were granted tokens and are sent later.
+	boundShare = 0.7
+)
 
 // QuotaBound is what the fleet may pass a quota by, in total over a window.
 type QuotaBound struct {
@@ -36,168 +43,334 @@
 	Over, Slack float64
 }
 
-// How the bound is used up. What is left of it, a fifth, is for what instances spend
-// before they hear of one another.
-const (
-	// extraShare is the part that is added to every organisation's burst. The bound is
-	// on what upstreams see in a window; a bucket of the bare burst refuses requests
-	// that the window has room for.
-	extraShare = 0.3
-	// initialShare is the part that a fleet without any memory of the last seconds may
-	// use up by what its buckets start with.
-	initialShare = 0.5
-)
+// widen returns a limit with the burst that the bound leaves room for, besides what instances
+// hold and hand on late. The bound is on what upstreams see in a window; a bucket of the bare
+// burst refuses requests that the window has room for.
+func (b QuotaBound) widen(limit escrow.Limit) escrow.Limit {
+	tolerance := (limit.Rate*b.Window.Seconds()+limit.Burst)*b.Over + b.Slack
+	limit.Burst += max(boundShare*tolerance-escrow.Hold.Seconds()*limit.Rate, 0)
+	return limit
+}
 
-// tolerance is what a quota may be passed by in a window, in tokens.
-func (b QuotaBound) tolerance(limit quota.Limit) float64 {
-	return (limit.Rate*b.Window.Seconds()+limit.Burst)*b.Over + b.Slack
+// Network is how instances reach one another for quotas.
+type Network interface {
+	// Hubs are the instances that hold buckets, this one included if it does.
+	Hubs() []fleet.Hub
+	// Instances is the size of the fleet.
+	Instances() int
+	Ask(ctx context.Context, hub string, a fleet.Ask) (fleet.Grant, error)
+	// Suspect makes another take the place of a hub that does not answer.
+	Suspect(hub string)
 }
 
-// widen returns a limit with the burst that the bound leaves room for.
-func (b QuotaBound) widen(limit quota.Limit) quota.Limit {
-	limit.Burst += extraShare * b.tolerance(limit)
-	return limit
+// Quotas keeps the organisations' quotas with the other instances. It is safe for
+// concurrent use.
+type Quotas struct {
+	now   boottime.Clock
+	bound QuotaBound
+	self  fleet.Hub
+
+	mu      sync.Mutex
+	network Network
+	giver   *escrow.Giver
+	home    *escrow.Home
+	// homes is which of the hubs is the home of each shard.
+	homes  [escrow.Shards]fleet.Hub
+	hubs   []fleet.Hub
+	limits map[fleet.Hash]escrow.Limit
+	// bills are what this instance has spent at others' buckets without asking.
+	bills map[fleet.Run]map[fleet.Hash]*bill
+	// short are organisations with empty buckets, and until when that is believed.
+	short map[fleet.Hash]time.Duration
+	// answers are those given lately, by the ids of the asks.
+	answers map[uint64]keptAnswerOf
 }
 
-// initial is what an account starts with when all instances start together: what
-// was spent just before is not known to anybody any more.
-func (b QuotaBound) initial(limit quota.Limit) float64 { return initialShare * b.tolerance(limit) }
+type bill struct {
+	tokens int64
+	// told is how many reports have told the total.
+	told int
+}
 
-// NewQuotas returns quotas without organisations. With firstStart the quotas start
-// unused, since nothing can have been spent before.
-func NewQuotas(now boottime.Clock, self fleet.Member, bound QuotaBound, firstStart bool) *Quotas {
-	initial := bound.initial
-	if firstStart {
-		initial = func(limit quota.Limit) float64 { return limit.Burst }
-	}
-	id := quota.MemberID{Name: self.Name, Incarnation: self.Incarnation}
+type keptAnswerOf struct {
+	grant fleet.Grant
+	at    time.Duration
+}
+
+// NewQuotas returns quotas without organisations. Nothing may be spent at first, since it is
+// not known what was spent before.
+func NewQuotas(now boottime.Clock, self fleet.Member, bound QuotaBound) *Quotas {
 	return &Quotas{
-		now: now, self: id, bound: bound, ledger: quota.New(quota.DefaultConfig(), id, now(), initial),
-		names: make(map[fleet.Hash]string), members: make(map[fleet.Run]quota.MemberID),
+		now: now, bound: bound, self: fleet.Hub{Name: self.Name, Run: fleet.RunOf(self.Name, self.Incarnation)},
+		giver: escrow.NewGiver(now()), home: escrow.NewHome(now()), limits: make(map[fleet.Hash]escrow.Limit),
+		bills: make(map[fleet.Run]map[fleet.Hash]*bill), short: make(map[fleet.Hash]time.Duration), answers: make(map[uint64]keptAnswerOf),
 	}
 }
 
+// Connect sets the way to the other instances. It must be called before anything else.
+func (q *Quotas) Connect(n Network) { q.network = n }
+
 // SetLimits takes the organisations' limits from a configuration.
 func (q *Quotas) SetLimits(index *object.Index) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	now := q.now()
-	kept := make(map[string]bool)
-	q.names = make(map[fleet.Hash]string)
+	limits := make(map[fleet.Hash]escrow.Limit)
+	byHash := make(map[uint64]escrow.Limit)
 	for _, o := range index.Set().Organisations {
 		limit, ok := index.Limit(o.Name)
 		if !ok {
 			continue
 		}
-		kept[o.Name] = true
-		q.names[fleet.HashOf(o.Name)] = o.Name
-		q.ledger.SetLimit(now, o.Name, q.bound.widen(quota.Limit{Rate: float64(limit.TokensPerSecond), Burst: float64(limit.Burst)}))
+		wide := q.bound.widen(escrow.Limit{Rate: float64(limit.TokensPerSecond), Burst: float64(limit.Burst)})
+		limits[fleet.HashOf(o.Name)] = wide
+		byHash[uint64(fleet.HashOf(o.Name))] = wide
 	}
-	q.ledger.KeepOnly(kept)
-}
-
-// SetMembers names the other instances.
-func (q *Quotas) SetMembers(members []fleet.Member) {
-	ids := make([]quota.MemberID, 0, len(members))
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.members = map[fleet.Run]quota.MemberID{fleet.RunOf(q.self.Name, q.self.Incarnation): q.self}
-	for _, m := range members {
-		id := quota.MemberID{Name: m.Name, Incarnation: m.Incarnation}
-		ids = append(ids, id)
-		q.members[fleet.RunOf(m.Name, m.Incarnation)] = id
+	q.limits = limits
+	q.home.SetLimits(byHash)
+}
+
+// QuotaDecision is the answer to a request for tokens.
+type QuotaDecision struct {
+	Admitted bool
+	// Unanswered tells that no home answered, so that nothing is known of the quota.
+	Unanswered bool
+	// Retry is when there will be enough.
+	Retry time.Duration
+	// Waited is the time spent waiting for tokens.
+	Waited time.Duration
+	// Home was asked last. Level is what it had left, Part the part of the rate that it gets.
+	Home        string
+	Level, Part float64
+}
+
+func (d QuotaDecision) String() string {
+	if d.Unanswered {
+		return fmt.Sprintf("the quota's home %s does not answer", d.Home)
 	}
-	q.ledger.SetMembers(q.now(), ids)
+	return fmt.Sprintf("%.0f left at %s, which %.2f of the rate flows into", d.Level, d.Home, d.Part)
 }
 
-// Admit takes tokens of an organisation's quota.
-func (q *Quotas) Admit(organisation string, tokens int64) quota.Decision {
+// Take takes tokens of an organisation's quota, all or none. It waits for them up to a time.
+func (q *Quotas) Take(ctx context.Context, organisation string, tokens int64, patience time.Duration) QuotaDecision {
+	org := fleet.HashOf(organisation)
+	if home, ok := q.charge(org, tokens); ok {
+		return QuotaDecision{Admitted: true, Home: home.Name}
+	}
+	begun := q.now()
+	for {
+		d := q.ask(ctx, org, tokens)
+		d.Waited = q.now() - begun
+		if d.Admitted || ctx.Err() != nil || d.Waited+d.Retry > patience {
+			return d
+		}
+		if !d.Unanswered && !pause(ctx, d.Retry) {
+			return d
+		}
+	}
+}
+
+// pause waits and reports whether the context still holds.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(max(d, time.Millisecond))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// charge charges a small request to its organisation's home without asking.
+func (q *Quotas) charge(org fleet.Hash, tokens int64) (fleet.Hub, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.ledger.Admit(q.now(), organisation, tokens)
+	limit, known := q.limits[org]
+	if !known {
+		return fleet.Hub{}, false
+	}
+	if limit.Rate <= 0 {
+		return q.self, true
+	}
+	if float64(tokens) > smallShare*limit.Burst || q.now() < q.short[org] {
+		return fleet.Hub{}, false
+	}
+	home := q.homeOf(org)
+	q.bill(home, org, tokens)
+	return home, true
+}
+
+// bill charges tokens to a bucket; the lock is held.
+func (q *Quotas) bill(home fleet.Hub, org fleet.Hash, tokens int64) {
+	at, known := q.bills[home.Run]
+	if !known {
+		at = make(map[fleet.Hash]*bill)
+		q.bills[home.Run] = at
+	}
+	b, known := at[org]
+	if !known {
+		b = &bill{}
+		at[org] = b
+	}
+	b.tokens += tokens
+	b.told = 0
+	if home == q.self {
+		q.home.Charge(escrow.Run(q.self.Run), uint64(org), b.tokens)
+	}
 }
 
 // Refund gives back tokens of a request that did not run.
 func (q *Quotas) Refund(organisation string, tokens int64) {
+	org := fleet.HashOf(organisation)
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.ledger.Refund(q.now(), organisation, tokens)
+	if limit, known := q.limits[org]; known && limit.Rate > 0 {
+		q.bill(q.homeOf(org), org, -tokens)
+	}
 }
 
-// Leads reports whether this instance comes first, in an order that depends on a
-// subject, among those that it hears.
-func (q *Quotas) Leads(subject string) bool { return q.Rank(subject) == 0 }
-
-// Rank is the number of instances that come before this one, in an order that depends
-// on a subject, among those that it hears.
-func (q *Quotas) Rank(subject string) int {
+// ask asks the organisation's home for tokens.
+func (q *Quotas) ask(ctx context.Context, org fleet.Hash, tokens int64) QuotaDecision {
 	q.mu.Lock()
-	defer q.mu.Unlock()
-	own := fleet.HashOf(subject + q.self.Name)
-	before := 0
-	for _, id := range q.ledger.Audible(q.now()) {
-		if fleet.HashOf(subject+id.Name) < own {
-			before++
+	home := q.homeOf(org)
+	if home == q.self {
+		d := q.take(q.now(), org, tokens)
+		q.mu.Unlock()
+		return QuotaDecision{Admitted: d.Granted, Retry: d.Retry, Home: home.Name, Level: d.Level, Part: d.Part}
+	}
+	q.mu.Unlock()
+	g, err := q.network.Ask(ctx, home.Name, fleet.Ask{Organisation: org, Tokens: tokens})
+	if err != nil {
+		if ctx.Err() == nil {
+			q.network.Suspect(home.Name)
 		}
+		return QuotaDecision{Unanswered: true, Retry: unansweredRetry, Home: home.Name}
 	}
-	return before
+	return QuotaDecision{Admitted: g.Granted, Retry: g.Retry, Home: home.Name, Level: g.Level, Part: g.Part}
 }
 
-// Fill adds this instance's use to a report.
-func (q *Quotas) Fill(now time.Duration, r *fleet.Report) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if restricted := q.ledger.Restricted(now); restricted != q.restricted {
-		q.restricted = restricted
-		if q.OnRestricted != nil {
-			q.OnRestricted(restricted)
-		}
+// take takes tokens out of a bucket here; the lock is held.
+func (q *Quotas) take(now time.Duration, org fleet.Hash, tokens int64) escrow.Decision {
+	q.giveOwn(now)
+	return q.home.Take(now, uint64(org), tokens)
+}
+
+// homeOf is the home of an organisation; the lock is held.
+func (q *Quotas) homeOf(org fleet.Hash) fleet.Hub {
+	q.chooseHomes()
+	return q.homes[escrow.ShardOf(uint64(org))]
+}
+
+// chooseHomes chooses the homes anew where the hubs have changed; the lock is held.
+func (q *Quotas) chooseHomes() {
+	hubs := q.network.Hubs()
+	if len(hubs) == 0 {
+		hubs = []fleet.Hub{q.self}
+	}
+	if slices.Equal(hubs, q.hubs) {
+		return
 	}
-	own := q.ledger.Report(now)
-	r.Spends = make(map[fleet.Hash]fleet.Spend, len(own.Spent))
-	for name, tokens := range own.Spent {
-		r.Spends[fleet.HashOf(name)] = fleet.Spend{Tokens: tokens, Level: own.Level[name]}
+	hashes := make([]uint64, len(hubs))
+	for i, h := range hubs {
+		hashes[i] = uint64(fleet.HashOf(h.Name))
 	}
-	for _, h := range own.Heard {
-		r.Heard = append(r.Heard, fleet.Heard{Run: fleet.RunOf(h.Member.Name, h.Member.Incarnation), Age: now - h.At})
+	q.hubs = hubs
+	for s := range q.homes {
+		q.homes[s] = hubs[hub.HomeOf(s, hashes)]
 	}
 }
 
-// Take takes in another instance's use.
-func (q *Quotas) Take(now time.Duration, r *fleet.Report) {
+// giveOwn lets this instance's part of the rates flow into its own buckets; the lock is held.
+func (q *Quotas) giveOwn(now time.Duration) {
+	q.giver.Accrue(now, q.network.Instances())
+	if shards := q.shardsOf(q.self.Run); len(shards) > 0 {
+		q.home.Receive(now, escrow.Run(q.self.Run), q.giver.Give(escrow.Run(q.self.Run), shards))
+	}
+}
+
+// shardsOf are the shards that a run is the home of; the lock is held.
+func (q *Quotas) shardsOf(run fleet.Run) []int {
+	q.chooseHomes()
+	var out []int
+	for s, home := range q.homes {
+		if home.Run == run {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// FillFor adds to a report what its receiver is handed on, and what it is charged.
+func (q *Quotas) FillFor(now time.Duration, to fleet.Run, r *fleet.Report) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	in := quota.Report{
-		From:  quota.MemberID{Name: r.Instance, Incarnation: r.Incarnation},
-		Spent: make(map[string]int64, len(r.Spends)), Level: make(map[string]float64, len(r.Spends)),
+	q.giveOwn(now)
+	if shards := q.shardsOf(to); len(shards) > 0 {
+		r.Shares = q.giver.Give(escrow.Run(to), shards)
 	}
-	for hash, s := range r.Spends {
-		if name, known := q.names[hash]; known {
-			in.Spent[name], in.Level[name] = s.Tokens, s.Level
+	for org, b := range q.bills[to] {
+		if b.told < billsTold {
+			b.told++
+			r.Bills = append(r.Bills, fleet.Bill{Organisation: org, Tokens: b.tokens})
 		}
 	}
-	for _, h := range r.Heard {
-		id, known := q.members[h.Run]
-		if !known {
-			continue
-		}
-		in.Heard = append(in.Heard, quota.Heard{Member: id, At: now - h.Age})
+}
+
+// Answer adds to an answer which buckets here are empty.
+func (q *Quotas) Answer(r *fleet.Report) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, org := range q.home.Short() {
+		r.Short = append(r.Short, fleet.Hash(org))
 	}
-	q.ledger.Hear(now, in)
 }
 
-// Restricted reports whether only shares of the quotas may be spent here.
-func (q *Quotas) Restricted() bool {
+// TakeReport takes in what another instance hands on, charges and lacks.
+func (q *Quotas) TakeReport(now time.Duration, r *fleet.Report) {
+	from := escrow.Run(fleet.RunOf(r.Instance, r.Incarnation))
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.ledger.Restricted(q.now())
+	q.home.Receive(now, from, r.Shares)
+	for _, b := range r.Bills {
+		q.home.Charge(from, uint64(b.Organisation), b.Tokens)
+	}
+	for _, org := range r.Short {
+		q.short[org] = now + shortTime
+	}
 }
 
-// Describe tells what a refusal for an organisation rests on, for the log.
-func (q *Quotas) Describe(organisation string, tokens int64) string {
+// Asked answers another instance's ask.
+func (q *Quotas) Asked(now time.Duration, a fleet.Ask) fleet.Grant {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	v := q.ledger.View(q.now(), organisation)
-	return fmt.Sprintf("%d tokens asked, %.0f left, %.0f own, rate %.0f, burst %.0f, %d instances, %d silent, restricted %v",
-		tokens, v.Level, v.Own, v.Limit.Rate, v.Limit.Burst, v.Members, v.Silent, v.Restricted)
+	if kept, answered := q.answers[a.ID]; answered {
+		return kept.grant
+	}
+	d := q.take(now, a.Organisation, a.Tokens)
+	g := fleet.Grant{ID: a.ID, Granted: d.Granted, Unknown: d.Unknown, Retry: d.Retry, Level: d.Level, Part: d.Part}
+	q.answers[a.ID] = keptAnswerOf{g, now}
+	return g
+}
+
+// Sweep drops what is no longer needed. known tells whether a run is one of the fleet's.
+func (q *Quotas) Sweep(known func(fleet.Run) bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.now()
+	for id, kept := range q.answers {
+		if now-kept.at > answersKept {
+			delete(q.answers, id)
+		}
+	}
+	for org, until := range q.short {
+		if now > until {
+			delete(q.short, org)
+		}
+	}
+	q.chooseHomes()
+	for run := range q.bills {
+		if !known(run) && run != q.self.Run {
+			delete(q.bills, run)
+		}
+	}
 }
--- /dev/null
+++ b/gateway/quota_test.go
@@ -0,0 +1,191 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cairnworks/cairnworks/decision/escrow"
+	"github.com/cairnworks/cairnworks/fleet"
+	"github.com/cairnworks/cairnworks/object"
+)
+
+// quotaFleet is a fleet whose instances reach one another at once, and all are hubs.
+type quotaFleet struct {
+	now     time.Duration
+	asks    uint64
+	members []*quotaMember
+}
+
+type quotaMember struct {
+	*Quotas
+	fleet *quotaFleet
+	hub   fleet.Hub
+	// mute leaves asks unanswered, suspects are those that others have noticed.
+	mute     bool
+	suspects map[string]bool
+}
+
+func newQuotaFleet(n int) *quotaFleet {
+	f := &quotaFleet{now: time.Second}
+	index := object.NewIndex(set(), 1)
+	for i := range n {
+		self := fleet.Member{Name: fmt.Sprint("i", i), Incarnation: 1}
+		m := &quotaMember{fleet: f, hub: fleet.Hub{Name: self.Name, Run: fleet.RunOf(self.Name, 1)}, suspects: make(map[string]bool)}
+		m.Quotas = NewQuotas(func() time.Duration { return f.now }, self, QuotaBound{Window: 8 * time.Second})
+		m.Connect(m)
+		m.SetLimits(index)
+		f.members = append(f.members, m)
+	}
+	f.run(8 * time.Second)
+	return f
+}
+
+// run lets time pass, in which all report to all.
+func (f *quotaFleet) run(d time.Duration) {
+	for end := f.now + d; f.now < end; f.now += 100 * time.Millisecond {
+		for _, from := range f.members {
+			for _, to := range f.members {
+				if from == to {
+					continue
+				}
+				r := &fleet.Report{Instance: from.hub.Name, Incarnation: 1}
+				from.FillFor(f.now, to.hub.Run, r)
+				to.TakeReport(f.now, r)
+				back := &fleet.Report{Instance: to.hub.Name, Incarnation: 1}
+				to.Answer(back)
+				from.TakeReport(f.now, back)
+			}
+		}
+	}
+}
+
+func (m *quotaMember) Hubs() []fleet.Hub {
+	var out []fleet.Hub
+	for _, other := range m.fleet.members {
+		if !m.suspects[other.hub.Name] {
+			out = append(out, other.hub)
+		}
+	}
+	return out
+}
+
+func (m *quotaMember) Instances() int      { return len(m.fleet.members) }
+func (m *quotaMember) Suspect(name string) { m.suspects[name] = true }
+
+func (m *quotaMember) Ask(_ context.Context, to string, a fleet.Ask) (fleet.Grant, error) {
+	for _, other := range m.fleet.members {
+		if other.hub.Name == to && !other.mute {
+			m.fleet.asks++
+			a.ID = m.fleet.asks
+			return other.Asked(m.fleet.now, a), nil
+		}
+	}
+	return fleet.Grant{}, errors.New("no answer")
+}
+
+// homeOf is the member that is an organisation's home.
+func (f *quotaFleet) homeOf(organisation string) *quotaMember {
+	home := f.members[0].homeOf(fleet.HashOf(organisation))
+	for _, m := range f.members {
+		if m.hub == home {
+			return m
+		}
+	}
+	return nil
+}
+
+// other is a member that is not an organisation's home.
+func (f *quotaFleet) other(organisation string) *quotaMember {
+	for _, m := range f.members {
+		if m != f.homeOf(organisation) {
+			return m
+		}
+	}
+	return nil
+}
+
+// Guards against an organisation that is refused at one instance what the fleet has left.
+func TestAnyInstanceMaySpendWhatTheFleetHasLeft(t *testing.T) {
+	f := newQuotaFleet(9)
+	for _, m := range f.members {
+		assert.Assert(t, m.Take(t.Context(), "wide", 100_000, 0).Admitted)
+		f.now += time.Millisecond
+	}
+	f.now += time.Millisecond
+	d := f.members[0].Take(t.Context(), "wide", 150_000, 0)
+	assert.Assert(t, !d.Admitted && !d.Unanswered && d.Retry > 0 && d.Part > 0.9, "%+v", d)
+	assert.Equal(t, d.Home, f.homeOf("wide").hub.Name)
+}
+
+// Guards against small requests that cost a way to the home each, or are not counted there.
+func TestSmallRequestsAreChargedAfterwards(t *testing.T) {
+	f := newQuotaFleet(4)
+	m, home := f.other("wide"), f.homeOf("wide")
+	home.mute = true
+	for range 200 {
+		assert.Assert(t, m.Take(t.Context(), "wide", 10_000, 0).Admitted)
+	}
+	assert.Assert(t, len(m.suspects) == 0, "nobody was asked")
+	home.mute = false
+	f.run(200 * time.Millisecond)
+	d := m.Take(t.Context(), "wide", 10_000, 0)
+	assert.Assert(t, !d.Admitted, "the bucket is empty, and that is known")
+	f.run(2500 * time.Millisecond)
+	assert.Assert(t, m.Take(t.Context(), "wide", 10_000, 0).Admitted)
+}
+
+// Guards against an organisation that loses the tokens of requests that did not run.
+func TestRefundReachesTheHome(t *testing.T) {
+	f := newQuotaFleet(4)
+	m := f.other("narrow")
+	assert.Assert(t, m.Take(t.Context(), "narrow", 10, 0).Admitted)
+	f.now++
+	assert.Assert(t, !m.Take(t.Context(), "narrow", 9, 0).Admitted)
+	m.Refund("narrow", 10)
+	f.run(100 * time.Millisecond)
+	assert.Assert(t, m.Take(t.Context(), "narrow", 9, 0).Admitted)
+}
+
+// Guards against a dead home whose organisation is refused until its death is known.
+func TestSilentHomeIsPassedOver(t *testing.T) {
+	f := newQuotaFleet(9)
+	home, m := f.homeOf("wide"), f.other("wide")
+	home.mute = true
+	d := m.Take(t.Context(), "wide", 50_000, 0)
+	assert.Assert(t, d.Unanswered && !d.Admitted, "%+v", d)
+	assert.Assert(t, m.suspects[home.hub.Name])
+	for _, other := range f.members {
+		other.Suspect(home.hub.Name)
+	}
+	f.run(time.Second)
+	d = m.Take(t.Context(), "wide", 50_000, 0)
+	assert.Assert(t, d.Admitted && d.Home != home.hub.Name, "%+v", d)
+}
+
+// Guards against an ask that is repeated since its answer was lost, and takes tokens twice.
+func TestRepeatedAskTakesTokensOnce(t *testing.T) {
+	f := newQuotaFleet(2)
+	q, ask := f.homeOf("wide"), fleet.Ask{ID: 7, Organisation: fleet.HashOf("wide"), Tokens: 600_000}
+	first := q.Asked(f.now, ask)
+	assert.Assert(t, first.Granted)
+	assert.Equal(t, q.Asked(f.now, ask), first)
+	f.now += 3 * answersKept
+	q.Sweep(func(fleet.Run) bool { return false })
+	assert.Equal(t, len(q.answers), 0)
+}
+
+// Guards against bursts that, with what instances hold, pass the bound on a window.
+func TestWidenedBurstStaysWithinTheBound(t *testing.T) {
+	for _, rate := range []float64{1_000, 12_000, 45_000, 330_000, 5_000_000} {
+		b := QuotaBound{Window: 8 * time.Second, Over: 0.1, Slack: 73_000}
+		limit := escrow.Limit{Rate: rate, Burst: rate}
+		most := rate*b.Window.Seconds() + b.widen(limit).Burst + escrow.Hold.Seconds()*rate
+		bound := (rate*b.Window.Seconds()+limit.Burst)*(1+b.Over) + b.Slack
+		assert.Assert(t, most <= bound, "%.0f of %.0f at a rate of %.0f", most, bound, rate)
+	}
+}
--- a/instance/routed/readers.go
+++ b/instance/routed/readers.go
@@ -1,11 +1,13 @@
 package routed
 
 import (
+	"math"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/cairnworks/cairnworks/boottime"
+	"github.com/cairnworks/cairnworks/decision/hub"
 	"github.com/cairnworks/cairnworks/fleet"
 	"github.com/cairnworks/cairnworks/follow"
 	"github.com/cairnworks/cairnworks/object"
@@ -36,6 +38,36 @@
 	memberGap = 4 * time.Second
 )
 
+// Figures of the instances' own entries.
+const (
+	// idleBeats is how much more seldom an instance that is no hub of a large fleet renews
+	// its entry. Who starts needs to find some hubs only.
+	idleBeats = 30
+	// calmReads is how much more seldom the list of instances is read while others are
+	// heard, and aloneReads how much more often while nobody is.
+	calmReads, aloneReads = 15, 0.4
+)
+
+// renewSlowly is how much more seldom than a hub this instance renews its entry.
+func (i *Instance) renewSlowly() float64 {
+	if i.fleetSize() <= hub.SmallFleet || i.exchange.IsHub() {
+		return 1
+	}
+	return idleBeats
+}
+
+// readSlowly is how much more seldom than in a small fleet the list of instances is read.
+func (i *Instance) readSlowly() float64 {
+	switch {
+	case i.exchange.Alone():
+		return aloneReads
+	case i.fleetSize() > hub.SmallFleet:
+		return calmReads
+	default:
+		return 1
+	}
+}
+
 // follower returns a follower of a topic of which every instance must know a change
 // within a time.
 func (i *Instance) follower(topic port.Topic, within time.Duration, reader follow.Reader) *follow.Follower {
@@ -47,8 +79,8 @@
 		pace.Gap = part(leavingShare)
 	}
 	f := follow.NewFollower(topic, pace, reader)
-	f.Turn = func() int { return min(i.quotas.Rank(topic.String()), maxStagger) }
-	f.Kick = i.kick
+	f.Turn = func() int { return min(i.exchange.Rank(topic.String()), maxStagger) }
+	f.Kick = func() { i.exchange.Announce() }
 	return f
 }
 
@@ -65,6 +97,37 @@
 	}
 }
 
+// FillFor implements fleet.Handler.
+func (i *Instance) FillFor(now time.Duration, to fleet.Run, r *fleet.Report) {
+	i.gateway.FillFor(now, to, r)
+}
+
+// Answer implements fleet.Handler.
+func (i *Instance) Answer(now time.Duration, poll, r *fleet.Report) {
+	i.gateway.Answer(now, poll, r)
+	for _, f := range i.shared {
+		if n, ok := f.Tell(now, knownTo(poll, f.Topic)); ok {
+			r.Notes = append(r.Notes, n)
+		}
+	}
+}
+
+// knownTo is the offset up to which a report's sender knows a topic. Who says nothing of it
+// reads the store first.
+func knownTo(poll *fleet.Report, topic port.Topic) uint64 {
+	for _, n := range poll.Notes {
+		if n.Topic == topic {
+			return n.Next
+		}
+	}
+	return math.MaxUint64
+}
+
+// Asked implements fleet.Handler.
+func (i *Instance) Asked(now time.Duration, _ fleet.Run, a fleet.Ask) fleet.Grant {
+	return i.quotas.Asked(now, a)
+}
+
 // Take implements fleet.Handler.
 func (i *Instance) Take(now time.Duration, r *fleet.Report) {
 	i.gateway.Take(now, r)
@@ -185,7 +248,8 @@
 		return true
 	}
 	for _, id := range r.instance.state.Directory.Keep(named) {
-		r.instance.log.Info("upstream gone", zap.String("upstream", id))
+		tell := r.instance.informs()
+		tell("upstream gone", zap.String("upstream", id))
 		changed = true
 	}
 	return changed
@@ -207,8 +271,8 @@
 	held := r.removed[record.Key]
 	delete(r.removed, record.Key)
 	changed := i.state.Directory.Put(entry)
-	if changed {
-		i.log.Info("upstream changed", zap.String("upstream", entry.ID), zap.String("service", entry.Service), zap.String("address", entry.Address),
+	if tell := i.informs(); changed {
+		tell("upstream changed", zap.String("upstream", entry.ID), zap.String("service", entry.Service), zap.String("address", entry.Address),
 			zap.Stringer("role", entry.Role), zap.Bool("leaving", entry.Leaving), zap.Uint64("offset", record.Offset))
 	}
 	return changed || held
@@ -224,8 +288,12 @@
 		r.removed[id] = true
 		return
 	}
-	if r.instance.state.Directory.Remove(id) {
-		r.instance.log.Info("upstream gone", zap.String("upstream", id))
+	r.drop(id)
+}
+
+func (r *upstreamReader) drop(id string) {
+	if tell := r.instance.informs(); r.instance.state.Directory.Remove(id) {
+		tell("upstream gone", zap.String("upstream", id))
 	}
 }
 
@@ -244,9 +312,7 @@
 		return
 	}
 	for id := range r.removed {
-		if r.instance.state.Directory.Remove(id) {
-			r.instance.log.Info("upstream gone", zap.String("upstream", id))
-		}
+		r.drop(id)
 	}
 	r.removed = nil
 }
--- a/instance/routed/routed.go
+++ b/instance/routed/routed.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,7 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cairnworks/cairnworks/boottime"
-	"github.com/cairnworks/cairnworks/decision/quota"
+	"github.com/cairnworks/cairnworks/decision/hub"
 	"github.com/cairnworks/cairnworks/fleet"
 	"github.com/cairnworks/cairnworks/fleetid"
 	"github.com/cairnworks/cairnworks/follow"
@@ -79,6 +80,8 @@
 	lingerShare = 0.33
 	// exitMargin is left of the grace for the end of the process.
 	exitMargin = 600 * time.Millisecond
+	// millicores is the unit of what machines tell of their processors.
+	millicores = 1000
 	// sweepInterval is how often idle connections to upstreams are looked over, and gauges
 	// set.
 	sweepInterval = time.Second
@@ -102,10 +105,11 @@
 	// shared are the topics that a few instances read for all.
 	shared []*follow.Follower
 	began  time.Time
+	// hubs are those that were logged last.
+	hubs []string
 
 	mu       sync.Mutex
 	intake   Intake
-	count    int
 	draining bool
 	// settled is closed once a configuration was applied.
 	settled     chan struct{}
@@ -116,17 +120,17 @@
 func New(s settings.Routed, outside Outside, log *zap.Logger) (*Instance, error) {
 	metrics := observe.NewMetrics()
 	outside.Log = &countedLog{outside.Log, metrics}
-	i := &Instance{settings: s, outside: outside, log: log, metrics: metrics, began: time.Now(), intake: defaultIntake, count: 1, settled: make(chan struct{})}
+	i := &Instance{settings: s, outside: outside, log: log, metrics: metrics, began: time.Now(), intake: defaultIntake, settled: make(chan struct{})}
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * 1e6))
 	}
 	i.state = gateway.NewState(boottime.Now, time.Duration(float64(s.RevokeMS)*proofShare)*time.Millisecond)
-	self := fleet.Member{Name: s.Instance, Incarnation: fleet.NewIncarnation(i.began), Address: s.Reports}
-	bound := gateway.QuotaBound{Window: seconds(s.QuotaS), Over: s.QuotaOver, Slack: s.QuotaSlack}
-	i.quotas = gateway.NewQuotas(boottime.Now, self, bound, s.FirstStart)
-	i.quotas.OnRestricted = func(restricted bool) {
-		log.Info("quota shares", zap.Bool("restricted", restricted), zap.Int("instances", i.fleetSize()))
+	self := fleet.Member{
+		Name: s.Instance, Incarnation: fleet.NewIncarnation(i.began), Address: s.Reports,
+		Machine: fleet.Machine{DataCentre: s.DataCentre, Millicores: int(s.Cores * millicores)},
 	}
+	bound := gateway.QuotaBound{Window: seconds(s.QuotaS), Over: s.QuotaOver, Slack: s.QuotaSlack}
+	i.quotas = gateway.NewQuotas(boottime.Now, self, bound)
 	i.gateway = gateway.New(gateway.Options{
 		Codec: outside.Codec, Upstreams: outside.Upstreams, State: i.state, Quotas: i.quotas, Log: log, Metrics: i.metrics,
 		Apply: time.Duration(s.ApplyMS) * time.Millisecond, DataCentre: s.DataCentre, Kick: i.kick, MaxBodies: i.bodyLimit(),
@@ -142,9 +146,13 @@
 		return nil, err
 	}
 	i.exchange = exchange
+	i.quotas.Connect(exchange)
 	i.members = fleet.NewMembers(self, outside.Log, log, i.setMembers)
-	i.members.Slow = i.slow
+	i.members.Slow = i.renewSlowly
+	i.members.Informs = i.informs
 	exchange.OnReport(i.members.Introduce)
+	exchange.OnVouched(i.members.Vouch)
+	exchange.OnExpire(i.members.Expire)
 	exchange.OnlyFrom(i.members.Current)
 	i.fleet = fleetid.NewKeeper(fleetid.KeeperConfig{
 		Store: fleetid.NewKeyedStore(outside.Log), Name: s.FleetName(), Logger: log, Metrics: metrics.Scope,
@@ -172,23 +180,19 @@
 	}
 }
 
-// slow is by how much what all instances do beside requests is slowed down.
-func (i *Instance) slow() float64 { return quota.Stretch(i.fleetSize()) }
-
-func (i *Instance) fleetSize() int {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return i.count
+// informs returns what tells of changes that all instances learn of: in a large fleet the hubs'
+// lines are enough.
+func (i *Instance) informs() func(string, ...zap.Field) {
+	if i.fleetSize() > hub.SmallFleet && !i.exchange.IsHub() {
+		return i.log.Debug
+	}
+	return i.log.Info
 }
 
+func (i *Instance) fleetSize() int { return max(i.exchange.Instances(), 1) }
+
 // setMembers takes over the list of other instances.
-func (i *Instance) setMembers(members []fleet.Member) {
-	i.mu.Lock()
-	i.count = len(members) + 1
-	i.mu.Unlock()
-	i.quotas.SetMembers(members)
-	i.exchange.SetMembers(members)
-}
+func (i *Instance) setMembers(members []fleet.Member) { i.exchange.SetMembers(members) }
 
 // Run serves until ctx ends, then drains: what was read is answered, new requests
 // are taken while the balancer still sends them, and the process ends within its
@@ -247,7 +251,7 @@
 // startFollowing starts what keeps this instance's beliefs.
 func (i *Instance) startFollowing(ctx context.Context, group *errgroup.Group) {
 	members := follow.NewFollower(port.TopicInstances, follow.Pace{Gap: memberGap}, i.members)
-	members.Slow = i.slow
+	members.Slow = i.readSlowly
 	for _, f := range append(i.shared[:len(i.shared):len(i.shared)], members) {
 		f.Log, f.Logger = i.outside.Log, i.log
 		group.Go(func() error { return ignoreEnd(ctx, f.Run(ctx)) })
@@ -258,7 +262,7 @@
 	group.Go(func() error { return i.sweep(ctx) })
 	group.Go(func() error {
 		return ignoreEnd(ctx, i.gateway.RunRoles(ctx, gateway.RoleOptions{
-			Engines: i.outside.Engines, Log: i.outside.Log, Holder: i.settings.Instance, Leads: i.quotas.Leads,
+			Engines: i.outside.Engines, Log: i.outside.Log, Holder: i.settings.Instance, Leads: func(service string) bool { return i.exchange.Rank(service) == 0 },
 			Lease: time.Duration(i.settings.LeaseMS) * time.Millisecond,
 		}))
 	})
@@ -274,14 +278,28 @@
 			return nil
 		case <-ticker.C:
 			i.outside.Pool.Sweep()
+			i.quotas.Sweep(i.exchange.Knows)
+			i.tellHubs()
 			i.metrics.Beliefs(i.beliefs())
 		}
 	}
 }
 
+// tellHubs logs whom this instance reports to when that has changed.
+func (i *Instance) tellHubs() {
+	var names []string
+	for _, h := range i.exchange.Hubs() {
+		names = append(names, h.Name)
+	}
+	if !slices.Equal(names, i.hubs) {
+		i.hubs = names
+		i.log.Info("hubs changed", zap.Strings("hubs", names[:min(len(names), hub.Hubs)]), zap.Bool("hub", i.exchange.IsHub()), zap.Int("instances", i.fleetSize()))
+	}
+}
+
 func (i *Instance) beliefs() observe.Beliefs {
 	b := observe.Beliefs{
-		Ready: i.notReady() == "", Upstreams: i.state.Directory.Len(), Instances: i.fleetSize(), Restricted: i.quotas.Restricted(),
+		Ready: i.notReady() == "", Upstreams: i.state.Directory.Len(), Instances: i.fleetSize(), Hubs: len(i.exchange.Hubs()), Hub: i.exchange.IsHub(),
 	}
 	if index := i.state.Index(); index != nil {
 		b.Version, b.Age = index.Version(), i.state.Age()
@@ -359,6 +377,7 @@
 	grace := seconds(i.settings.GraceS)
 	i.log.Info("draining", zap.Duration("grace", grace))
 	i.gateway.Drain()
+	i.exchange.Leave()
 	linger := time.Duration(float64(grace) * lingerShare)
 	time.Sleep(linger)
 	ctx, cancel := context.WithTimeout(context.Background(), grace-linger-exitMargin)
--- a/observe/metrics.go
+++ b/observe/metrics.go
@@ -113,6 +113,11 @@
 	scope.Histogram("store_seconds", latencyBuckets).RecordDuration(d)
 }
 
+// QuotaWait records how long a request waited for tokens.
+func (m *Metrics) QuotaWait(d time.Duration) {
+	m.Scope.Histogram("quota_wait_seconds", latencyBuckets).RecordDuration(d)
+}
+
 // Beliefs sets what an instance believes now.
 func (m *Metrics) Beliefs(b Beliefs) {
 	flag := func(set bool) float64 {
@@ -126,7 +131,8 @@
 	m.Scope.Gauge("configuration_age_seconds").Update(b.Age.Seconds())
 	m.Scope.Gauge("upstreams").Update(float64(b.Upstreams))
 	m.Scope.Gauge("instances").Update(float64(b.Instances))
-	m.Scope.Gauge("quota_restricted").Update(flag(b.Restricted))
+	m.Scope.Gauge("hubs").Update(float64(b.Hubs))
+	m.Scope.Gauge("hub").Update(flag(b.Hub))
 }
 
 // Beliefs are what an instance goes by.
@@ -138,8 +144,9 @@
 	Age     time.Duration
 	// Upstreams and Instances that are known.
 	Upstreams, Instances int
-	// Restricted tells that only shares of quotas may be spent.
-	Restricted bool
+	// Hubs are those that this instance reports to; Hub tells that it is one.
+	Hubs int
+	Hub  bool
 }
 
 // Retried counts a retry by the reason of the failed attempt.
--- a/settings/routed.go
+++ b/settings/routed.go
@@ -26,7 +26,8 @@
 	Metrics   string `json:"metrics" doc:"address that serves /metrics" unit:"IP:port" default:"none"`
 	Store     string `json:"store" doc:"address of the platform's store" unit:"IP:port" default:"required"`
 
-	MemoryMB int `json:"memory_mb" doc:"memory that the process may use; the runtime collects garbage harder from half of it on" unit:"MB" default:"no bound"`
+	Cores    float64 `json:"cores" doc:"processor time that the process may use; of a large fleet the machines with most pass on what the others tell" unit:"cores" default:"0, which is least"`
+	MemoryMB int     `json:"memory_mb" doc:"memory that the process may use; the runtime collects garbage harder from half of it on" unit:"MB" default:"no bound"`
 	// RevokeMS is the platform's bound on how long a withdrawn key may go on working.
 	RevokeMS   int     `json:"revoke_ms" doc:"longest time that a withdrawn key may still work, also on an instance that is cut off" unit:"ms" default:"5000"`
 	ApplyMS    int     `json:"apply_ms" doc:"time in which a new configuration must be in force" unit:"ms" default:"2000"`
@@ -93,7 +94,7 @@
 		field string
 		value float64
 	}{
-		{"memory_mb", float64(s.MemoryMB)}, {"retry_ratio", s.RetryRatio}, {"retry_slack", s.RetrySlack},
+		{"cores", s.Cores}, {"memory_mb", float64(s.MemoryMB)}, {"retry_ratio", s.RetryRatio}, {"retry_slack", s.RetrySlack},
 		{"quota_over", s.QuotaOver}, {"quota_slack", s.QuotaSlack},
 	} {
 		if n.value < 0 {
