Homes hand over what they hold, hubs stay, and a start asks the store less

Change: what is not heard is not judged by its age; a restarted machine is no hub for five minutes where there is another like it; a home that another has replaced bills it what it has left, as a total; polls tell offsets; first reads of the id are spread; only hubs watch the holders of orders; who is no hub of a large fleet writes no entry.

--- a/decision/escrow/escrow.go
+++ b/decision/escrow/escrow.go
@@ -24,6 +24,8 @@
 //     while instances know too few of one another.
 //   - A bucket holds no more of the burst than the part of the rate that flows into it. One
 //     that others have turned away from does not keep a burst for the time when they return.
+//   - A home that knows that another has taken its place hands over what it has left, as a
+//     total as well.
 //
 // Organisations are gathered in shards, by which time is handed on: the size of a message does
 // not depend on how many there are.
--- a/decision/escrow/escrow_test.go
+++ b/decision/escrow/escrow_test.go
@@ -173,6 +173,22 @@
 	assert.Assert(t, w.admit(other, request))
 }
 
+// Guards against planned restarts that cost an organisation its burst each.
+func TestLeavingHomeHandsOver(t *testing.T) {
+	w := newNetwork(9, busy, 13)
+	w.run(5*time.Second, nobody)
+	home := w.homeOf(w.nodes[0])
+	for _, d := range w.nodes {
+		d.asked[home.index] = w.now - silence - time.Second
+	}
+	w.run(interval+100*time.Millisecond, nobody)
+	next := w.homeOf(w.nodes[0])
+	assert.Assert(t, next != home)
+	held := next.home.Take(w.now, org, 1<<40).Level
+	assert.Assert(t, held > 0.8*busy.Burst, "%.0f of %.0f", held, busy.Burst)
+	assert.Assert(t, home.home.Take(w.now, org, 1<<40).Level < 0.1*busy.Burst)
+}
+
 // Guards against an organisation that lives with a bucket below nothing after a cut.
 func TestLevelsRecoverAfterACut(t *testing.T) {
 	w := newNetwork(9, busy, 9)
--- a/decision/escrow/home.go
+++ b/decision/escrow/home.go
@@ -15,6 +15,9 @@
 const (
 	// partTime is over what time the part of the rate that flows in is taken.
 	partTime = 2 * time.Second
+	// fadeTime is over what time a bucket loses what is above the part of the burst that it
+	// may hold: twice what the part takes to follow a change of homes.
+	fadeTime = 2 * partTime
 	// evenness allows for parts that arrive unevenly: a bucket that all give to would lose a
 	// part of its burst with each lost report.
 	evenness = 1.15
@@ -103,7 +106,7 @@
 	in.inflow = in.inflow*math.Exp(-elapsed.Seconds()/partTime.Seconds()) + given.Seconds()/partTime.Seconds()
 	for org, b := range h.buckets {
 		if ShardOf(org) == shard {
-			b.flow(given.Seconds(), in.part())
+			b.flow(given.Seconds(), in.part(), elapsed)
 		}
 	}
 }
@@ -111,9 +114,27 @@
 // part is the part of the rate that flows in, 0 to 1.
 func (in *intake) part() float64 { return min(in.inflow*evenness, 1) }
 
-func (b *bucket) flow(seconds, part float64) {
-	tokens := seconds * b.limit.Rate
-	b.level = min(b.level+tokens, b.limit.Burst*part)
+// flow lets time of the rate flow in, up to the part of the burst that the part of the rate
+// allows. What is above that, since others have turned away or it was handed over, fades.
+func (b *bucket) flow(seconds, part float64, elapsed time.Duration) {
+	most := b.limit.Burst * part
+	if above := b.level - most; above > 0 {
+		b.level -= above * (1 - math.Exp(-elapsed.Seconds()/fadeTime.Seconds()))
+		return
+	}
+	b.level = min(b.level+seconds*b.limit.Rate, most)
+}
+
+// HandOver empties the buckets of a shard and returns what was in them. Debts go along.
+func (h *Home) HandOver(shard int) map[uint64]int64 {
+	out := make(map[uint64]int64)
+	for org, b := range h.buckets {
+		if tokens := int64(b.level); ShardOf(org) == shard && tokens != 0 && b.limit.Rate > 0 {
+			b.level -= float64(tokens)
+			out[org] = tokens
+		}
+	}
+	return out
 }
 
 // Decision is the answer to a request for tokens.
--- a/decision/escrow/network_test.go
+++ b/decision/escrow/network_test.go
@@ -59,6 +59,8 @@
 	// heard is when each hub that was asked was last heard, asked since when it was not.
 	asked  map[int]time.Duration
 	frozen time.Duration
+	// bills are what it has charged to each run, in total.
+	bills map[Run]int64
 }
 
 type spend struct {
@@ -88,6 +90,7 @@
 	d.giver, d.home = NewGiver(w.now), NewHome(w.now)
 	d.home.SetLimits(map[uint64]Limit{org: w.limit})
 	d.asked = make(map[int]time.Duration)
+	d.bills = make(map[Run]int64)
 }
 
 // hubs are the hubs that an instance chooses: of all but those that have left its reports
@@ -134,9 +137,15 @@
 	return !w.cut[[2]int{from.index, to.index}] && w.now >= to.frozen && w.now >= from.frozen && w.rng.Float64() >= w.loss
 }
 
-// report hands an instance's part on to the home.
+// report hands an instance's part on to the home, and what it has left if another has taken its
+// place.
 func (w *network) report(d *node) {
 	home := w.homeOf(d)
+	if home != d {
+		for _, tokens := range d.home.HandOver(ShardOf(org)) {
+			d.bills[home.run] -= tokens
+		}
+	}
 	d.giver.Accrue(w.now, len(w.nodes))
 	totals := d.giver.Give(home.run, []int{ShardOf(org)})
 	if home == d {
@@ -151,6 +160,7 @@
 		return
 	}
 	home.home.Receive(w.now, d.run, totals)
+	home.home.Charge(d.run, org, d.bills[home.run])
 	if w.passes(home, d) {
 		delete(d.asked, home.index)
 	}
--- a/decision/hub/hub.go
+++ b/decision/hub/hub.go
@@ -40,8 +40,8 @@
 	Hash uint64
 	// Millicores is the processor time that it may use, in thousandths of a core.
 	Millicores int
-	// Settled tells that it has run for a while. One that has just started holds nothing yet,
-	// and its machine may be in the middle of planned work.
+	// Settled tells that it has run for a while. Were one that has started again to take its
+	// place back, every restart would move what hubs are the homes of twice.
 	Settled bool
 }
 
@@ -60,19 +60,25 @@
 }
 
 func compare(a, b Candidate) int {
-	if a.Settled != b.Settled {
-		if a.Settled {
-			return -1
-		}
-		return 1
-	}
 	return cmp.Or(
 		cmp.Compare(b.class(), a.class()),
+		compareSettled(a, b),
 		cmp.Compare(a.Hash, b.Hash),
 		cmp.Compare(a.Name, b.Name),
 	)
 }
 
+func compareSettled(a, b Candidate) int {
+	switch {
+	case a.Settled == b.Settled:
+		return 0
+	case a.Settled:
+		return -1
+	default:
+		return 1
+	}
+}
+
 // spread takes the best of each data centre in turn. A data centre whose best is of a lower
 // class than what others still have waits, as its machine would be the one to fall behind.
 func spread(ordered []Candidate, count int) []string {
--- a/fleet/codec.go
+++ b/fleet/codec.go
@@ -34,6 +34,12 @@
 	for _, n := range r.Notes {
 		m.Notes = append(m.Notes, marshalNote(n))
 	}
+	for topic, offset := range r.Known {
+		if m.Known == nil {
+			m.Known = make(map[uint32]uint64, len(r.Known))
+		}
+		m.Known[uint32(topic)] = offset
+	}
 	for service, v := range r.Works {
 		m.Works = append(m.Works, marshalWork(service, v))
 	}
@@ -124,6 +130,12 @@
 		}
 		r.Notes = append(r.Notes, note)
 	}
+	for topic, offset := range m.Known {
+		if r.Known == nil {
+			r.Known = make(map[port.Topic]uint64, len(m.Known))
+		}
+		r.Known[port.Topic(topic)] = offset
+	}
 	for _, w := range m.Works {
 		r.Works[Hash(w.Service)] = unmarshalWork(w)
 	}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -35,6 +35,7 @@
 			Split:   split.View{Samples: 23, Prompts: 24, Prompt: 25, Speed: 26, Decode: 0.5},
 			Lengths: length.Sums{N: 27, X: 28, Y: 29, XX: 30, XY: 31, YY: 32},
 		}},
+		Known: map[port.Topic]uint64{port.TopicUpstreams: 44},
 		Notes: []follow.Note{{
 			Topic: port.TopicUpstreams, Mark: 16, Next: 17, Age: 18 * time.Millisecond, From: 19,
 			Records: []port.KeyedRecord{{Key: "k", Value: []byte("v"), Offset: 20}, {Key: "dropped", Offset: 21}},
@@ -63,6 +64,7 @@
 	poll := &Report{
 		Instance: "edge-dubrovnik-e-17", Incarnation: 1 << 60, Sequence: 30_000, Fleet: fleetid.Identity{ID: 1 << 60}, Instances: 295, Made: time.Hour,
 		Machine: Machine{DataCentre: "dubrovnik-e", Millicores: 192}, Heard: Heard{1 << 30, 500 * time.Millisecond, time.Hour}, Poll: &Poll{Hubs: 1 << 60},
+		Known: map[port.Topic]uint64{port.TopicUpstreams: 3000, port.TopicConfiguration: 3000},
 		Notes: notes, Loads: map[Hash]Load{1 << 30: {1, 12_000}, 1 << 31: {1, 12_000}},
 		Shares: map[int]time.Duration{1: time.Minute, 2: time.Minute, 3: time.Minute, 4: time.Minute},
 	}
--- a/fleet/hubs.go
+++ b/fleet/hubs.go
@@ -23,8 +23,8 @@
 	// toldAge is how long a hub's word on the size of the fleet holds.
 	toldAge = 2 * time.Second
 	// youngTime is how long an instance that has started after the others is no hub where
-	// there is another: its buckets fill meanwhile only from what flows in.
-	youngTime = 10 * time.Second
+	// there is another like it: longer than a rolling restart takes.
+	youngTime = 5 * time.Minute
 	// together is the time within which instances count as started together.
 	together = 5 * time.Second
 )
@@ -132,7 +132,7 @@
 		return x.chosen
 	}
 	x.chosen.size = x.size(now)
-	x.chosen.hubs = pick(x.candidates(now), x.chosen.size, hub.Hubs)
+	x.chosen.hubs = x.pick(x.candidates(now), x.chosen.size, hub.Hubs)
 	x.chosen.at = now
 	return x.chosen
 }
@@ -190,18 +190,21 @@
 	x.chosen = choice{size: x.chosen.size}
 }
 
-// pick chooses hubs among members.
-func pick(members []Member, size, count int) []Member {
+// pick chooses hubs among members. Of one that has not been heard it is not known whether the run
+// that is listed still is the one at work: after all have lost power, none is.
+func (x *Exchange) pick(members []Member, size, count int) []Member {
 	byName := make(map[string]Member, len(members))
-	first := time.Duration(1<<63 - 1)
+	first := started(x.self)
 	for _, m := range members {
 		byName[m.Name] = m
-		first = min(first, started(m))
+		if x.everHeard(m) {
+			first = min(first, started(m))
+		}
 	}
 	now := time.Duration(time.Now().UnixNano())
 	candidates := make([]hub.Candidate, 0, len(members))
 	for _, m := range members {
-		settled := started(m) <= first+together || now-started(m) > youngTime
+		settled := !x.everHeard(m) || started(m) <= first+together || now-started(m) > youngTime
 		candidates = append(candidates, hub.Candidate{Name: m.Name, Hash: uint64(HashOf(m.Name)), DataCentre: m.Machine.DataCentre, Millicores: m.Machine.Millicores, Settled: settled})
 	}
 	var out []Member
@@ -211,6 +214,12 @@
 	return out
 }
 
+// everHeard reports whether a run has been heard here; the lock is held.
+func (x *Exchange) everHeard(m Member) bool {
+	_, heard := x.last[RunOf(m.Name, m.Incarnation)]
+	return heard || m.Name == x.self.Name
+}
+
 // started is when a run began, by its machine's time of day.
 func started(m Member) time.Duration {
 	return time.Duration(m.Incarnation>>incarnationNoise) * time.Millisecond
--- a/fleet/hubs_test.go
+++ b/fleet/hubs_test.go
@@ -141,6 +141,25 @@
 	}
 }
 
+// Guards against a fleet that has lost power and takes runs that have ended for settled ones, so
+// that each reports to other hubs for many seconds.
+func TestRestartedFleetChoosesTheSameHubs(t *testing.T) {
+	x := fleetOf(t, 100)
+	now := boottime.Now()
+	before := digest(x.choose(now).hubs)
+	x.self.Incarnation = NewIncarnation(time.Now())
+	for i, m := range x.choose(now).hubs {
+		if i%2 == 0 {
+			m.Incarnation = x.self.Incarnation + 1
+			p := x.peers[m.Name]
+			p.Member, p.run = m, RunOf(m.Name, m.Incarnation)
+			x.last[p.run] = lastReport{sequence: 1, at: now}
+		}
+	}
+	x.chosen.at = 0
+	assert.Equal(t, digest(x.choose(now).hubs), before)
+}
+
 func contains(c choice, name string) bool {
 	for _, m := range c.hubs {
 		if m.Name == name {
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -21,8 +22,13 @@
 	beatInterval = 4 * time.Second
 	// beatTimeout bounds one renewal.
 	beatTimeout = 1500 * time.Millisecond
-	// firstBeatRetry is the pause after a failed first entry.
+	// firstBeatRetry is the pause after a first entry that failed.
 	firstBeatRetry = 200 * time.Millisecond
+	// firstList is how long an instance that starts waits for the list, which tells whether
+	// it needs an entry.
+	firstList = time.Second
+	// unlistedLook is how often an instance without an entry looks whether it needs one.
+	unlistedLook = time.Second
 	// Lapse is how long an entry holds that is not renewed. An instance that cannot
 	// reach the store stops serving requests with a key before that, since it no
 	// longer knows which keys hold.
@@ -68,16 +74,22 @@
 	log     port.KeyedLog
 	logger  *zap.Logger
 	changed func([]Member)
-	// Slow multiplies the time between renewals of this instance's entry, if set: all
-	// instances' renewals together are bounded by what the store bears and each is paid for.
-	// It must not be changed once the list is in use.
-	Slow func() float64
+	// Unlisted reports whether this instance needs no entry now; nil means that it always does.
+	// ReadFirst tells that the list is read before the first entry is written. Neither may be
+	// changed once the list is in use.
+	Unlisted  func() bool
+	ReadFirst bool
 	// Informs returns what tells of instances that are gone; nil means the logger.
 	Informs func() func(string, ...zap.Field)
 
 	mu     sync.Mutex
 	others map[string]Member
 	lost   bool
+	// read is closed once the list has been read.
+	read     chan struct{}
+	readOnce sync.Once
+	// written tells that this run has an entry.
+	written atomic.Bool
 	// warned tells that it was logged that too many instances are not listed.
 	warned bool
 }
@@ -85,32 +97,45 @@
 // NewMembers returns a list that holds nobody. changed is called with all other
 // members after each change.
 func NewMembers(self Member, log port.KeyedLog, logger *zap.Logger, changed func([]Member)) *Members {
-	return &Members{self: self, log: log, logger: logger, changed: changed, others: make(map[string]Member)}
+	return &Members{self: self, log: log, logger: logger, changed: changed, others: make(map[string]Member), read: make(chan struct{})}
 }
 
 // Run keeps this instance's entry until ctx ends.
 func (m *Members) Run(ctx context.Context) error {
-	pause := firstBeatRetry
+	if m.ReadFirst {
+		m.await(ctx, firstList, m.read)
+	}
 	for ctx.Err() == nil {
-		if err := m.beat(ctx); err != nil {
-			m.logger.Warn("entry not renewed", zap.Error(err))
-		} else {
-			pause = m.slowed(beatInterval)
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		}
+		m.await(ctx, m.renew(ctx), nil)
 	}
 	return ctx.Err()
 }
 
-// slowed returns a time of entries as it is in a fleet of this size.
-func (m *Members) slowed(d time.Duration) time.Duration {
-	if m.Slow == nil {
-		return d
+// renew renews the entry, if there is to be one, and returns the time until the next look.
+func (m *Members) renew(ctx context.Context) time.Duration {
+	if m.Unlisted != nil && m.Unlisted() {
+		return unlistedLook
+	}
+	if err := m.beat(ctx); err != nil {
+		m.logger.Warn("entry not renewed", zap.Error(err))
+		if !m.written.Load() {
+			return firstBeatRetry
+		}
+		return beatInterval
+	}
+	m.written.Store(true)
+	return beatInterval
+}
+
+// await waits for a time, or until something has happened.
+func (m *Members) await(ctx context.Context, d time.Duration, early <-chan struct{}) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-early:
+	case <-timer.C:
 	}
-	return time.Duration(float64(d) * m.Slow())
 }
 
 func (m *Members) beat(ctx context.Context) error {
@@ -126,6 +151,9 @@
 
 // Leave drops this instance's entry.
 func (m *Members) Leave(ctx context.Context) {
+	if !m.written.Load() {
+		return
+	}
 	if err := m.log.Put(ctx, port.TopicInstances, m.self.Name, nil); err != nil {
 		m.logger.Warn("entry not dropped; it lapses", zap.Error(err))
 	}
@@ -322,6 +350,7 @@
 	list := m.list()
 	m.mu.Unlock()
 	m.changed(list)
+	m.readOnce.Do(func() { close(m.read) })
 }
 
 // Lost implements follow.Reader.
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -12,6 +12,7 @@
 	"github.com/cairnworks/cairnworks/decision/split"
 	"github.com/cairnworks/cairnworks/fleetid"
 	"github.com/cairnworks/cairnworks/follow"
+	"github.com/cairnworks/cairnworks/port"
 )
 
 // Hash is the short form of a name in reports.
@@ -117,6 +118,8 @@
 	Loads   map[Hash]Load
 	Crashes []Crash
 	Notes   []follow.Note
+	// Known are the offsets up to which the sender knows the topics of the store.
+	Known map[port.Topic]uint64
 	// Works is what was seen of the requests of model services.
 	Works map[Hash]Work
 	// Shares are totals of the time of all rates that were handed to the receiver, by shard.
--- a/fleetid/keeper.go
+++ b/fleetid/keeper.go
@@ -44,7 +44,10 @@
 	// Interval is the time between two reads of the id once it is known; 0 reads it again
 	// only when another instance names a different one.
 	Interval time.Duration
-	Logger   *zap.Logger
+	// Spread is the time over which the first reads of instances that start together are
+	// spread.
+	Spread time.Duration
+	Logger *zap.Logger
 	// Metrics counts meetings by what came of them; nil counts nothing.
 	Metrics tally.Scope
 }
@@ -82,6 +85,7 @@
 func (k *Keeper) Run(ctx context.Context) error {
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval, pause.MaxInterval = retryMin, retryMax
+	wait(ctx, time.Duration(rand.Float64()*float64(k.cfg.Spread)), nil)
 	for ctx.Err() == nil {
 		if err := k.load(ctx); err != nil {
 			k.cfg.Logger.Warn("fleet id not read", zap.Stringer("fleet_id", k.Identity().ID), zap.Error(err))
--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -275,8 +275,20 @@
 		hashes[i] = uint64(fleet.HashOf(h.Name))
 	}
 	q.hubs = hubs
-	for s := range q.homes {
-		q.homes[s] = hubs[hub.HomeOf(s, hashes)]
+	for s, before := range q.homes {
+		home := hubs[hub.HomeOf(s, hashes)]
+		q.homes[s] = home
+		if before == q.self && home != q.self {
+			q.handOver(s, home)
+		}
+	}
+}
+
+// handOver gives what is left in a shard's buckets to the home that has taken this one's place;
+// the lock is held.
+func (q *Quotas) handOver(shard int, to fleet.Hub) {
+	for org, tokens := range q.home.HandOver(shard) {
+		q.bill(to, fleet.Hash(org), -tokens)
 	}
 }
 
--- a/gateway/roles.go
+++ b/gateway/roles.go
@@ -75,6 +75,8 @@
 	Leads func(service string) bool
 	// Lease is the time within which two holders must not take turns.
 	Lease time.Duration
+	// Watches reports whether this instance may come to lead; nil means always.
+	Watches func() bool
 }
 
 // roleRecord is what stands in the store of a service's holder.
@@ -102,10 +104,14 @@
 // RunRoles watches the division of engines until ctx ends.
 func (g *Gateway) RunRoles(ctx context.Context, o RoleOptions) error {
 	k := &roleKeeper{RoleOptions: o, gateway: g, wanted: make(map[string]int), quiet: make(map[string]time.Duration), seen: make(map[string]sighting)}
-	k.watch(ctx)
 	ticker := time.NewTicker(roleInterval)
 	defer ticker.Stop()
+	watched := false
 	for {
+		if !watched && (k.Watches == nil || k.Watches()) {
+			k.watch(ctx)
+			watched = true
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
--- a/instance/routed/readers.go
+++ b/instance/routed/readers.go
@@ -38,22 +38,17 @@
 	memberGap = 4 * time.Second
 )
 
-// Figures of the instances' own entries.
+// How often the list of instances is read.
 const (
-	// idleBeats is how much more seldom an instance that is no hub of a large fleet renews
-	// its entry. Who starts needs to find some hubs only.
-	idleBeats = 30
 	// calmReads is how much more seldom the list of instances is read while others are
 	// heard, and aloneReads how much more often while nobody is.
 	calmReads, aloneReads = 15, 0.4
 )
 
-// renewSlowly is how much more seldom than a hub this instance renews its entry.
-func (i *Instance) renewSlowly() float64 {
-	if i.fleetSize() <= hub.SmallFleet || i.exchange.IsHub() {
-		return 1
-	}
-	return idleBeats
+// unlisted reports whether this instance needs no entry: who starts must find the hubs of a
+// large fleet only, and hubs hear of the others by their reports.
+func (i *Instance) unlisted() bool {
+	return i.fleetSize() > hub.SmallFleet && !i.exchange.IsHub()
 }
 
 // readSlowly is how much more seldom than in a small fleet the list of instances is read.
@@ -90,10 +85,14 @@
 // Fill implements fleet.Handler.
 func (i *Instance) Fill(now time.Duration, r *fleet.Report) {
 	i.gateway.Fill(now, r)
+	r.Known = make(map[port.Topic]uint64, len(i.shared))
 	for _, f := range i.shared {
 		if n, ok := f.Note(now); ok {
 			r.Notes = append(r.Notes, n)
 		}
+		if known := f.Known(); known > 0 {
+			r.Known[f.Topic] = known
+		}
 	}
 }
 
@@ -106,21 +105,14 @@
 func (i *Instance) Answer(now time.Duration, poll, r *fleet.Report) {
 	i.gateway.Answer(now, poll, r)
 	for _, f := range i.shared {
-		if n, ok := f.Tell(now, knownTo(poll, f.Topic)); ok {
-			r.Notes = append(r.Notes, n)
+		known, told := poll.Known[f.Topic]
+		if !told {
+			known = math.MaxUint64
 		}
-	}
-}
-
-// knownTo is the offset up to which a report's sender knows a topic. Who says nothing of it
-// reads the store first.
-func knownTo(poll *fleet.Report, topic port.Topic) uint64 {
-	for _, n := range poll.Notes {
-		if n.Topic == topic {
-			return n.Next
+		if n, ok := f.Tell(now, known); ok {
+			r.Notes = append(r.Notes, n)
 		}
 	}
-	return math.MaxUint64
 }
 
 // Asked implements fleet.Handler.
--- a/instance/routed/routed.go
+++ b/instance/routed/routed.go
@@ -148,19 +148,28 @@
 	i.exchange = exchange
 	i.quotas.Connect(exchange)
 	i.members = fleet.NewMembers(self, outside.Log, log, i.setMembers)
-	i.members.Slow = i.renewSlowly
+	i.members.Unlisted, i.members.ReadFirst = i.unlisted, !s.FirstStart
 	i.members.Informs = i.informs
 	exchange.OnReport(i.members.Introduce)
 	exchange.OnVouched(i.members.Vouch)
 	exchange.OnExpire(i.members.Expire)
 	exchange.OnlyFrom(i.members.Current)
 	i.fleet = fleetid.NewKeeper(fleetid.KeeperConfig{
-		Store: fleetid.NewKeyedStore(outside.Log), Name: s.FleetName(), Logger: log, Metrics: metrics.Scope,
+		Store: fleetid.NewKeyedStore(outside.Log), Spread: idSpread(s.FirstStart), Name: s.FleetName(), Logger: log, Metrics: metrics.Scope,
 	})
 	exchange.Of(i.fleet)
 	return i, nil
 }
 
+// idSpread is over what time instances read the fleet's id that start for the first time, when
+// there is none yet: one of them is to draw it, and the rest to find it.
+func idSpread(firstStart bool) time.Duration {
+	if firstStart {
+		return time.Second
+	}
+	return 0
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // noMemoryBound stands for settings without one, in MB.
@@ -263,7 +272,7 @@
 	group.Go(func() error {
 		return ignoreEnd(ctx, i.gateway.RunRoles(ctx, gateway.RoleOptions{
 			Engines: i.outside.Engines, Log: i.outside.Log, Holder: i.settings.Instance, Leads: func(service string) bool { return i.exchange.Rank(service) == 0 },
-			Lease: time.Duration(i.settings.LeaseMS) * time.Millisecond,
+			Lease: time.Duration(i.settings.LeaseMS) * time.Millisecond, Watches: i.exchange.IsHub,
 		}))
 	})
 }
