A crashed engine does not stop a change of stages; prompts read beside their decode engine

Change: engines that could not be reached lately are not asked; one that fails is passed over, and the next takes its place (orderTries). A prompt is read in the data centre of the decode engine that goes on with it, as long as an engine there is calm (room.ClaimIn); moving its memory between data centres takes twice as long and is priced higher. What homes and givers know of ended runs is bounded.

--- a/decision/escrow/escrow_test.go
+++ b/decision/escrow/escrow_test.go
@@ -280,6 +280,21 @@
 	assert.Assert(t, h.Take(fullAt, org, 9_000).Level <= 2_000)
 }
 
+// Guards against memory that grows with each restart of an instance.
+func TestEndedRunsAreForgotten(t *testing.T) {
+	h, g := full(busy), NewGiver(0)
+	for run := Run(2); run < 50; run++ {
+		h.Receive(fullAt, run, map[int]time.Duration{1: time.Millisecond})
+		h.Charge(run, org, 1)
+		g.Give(run, []int{1})
+	}
+	assert.Equal(t, h.Runs(), 49)
+	h.Forget(func(run Run) bool { return run >= 10 })
+	g.Forget(func(run Run) bool { return run >= 10 })
+	assert.Equal(t, h.Runs(), 9)
+	assert.Equal(t, len(g.given), 8)
+}
+
 // Guards against a lowered limit under which what was saved before lasts on.
 func TestLowerLimitCutsWhatIsLeft(t *testing.T) {
 	h, now := full(Limit{Rate: 100_000, Burst: 100_000}), fullAt
--- a/decision/escrow/home.go
+++ b/decision/escrow/home.go
@@ -211,7 +211,11 @@
 	return out
 }
 
-// Forget drops what is known of runs that have ended.
+// Runs is the number of runs of which something is known.
+func (h *Home) Runs() int { return max(len(h.seen), len(h.bills)) }
+
+// Forget drops what is known of runs that have ended. One that has not would be charged its
+// total again, up to the bound on debts.
 func (h *Home) Forget(ended func(Run) bool) {
 	for run := range h.seen {
 		if ended(run) {
--- a/decision/room/room.go
+++ b/decision/room/room.go
@@ -36,6 +36,8 @@
 	Memory, Slots int
 	// Near engines are in the own data centre.
 	Near bool
+	// DataCentre is where the engine is.
+	DataCentre string
 }
 
 // Load is what one instance has placed at an engine.
@@ -120,10 +122,28 @@
 // goes before one with less: a twentieth, about half of one request's share.
 const nearBonus = 0.05
 
+// calmUse is the used share up to which an engine takes a request because of where it is: a
+// prompt waits there for less than the transfer between data centres costs.
+const calmUse = 0.4
+
+// ClaimIn places a request at an engine of a data centre if one there has little to do, and
+// where Claim does otherwise.
+func (r *Room) ClaimIn(dataCentre string, tokens int, except map[string]bool) (string, bool) {
+	fits := slices.DeleteFunc(r.fitting(tokens, except), func(c candidate) bool {
+		return c.dataCentre != dataCentre || c.used > calmUse
+	})
+	if len(fits) == 0 {
+		return r.Claim(tokens, except)
+	}
+	best := slices.MinFunc(fits, compareUsed)
+	r.add(best.id, 1, tokens)
+	return best.id, true
+}
+
 // candidate is an engine that a request fits at, with its used share thereafter.
 type candidate struct {
-	id   string
-	used float64
+	id, dataCentre string
+	used           float64
 }
 
 // Claim places a request of a size in tokens and returns the engine. Engines in except
@@ -153,7 +173,7 @@
 		if e.Near {
 			used -= nearBonus
 		}
-		fits = append(fits, candidate{e.ID, used})
+		fits = append(fits, candidate{e.ID, e.DataCentre, used})
 	}
 	return fits
 }
@@ -182,10 +202,13 @@
 	return max(slots, float64(load.Tokens+tokens)/float64(e.Memory))
 }
 
-// Idlest returns the engine with the lowest load.
-func (r *Room) Idlest() (string, bool) {
+// Idlest returns the engine with the lowest load. Engines in except are left out.
+func (r *Room) Idlest(except map[string]bool) (string, bool) {
 	best, lowest := "", math.Inf(1)
 	for _, e := range r.engines {
+		if except[e.ID] {
+			continue
+		}
 		if load := loadAfter(e, r.Load(e.ID), 0); load < lowest {
 			best, lowest = e.ID, load
 		}
--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -31,6 +31,9 @@
 	// answersKept is how long the answer to an ask is kept for repetitions, which come
 	// within the tries of one ask.
 	answersKept = 2 * time.Second
+	// runsKept is how many runs are remembered for each instance of the fleet. A run that is
+	// silent for long may only be cut off.
+	runsKept = 4
 	// boundShare is the part of the bound on a quota that bursts and what instances hold may
 	// use up. The rest is for requests that were granted tokens and are sent later.
 	boundShare = 0.7
@@ -379,10 +382,14 @@
 			delete(q.short, org)
 		}
 	}
-	q.chooseHomes()
+	ended := func(run escrow.Run) bool { return !known(fleet.Run(run)) && fleet.Run(run) != q.self.Run }
+	q.giver.Forget(ended)
 	for run := range q.bills {
-		if !known(run) && run != q.self.Run {
+		if ended(escrow.Run(run)) {
 			delete(q.bills, run)
 		}
 	}
+	if q.home.Runs() > runsKept*q.network.Instances() {
+		q.home.Forget(ended)
+	}
 }
--- a/gateway/roles.go
+++ b/gateway/roles.go
@@ -29,6 +29,9 @@
 	roleUnknown = 20 * time.Second
 	// roleCall bounds each call that belongs to a change.
 	roleCall = time.Second
+	// orderTries is how many engines are asked for each that is to change: some have crashed
+	// or are leaving.
+	orderTries = 2
 	// holdShare is the part of the lease in which a holder gives orders. The rest covers
 	// an order on its way.
 	holdShare = 0.5
@@ -192,24 +195,50 @@
 		return err
 	}
 	k.quiet[d.service] = boottime.Now() + time.Duration(d.shape().RoleChangeMS)*time.Millisecond + roleSettle
-	for range count {
-		if err := k.order(ctx, d, to, token, until); err != nil {
+	from, pool := upstream.Decode, d.decode
+	if to == upstream.Decode {
+		from, pool = upstream.Prefill, d.prefill
+	}
+	passed := union(k.gateway.suspects.among(k.gateway.state.Directory.Service(d.service)), map[string]bool{})
+	done, last := 0, fmt.Errorf("no %s engine can change", from)
+	for tries := 0; done < count && tries < orderTries*count; tries++ {
+		entry, ok := pool.idlest(passed)
+		if !ok {
+			break
+		}
+		passed[entry.ID] = true
+		err := k.order(ctx, d, roleOrder{entry: entry, pool: pool, from: from, to: to, token: token, until: until})
+		if errors.Is(err, errLeaseOver) {
 			return err
 		}
+		if err != nil {
+			k.gateway.log.Info("engine passed over", zap.String("service", d.service), zap.String("upstream", entry.ID), zap.Error(err))
+			last = err
+			continue
+		}
+		done++
+	}
+	if done == 0 {
+		return last
 	}
 	return nil
 }
 
-// order changes the role of the engine with the least to do.
-func (k *roleKeeper) order(ctx context.Context, d *desk, to upstream.Role, token uint64, until time.Duration) error {
-	from, pool := upstream.Decode, d.decode
-	if to == upstream.Decode {
-		from, pool = upstream.Prefill, d.prefill
-	}
-	entry, ok := pool.idlest()
-	if !ok {
-		return fmt.Errorf("no %s engine can change", from)
-	}
+// errLeaseOver tells that this instance may give no more orders.
+var errLeaseOver = errors.New("the lease is over")
+
+// roleOrder is one engine's part of a change.
+type roleOrder struct {
+	entry    upstream.Entry
+	pool     *pool
+	from, to upstream.Role
+	token    uint64
+	until    time.Duration
+}
+
+// order changes the role of one engine. An error says that it got no order.
+func (k *roleKeeper) order(ctx context.Context, d *desk, o roleOrder) error {
+	entry, pool, from, to, token, until := o.entry, o.pool, o.from, o.to, o.token, o.until
 	call, cancel := context.WithTimeout(ctx, roleCall)
 	defer cancel()
 	state, err := k.Engines.State(call, entry)
@@ -221,7 +250,7 @@
 	}
 	if boottime.Now() >= until {
 		// Another may have become the holder while this machine was suspended or slow.
-		return errors.New("the lease is over")
+		return errLeaseOver
 	}
 	pool.withdraw(entry.ID, awayLimit)
 	k.gateway.changed()
--- a/gateway/roles_test.go
+++ b/gateway/roles_test.go
@@ -50,12 +50,20 @@
 	state  EngineState
 	err    error
 	before func()
+	// gone is an engine that does not answer.
+	gone string
+	// asked are the engines whose state was read.
+	asked []string
 }
 
-func (o *ordered) State(context.Context, upstream.Entry) (EngineState, error) {
+func (o *ordered) State(_ context.Context, e upstream.Entry) (EngineState, error) {
 	if o.before != nil {
 		o.before()
 	}
+	o.asked = append(o.asked, e.ID)
+	if e.ID == o.gone {
+		return EngineState{}, errors.New("connection refused")
+	}
 	return o.state, nil
 }
 
@@ -78,6 +86,24 @@
 	return d
 }
 
+// Guards against one crashed engine, which seems to have the least to do, that keeps all others
+// from changing while requests are refused.
+func TestCrashedEngineDoesNotStopTheChange(t *testing.T) {
+	w := newWorld(t)
+	d := modelDesk(w)
+	crashed, _ := d.prefill.idlest(nil)
+	engines := &ordered{state: EngineState{Role: upstream.Prefill}, gone: crashed.ID}
+	k := keeper(w, &topic{}, engines, "a")
+	assert.NilError(t, k.carryOut(t.Context(), d, upstream.Decode, 1))
+	assert.Equal(t, len(engines.orders), 1)
+	// One that others have failed to reach is not asked.
+	w.gateway.suspects.fail(crashed)
+	engines.asked = nil
+	assert.NilError(t, k.carryOut(t.Context(), d, upstream.Decode, 1))
+	assert.Equal(t, len(engines.asked), 1)
+	assert.Assert(t, engines.asked[0] != crashed.ID)
+}
+
 // An engine changes its stage. Until its entry shows the new one it refuses what is
 // sent to it, reservations or not, so that it must get nothing.
 func TestChangingEngineGetsNothing(t *testing.T) {
@@ -134,7 +160,7 @@
 	engines := &ordered{state: EngineState{Role: upstream.Prefill}}
 	k := keeper(w, &topic{}, engines, "a")
 	d := modelDesk(w)
-	err := k.order(t.Context(), d, upstream.Decode, 1, boottime.Now())
+	err := k.order(t.Context(), d, orderTo(d, upstream.Decode, 1, boottime.Now()))
 	assert.ErrorContains(t, err, "lease")
 	assert.Equal(t, len(engines.orders), 0)
 	// The write's answer is lost: whether this instance holds is not known.
@@ -206,3 +232,13 @@
 	_, _, err = restarted.become(t.Context(), d.service)
 	assert.NilError(t, err, "an earlier run of the same instance")
 }
+
+// orderTo is an order to the engine with the least to do.
+func orderTo(d *desk, to upstream.Role, token uint64, until time.Duration) roleOrder {
+	from, pool := upstream.Decode, d.decode
+	if to == upstream.Decode {
+		from, pool = upstream.Prefill, d.prefill
+	}
+	entry, _ := pool.idlest(nil)
+	return roleOrder{entry: entry, pool: pool, from: from, to: to, token: token, until: until}
+}
