Upstreams that a whole read misses after an outage are dropped

Cause: for 2.2 s after the store's return missing entries may come back. A whole read in that time kept what it did not name and noted nothing, so that nothing dropped it later; the log of one instance has "history forgotten" and "store regained" and no "upstream gone". Records read singly were noted.

Change: what a whole read does not name goes the same way as a record that removes it. The test takes an upstream away during an outage whose history is forgotten; it never ended before.

--- a/instance/routed/readers.go
+++ b/instance/routed/readers.go
@@ -236,12 +236,8 @@
 		named[record.Key] = record.Value != nil
 		changed = r.Add(record) || changed
 	}
-	if boottime.Now() < r.holdUntil {
-		return true
-	}
-	for _, id := range r.instance.state.Directory.Keep(named) {
-		tell := r.instance.informs()
-		tell("upstream gone", zap.String("upstream", id))
+	for _, id := range r.instance.state.Directory.Missing(named) {
+		r.remove(id)
 		changed = true
 	}
 	return changed
--- a/instance/routed/routed_test.go
+++ b/instance/routed/routed_test.go
@@ -31,6 +31,8 @@
 	mu     sync.Mutex
 	topics map[string][][2]string
 	down   bool
+	// forgotten is the number of records that are no longer kept, by topic.
+	forgotten map[string]int
 }
 
 func (s *store) put(topic, key, value string) {
@@ -68,6 +70,10 @@
 		_ = json.NewEncoder(w).Encode(map[string]any{"items": items, "end": len(records)})
 	default:
 		from, _ := strconv.Atoi(query.Get("from"))
+		if from < s.forgotten[topic] {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		out := make([]byte, 16)
 		for _, record := range records[from:] {
 			out = binary.BigEndian.AppendUint32(out, uint32(1+len(record[0])+len(record[1])))
@@ -247,3 +253,28 @@
 	last := f.store.topics["keyed.instances"]
 	assert.Equal(t, last[len(last)-1], [2]string{"a", ""}, "the entry was not dropped")
 }
+
+// Guards against an upstream that left during an outage, whose end was read with a whole list in
+// the time in which entries may still come back, and that got work for good.
+func TestUpstreamMissingAfterAnOutageIsGone(t *testing.T) {
+	f := start(t, signed)
+	f.store.setDown(true)
+	f.await(t, func() bool { return !f.ready() })
+	f.store.mu.Lock()
+	kept := f.store.topics["keyed.servers"][:0:0]
+	for _, record := range f.store.topics["keyed.servers"] {
+		if record[0] != "i-1" {
+			kept = append(kept, record)
+		}
+	}
+	// The history is forgotten, so that the list is read whole.
+	f.store.topics["keyed.servers"] = append(kept, [2]string{"ghost", `{"service":8}`}, [2]string{"ghost", `{"service":9}`})
+	f.store.forgotten = map[string]int{"keyed.servers": len(f.store.topics["keyed.servers"])}
+	f.store.mu.Unlock()
+	f.store.setDown(false)
+	f.await(t, func() bool { status, _, err := f.ask("k"); return err == nil && status == http.StatusOK })
+	f.await(t, func() bool {
+		status, _, err := f.ask("k")
+		return err == nil && status == http.StatusServiceUnavailable
+	})
+}
--- a/upstream/directory.go
+++ b/upstream/directory.go
@@ -107,22 +107,17 @@
 	return true
 }
 
-// Keep drops all entries but those named, after the whole list was read anew. It
-// returns the ids that were dropped.
-func (d *Directory) Keep(ids map[string]bool) []string {
+// Missing lists the upstreams that are not among ids.
+func (d *Directory) Missing(ids map[string]bool) []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var dropped []string
+	var missing []string
 	for id := range d.entries {
 		if !ids[id] {
-			delete(d.entries, id)
-			dropped = append(dropped, id)
+			missing = append(missing, id)
 		}
 	}
-	if len(dropped) > 0 {
-		d.rebuild()
-	}
-	return dropped
+	return missing
 }
 
 // MarkGone takes an upstream out until its entry shows another run or a newer
--- a/upstream/directory_test.go
+++ b/upstream/directory_test.go
@@ -48,7 +48,8 @@
 	assert.Assert(t, !d.Put(entry("a", 1, 2)))
 	assert.Equal(t, d.Version(), v)
 	assert.Assert(t, d.Put(entry("b", 1, 1)))
-	assert.DeepEqual(t, d.Keep(map[string]bool{"a": true}), []string{"b"})
+	assert.DeepEqual(t, d.Missing(map[string]bool{"a": true}), []string{"b"})
+	assert.Assert(t, d.Remove("b"))
 	assert.Assert(t, d.Remove("a") && !d.Remove("a"))
 	assert.Equal(t, d.Len(), 0)
 }
