--- a/gateway/roles.go
+++ b/gateway/roles.go
@@ -111,15 +111,15 @@
 	defer ticker.Stop()
 	watched := false
 	for {
-		if !watched && (k.Watches == nil || k.Watches()) {
-			k.watch(ctx)
-			watched = true
-		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
 		}
+		if !watched && (k.Watches == nil || k.Watches()) {
+			k.watch(ctx)
+			watched = true
+		}
 		for _, d := range g.desks.all() {
 			k.look(ctx, d)
 		}
