Answers do not make strong machines weak

Cause, from their "hubs changed" lines, which replace the same places of the list each second: answers do not tell the machine, to save bytes. A new run that was first heard by an answer counted as the weakest of all, so that a hub lost its place as soon as it had answered.

Change: a run keeps the machine of the one before it under its name, and answers tell it where the poller does not know the run. The test failed before.

--- a/fleet/members.go
+++ b/fleet/members.go
@@ -197,7 +197,12 @@
 		m.mu.Unlock()
 		return
 	}
-	m.others[run.Name] = Member{Name: run.Name, Incarnation: run.Incarnation, Address: run.Address, Machine: run.Machine, changed: now, heard: heard}
+	machine := run.Machine
+	if machine == (Machine{}) {
+		// Most answers do not tell it, and a run under the same name mostly is on the same one.
+		machine = old.Machine
+	}
+	m.others[run.Name] = Member{Name: run.Name, Incarnation: run.Incarnation, Address: run.Address, Machine: machine, changed: now, heard: heard}
 	list := m.list()
 	m.mu.Unlock()
 	m.changed(list)
--- a/fleet/members_test.go
+++ b/fleet/members_test.go
@@ -93,3 +93,15 @@
 		assert.Assert(t, NewIncarnation(now) < NewIncarnation(now.Add(time.Millisecond)))
 	}
 }
+
+// Guards against strong machines that are taken for the weakest once they have started again, since
+// their new run was first heard by an answer.
+func TestAnswersLeaveTheMachineKnown(t *testing.T) {
+	strong := Machine{DataCentre: "x", Millicores: 800}
+	var last []Member
+	m := NewMembers(Member{Name: "a"}, nil, zap.NewNop(), func(list []Member) { last = list })
+	m.Introduce(Member{Name: "b", Incarnation: 1, Address: "1.2.3.4:5", Machine: strong})
+	m.Introduce(Member{Name: "b", Incarnation: 2, Address: "1.2.3.4:5"})
+	assert.Equal(t, last[0].Incarnation, uint64(2))
+	assert.Equal(t, last[0].Machine, strong)
+}
--- a/fleet/receive.go
+++ b/fleet/receive.go
@@ -67,6 +67,10 @@
 func (x *Exchange) answer(now time.Duration, poll *Report, to netip.AddrPort) {
 	r := x.begin(now)
 	r.Answer, r.Whole, r.Heard = true, poll.Poll.Whole, x.heardOf(now, poll.run())
+	if poll.Heard.Run == 0 {
+		// The poller does not know this run yet.
+		r.Machine = x.self.Machine
+	}
 	x.handler.Answer(now, poll, r)
 	if best := x.choose(now).hubs; digest(best) != poll.Poll.Hubs {
 		r.Hubs = best
