--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -284,7 +284,7 @@
 	for _, p := range to {
 		one := &Report{Heard: x.heardOf(now, p.run)}
 		if poll || compare || one.Heard.Run == 0 {
-			one.Poll = x.poll(now)
+			one.Poll = x.poll(now, poll)
 		}
 		x.handler.FillFor(now, p.run, one)
 		data, err := one.appendTo(common)
@@ -323,13 +323,14 @@
 	return r
 }
 
-// poll asks for a whole answer once in each round. A hub hears all by itself.
-func (x *Exchange) poll(now time.Duration) *Poll {
+// poll asks for a whole answer once in each round, if there is to be one. A hub hears all by
+// itself.
+func (x *Exchange) poll(now time.Duration, whole bool) *Poll {
 	hubs := x.choose(now).hubs
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	p := &Poll{Hubs: digest(hubs)}
-	p.Whole = now-x.wholeAt >= pollInterval*9/10 && !slices.Contains(names(hubs), x.self.Name)
+	p.Whole = whole && now-x.wholeAt >= pollInterval*9/10 && !slices.Contains(names(hubs), x.self.Name)
 	if p.Whole {
 		x.wholeAt = now
 	}
