--- a/decision/escrow/escrow.go
+++ b/decision/escrow/escrow.go
@@ -43,7 +43,7 @@
 type Run uint32
 
 // Hold is the most time that an instance keeps which it could not hand on, and the most that a
-// home takes in at once: two reports of a large fleet.
+// home takes in at once. It is longer than the time between two reports to one hub.
 const Hold = 600 * time.Millisecond
 
 // Giver is an instance's part of all rates. It is not safe for concurrent use. Times are of a
--- a/fleet/ask.go
+++ b/fleet/ask.go
@@ -8,8 +8,6 @@
 	"time"
 
 	"go.uber.org/zap"
-
-	"github.com/cairnworks/cairnworks/boottime"
 )
 
 // askTries are how long each try of an ask waits for the answer. An answer comes within a
@@ -83,6 +81,3 @@
 		answer <- g
 	}
 }
-
-// Now is the clock of all times in reports.
-func (x *Exchange) Now() time.Duration { return boottime.Now() }
--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -86,7 +86,7 @@
 	// short are organisations with empty buckets, and until when that is believed.
 	short map[fleet.Hash]time.Duration
 	// answers are those given lately, by the ids of the asks.
-	answers map[uint64]keptAnswerOf
+	answers map[uint64]givenGrant
 }
 
 type bill struct {
@@ -95,7 +95,7 @@
 	told int
 }
 
-type keptAnswerOf struct {
+type givenGrant struct {
 	grant fleet.Grant
 	at    time.Duration
 }
@@ -106,7 +106,7 @@
 	return &Quotas{
 		now: now, bound: bound, self: fleet.Hub{Name: self.Name, Run: fleet.RunOf(self.Name, self.Incarnation)},
 		giver: escrow.NewGiver(now()), home: escrow.NewHome(now()), limits: make(map[fleet.Hash]escrow.Limit),
-		bills: make(map[fleet.Run]map[fleet.Hash]*bill), short: make(map[fleet.Hash]time.Duration), answers: make(map[uint64]keptAnswerOf),
+		bills: make(map[fleet.Run]map[fleet.Hash]*bill), short: make(map[fleet.Hash]time.Duration), answers: make(map[uint64]givenGrant),
 	}
 }
 
@@ -363,7 +363,7 @@
 	}
 	d := q.take(now, a.Organisation, a.Tokens)
 	g := fleet.Grant{ID: a.ID, Granted: d.Granted, Unknown: d.Unknown, Retry: d.Retry, Level: d.Level, Part: d.Part}
-	q.answers[a.ID] = keptAnswerOf{g, now}
+	q.answers[a.ID] = givenGrant{g, now}
 	return g
 }
 
