Prompts are read anywhere again

Reading a prompt in the data centre of its decode engine chose the lowest of the calm engines there by figures half a second old, which are the same for all instances of a large fleet.

--- a/decision/room/room.go
+++ b/decision/room/room.go
@@ -36,8 +36,6 @@
 	Memory, Slots int
 	// Near engines are in the own data centre.
 	Near bool
-	// DataCentre is where the engine is.
-	DataCentre string
 }
 
 // Load is what one instance has placed at an engine.
@@ -122,28 +120,10 @@
 // goes before one with less: a twentieth, about half of one request's share.
 const nearBonus = 0.05
 
-// calmUse is the used share up to which an engine takes a request because of where it is: a
-// prompt waits there for less than the transfer between data centres costs.
-const calmUse = 0.4
-
-// ClaimIn places a request at an engine of a data centre if one there has little to do, and
-// where Claim does otherwise.
-func (r *Room) ClaimIn(dataCentre string, tokens int, except map[string]bool) (string, bool) {
-	fits := slices.DeleteFunc(r.fitting(tokens, except), func(c candidate) bool {
-		return c.dataCentre != dataCentre || c.used > calmUse
-	})
-	if len(fits) == 0 {
-		return r.Claim(tokens, except)
-	}
-	best := slices.MinFunc(fits, compareUsed)
-	r.add(best.id, 1, tokens)
-	return best.id, true
-}
-
 // candidate is an engine that a request fits at, with its used share thereafter.
 type candidate struct {
-	id, dataCentre string
-	used           float64
+	id   string
+	used float64
 }
 
 // Claim places a request of a size in tokens and returns the engine. Engines in except
@@ -173,7 +153,7 @@
 		if e.Near {
 			used -= nearBonus
 		}
-		fits = append(fits, candidate{e.ID, e.DataCentre, used})
+		fits = append(fits, candidate{e.ID, used})
 	}
 	return fits
 }
--- a/gateway/desk.go
+++ b/gateway/desk.go
@@ -263,7 +263,7 @@
 		return room.Engine{ID: e.ID, Memory: memory, Slots: e.Slots, Near: e.DataCentre == near}
 	})
 	k.prefill.sync(k.gateway.state.Directory, k.service, upstream.Prefill, func(e upstream.Entry) room.Engine {
-		return room.Engine{ID: e.ID, Memory: prefillDepth, Slots: e.Slots, Near: e.DataCentre == near, DataCentre: e.DataCentre}
+		return room.Engine{ID: e.ID, Memory: prefillDepth, Slots: e.Slots, Near: e.DataCentre == near}
 	})
 }
 
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -88,16 +88,6 @@
 	return p.entries[id], ok
 }
 
-// claimIn places a request of a size, in a data centre if that costs no wait; see
-// room.Room.ClaimIn.
-func (p *pool) claimIn(dataCentre string, tokens int, except map[string]bool) (upstream.Entry, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.dropSilent()
-	id, ok := p.room.ClaimIn(dataCentre, tokens, except)
-	return p.entries[id], ok
-}
-
 // dropSilent forgets the placements of instances that report no more.
 func (p *pool) dropSilent() {
 	now := boottime.Now()
