Test of the scheduler: the bubble outlasts the actor system's wait

The goroutine that remained is the actor system's, which counts messages to actors that have ended over a while; one is sent now and then as the test ends.

Its checks are as they were; the product is not touched.

--- a/scheduler/server_test.go
+++ b/scheduler/server_test.go
@@ -89,10 +89,17 @@
 		s.Close()
 		system.Shutdown()
 		_ = metrics.Close()
+		// A message to an actor that has just ended starts a wait of the actor system, which must
+		// be over before the bubble ends.
+		time.Sleep(deadLetterWait)
 	})
 	return s
 }
 
+// deadLetterWait is longer than the time over which the actor system counts messages to actors that
+// have ended.
+const deadLetterWait = 5 * time.Second
+
 func reserve(s *Server, id string) (*peerv1.ReserveResponse, error) {
 	resp, err := s.Reserve(context.Background(), connect.NewRequest(&peerv1.ReserveRequest{
 		Service: "pisar", Organisation: "o", RequestId: id, Attempt: 1, Class: uint32(request.Interactive),
