Instances with an open port draw one that is free for datagrams too

Its kept output says 'gossip socket: listen udp 127.0.0.1:37775: bind: address already in use' at instance-0, whose settings leave the port open (0).

Cause: the port was drawn for streams and then bound for datagrams; the system hands out the ports of the two protocols apart, and a datagram socket of a neighbouring test had that port.

Change: both sockets are bound in one step, and an open port is drawn again. A given port is not. The same fault elsewhere: tests of instance/routed closed a drawn port of the range of outgoing connections before the instance listened; they and the soak now share loopback.

--- a/instance/join.go
+++ b/instance/join.go
@@ -57,7 +57,7 @@
 		},
 		DataCentre: i.settings.DataCentre, OperatorAddress: i.Addresses().Operators,
 		Seeds: i.settings.Peers.Seeds, List: i.platform.list, Secret: []byte(secret), Fleet: i.fleet, Hints: i.loggedAddresses,
-		System: i.actors,
+		Conn: i.listeners.gossip, System: i.actors,
 		Logger: i.log, Metrics: i.metrics.Scope,
 	})
 	if err != nil {
--- a/instance/listen.go
+++ b/instance/listen.go
@@ -43,9 +43,11 @@
 	return oops.In("instance").With("address", l.address()).Wrap(err)
 }
 
-// listeners are the three addresses of an instance.
+// listeners are the three addresses of an instance; gossip is the datagram socket at the
+// address for peers.
 type listeners struct {
 	callers, peers, operators *listener
+	gossip                    net.PacketConn
 }
 
 func (l *listeners) all() []*listener { return []*listener{l.callers, l.peers, l.operators} }
@@ -60,16 +62,23 @@
 		}
 		_ = one.Close()
 	}
+	if l.gossip != nil {
+		_ = l.gossip.Close()
+	}
 }
 
 // listen binds the addresses, so that a taken one is found before anything runs.
 func (i *Instance) listen() error {
+	peers, err := listenPeers(i.settings.Peers.Address, net.Listen)
+	if err != nil {
+		return oops.In("instance").With("address", i.settings.Peers.Address).Wrap(err)
+	}
+	i.listeners.peers, i.listeners.gossip = &listener{Listener: peers.streams}, peers.datagrams
 	for _, a := range []struct {
 		target  **listener
 		address string
 	}{
 		{&i.listeners.callers, i.settings.Callers.Address},
-		{&i.listeners.peers, i.settings.Peers.Address},
 		{&i.listeners.operators, i.settings.Operators.Address},
 	} {
 		bound, err := net.Listen("tcp", a.address)
--- a/instance/routed/routed_test.go
+++ b/instance/routed/routed_test.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -21,6 +20,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/cairnworks/cairnworks/instance/routed"
+	"github.com/cairnworks/cairnworks/loopback"
 	"github.com/cairnworks/cairnworks/platform"
 	"github.com/cairnworks/cairnworks/settings"
 )
@@ -98,10 +98,9 @@
 
 func freePort(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	address, err := loopback.FreeAddress()
 	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	return address
 }
 
 func start(t *testing.T, engine http.HandlerFunc) *fleet { return startNamed(t, "a", engine) }
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -3,8 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -13,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cairnworks/cairnworks/loopback"
 	"github.com/cairnworks/cairnworks/platform/standin"
 	"github.com/cairnworks/cairnworks/settings"
 )
@@ -47,37 +46,13 @@
 	s.RevokeMS = int(revokeBound / time.Millisecond)
 	s.QuotaS, s.QuotaOver, s.QuotaSlack = quotaWindow.Seconds(), quotaOver, quotaSlack
 	for _, address := range []*string{&s.Callers, &s.Readiness, &s.Reports} {
-		if *address, err = freePort(); err != nil {
+		if *address, err = loopback.FreeAddress(); err != nil {
 			return nil, err
 		}
 	}
 	return &instance{name: name, settings: s, store: p}, nil
 }
 
-// Ports of instances lie below those that the system gives to outgoing connections, of
-// which a run opens thousands: a port that is free now would be taken by one of them
-// before the instance listens, or while it restarts.
-const (
-	firstPort = 15_000
-	ports     = 15_000
-	portTries = 50
-)
-
-// freePort returns a loopback address that nobody listens at. Another run may take it
-// before it is used; the fleet is then not ready in time.
-func freePort() (string, error) {
-	var last error
-	for range portTries {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
-		l, err := net.Listen("tcp4", address)
-		if err == nil {
-			return address, l.Close()
-		}
-		last = err
-	}
-	return "", last
-}
-
 // run keeps the process running until stop is closed, with its output in dir.
 func (i *instance) run(daemon, dir string, stop <-chan struct{}) error {
 	file := filepath.Join(dir, i.name+".json")
