Large fleets: one hub places a service's requests

Change: the first hub by a hash of the service's name gives places at decode and prefill engines to all (fleet: Claim, Place, partial loads; gateway: homes.go asks, claims.go answers). Claims wait in its queue, are sent again every 100 ms, and are forgotten where they are not. Ends of requests are told at once. A silent home is passed over after 75 ms.

The test of the burst fails on placing by what is heard; the test of withdrawn claims found a claim that stayed when it was given in the same moment (mended here).

--- a/decision/room/room.go
+++ b/decision/room/room.go
@@ -138,6 +138,37 @@
 	return best.id, true
 }
 
+// ClaimFor places a request of another instance.
+func (r *Room) ClaimFor(instance string, tokens int, except map[string]bool) (string, bool) {
+	fits := r.fitting(tokens, except)
+	if len(fits) == 0 {
+		return "", false
+	}
+	id := r.lowest(fits).id
+	load := r.peers[instance][id]
+	r.SetPeerLoad(instance, id, Load{Requests: load.Requests + 1, Tokens: load.Tokens + tokens})
+	return id, true
+}
+
+// SetPeerLoad replaces what another instance has placed at one engine.
+func (r *Room) SetPeerLoad(instance, id string, l Load) {
+	loads, known := r.peers[instance]
+	if !known {
+		loads = make(map[string]Load)
+		r.peers[instance] = loads
+	}
+	before := loads[id]
+	r.addOther(id, l.Requests-before.Requests, l.Tokens-before.Tokens)
+	if l == (Load{}) {
+		delete(loads, id)
+		return
+	}
+	loads[id] = l
+}
+
+// Hold notes a request that another instance has placed for this one.
+func (r *Room) Hold(id string, tokens int) { r.add(id, 1, tokens) }
+
 // fitting lists the engines that a request fits at.
 func (r *Room) fitting(tokens int, except map[string]bool) []candidate {
 	var fits []candidate
--- /dev/null
+++ b/fleet/claim.go
@@ -0,0 +1,109 @@
+package fleet
+
+import (
+	"time"
+
+	fleetv1 "github.com/cairnworks/cairnworks/gen/cairnworks/fleet/v1"
+)
+
+// Claim asks the home of a service's engines for a place at one of them.
+type Claim struct {
+	ID      uint64
+	Service Hash
+	// Prefill asks for a place where the prompt is read, which is given or refused at once.
+	Prefill      bool
+	Organisation Hash
+	// Priority 0 goes first.
+	Priority int
+	// Tokens of engine memory, or of the prompt.
+	Tokens int
+	// Waited is how long the request has waited, Objective the time within which its first
+	// event is on time, 0 for none, and Left how long it waits in any case.
+	Waited, Objective, Left time.Duration
+	// Point spreads the times to come back.
+	Point uint64
+	// Except are engines that are not to be given, Avoid those that are given last, and Full
+	// those that have just refused to set memory aside; by the short hashes of their ids.
+	Except, Avoid, Full []Hash
+	// Over tells that the sender no longer wants the place.
+	Over bool
+}
+
+// PlaceState is how far a claim has come.
+type PlaceState int
+
+// States of claims. A claim that waits is answered again.
+const (
+	PlaceWaiting PlaceState = iota + 1
+	PlaceGiven
+	PlaceRefused
+)
+
+// Place answers a claim.
+type Place struct {
+	ID    uint64
+	State PlaceState
+	// Upstream is the short hash of the engine's id.
+	Upstream Hash
+	// Retry is when the caller is to come back.
+	Retry time.Duration
+}
+
+func marshalClaim(c *Claim) *fleetv1.Claim {
+	if c == nil {
+		return nil
+	}
+	return &fleetv1.Claim{
+		Id: c.ID, Service: uint64(c.Service), Prefill: c.Prefill, Organisation: uint64(c.Organisation),
+		Priority: uint32(max(c.Priority, 0)), Tokens: uint32(max(c.Tokens, 0)), WaitedMs: milliseconds(c.Waited),
+		ObjectiveMs: milliseconds(c.Objective), LeftMs: milliseconds(c.Left), Point: c.Point,
+		Except: shortHashes(c.Except), Avoid: shortHashes(c.Avoid), Full: shortHashes(c.Full), Over: c.Over,
+	}
+}
+
+func unmarshalClaim(m *fleetv1.Claim) *Claim {
+	if m == nil {
+		return nil
+	}
+	ms := func(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
+	return &Claim{
+		ID: m.Id, Service: Hash(m.Service), Prefill: m.Prefill, Organisation: Hash(m.Organisation),
+		Priority: int(m.Priority), Tokens: int(m.Tokens), Waited: ms(m.WaitedMs), Objective: ms(m.ObjectiveMs), Left: ms(m.LeftMs),
+		Point: m.Point, Except: hashes(m.Except), Avoid: hashes(m.Avoid), Full: hashes(m.Full), Over: m.Over,
+	}
+}
+
+func marshalPlace(p *Place) *fleetv1.Place {
+	if p == nil {
+		return nil
+	}
+	return &fleetv1.Place{Id: p.ID, State: fleetv1.Place_State(p.State), Upstream: uint32(p.Upstream), RetryMs: milliseconds(p.Retry)}
+}
+
+func unmarshalPlace(m *fleetv1.Place) *Place {
+	if m == nil {
+		return nil
+	}
+	return &Place{ID: m.Id, State: PlaceState(m.State), Upstream: Hash(m.Upstream), Retry: time.Duration(m.RetryMs) * time.Millisecond}
+}
+
+func milliseconds(d time.Duration) uint32 { return uint32(max(d, 0).Milliseconds()) }
+
+func shortHashes(list []Hash) []uint32 {
+	out := make([]uint32, len(list))
+	for i, h := range list {
+		out[i] = uint32(h)
+	}
+	return out
+}
+
+func hashes(list []uint32) []Hash {
+	if len(list) == 0 {
+		return nil
+	}
+	out := make([]Hash, len(list))
+	for i, h := range list {
+		out[i] = Hash(h)
+	}
+	return out
+}
--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -57,6 +57,10 @@
 	Take(now time.Duration, r *Report)
 	// Asked answers an ask.
 	Asked(now time.Duration, from Run, a Ask) Grant
+	// Claimed takes in another instance's claim, and answers it now or later.
+	Claimed(now time.Duration, instance string, c Claim, answer func(Place))
+	// TakeLoads takes in what has just changed of what another instance has placed.
+	TakeLoads(now time.Duration, instance string, loads map[Hash]Load)
 }
 
 // Exchange sends this instance's reports and takes those of others.
@@ -96,6 +100,7 @@
 	turn    int
 	chosen  choice
 	pending map[uint64]chan Grant
+	claims  map[uint64]chan Place
 }
 
 // peer is another instance.
@@ -135,7 +140,7 @@
 	return &Exchange{
 		self: self, conn: conn, handler: handler, logger: logger, kick: make(chan struct{}, 1), news: make(chan struct{}, 1),
 		peers: make(map[string]*peer), last: make(map[Run]lastReport), awake: boottime.Now(),
-		turn: rand.IntN(hub.Hubs), told: make(map[string]toldSize), pending: make(map[uint64]chan Grant),
+		turn: rand.IntN(hub.Hubs), told: make(map[string]toldSize), pending: make(map[uint64]chan Grant), claims: make(map[uint64]chan Place),
 	}, nil
 }
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -30,6 +30,11 @@
 		Poll: &Poll{Whole: true, Hubs: 33}, Shares: map[int]time.Duration{3: 34, 4: 35}, Bills: []Bill{{1, -6}}, Short: []Hash{36},
 		Hubs: []Member{{Name: "b", Incarnation: 37, Address: "1.2.3.4:5", Machine: Machine{DataCentre: "y"}}},
 		Ask:  &Ask{ID: 38, Organisation: 39, Tokens: 40}, Grant: &Grant{ID: 41, Granted: true, Unknown: true, Retry: 42 * time.Millisecond, Level: -43, Part: 0.5},
+		Claim: &Claim{
+			ID: 45, Service: 46, Prefill: true, Organisation: 47, Priority: 3, Tokens: 48, Waited: 49 * time.Millisecond, Objective: 50 * time.Millisecond,
+			Left: 51 * time.Millisecond, Point: 52, Except: []Hash{53}, Avoid: []Hash{54, 55}, Full: []Hash{56}, Over: true,
+		},
+		Place: &Place{ID: 57, State: PlaceGiven, Upstream: 58, Retry: 59 * time.Millisecond}, Partial: true,
 		Loads: map[Hash]Load{2: {Requests: 7, Tokens: 8}}, Heard: Heard{9, 11 * time.Millisecond, 15 * time.Microsecond}, Crashes: []Crash{{12, 13, 14 * time.Millisecond}},
 		Works: map[Hash]Work{22: {
 			Split:   split.View{Samples: 23, Prompts: 24, Prompt: 25, Speed: 26, Decode: 0.5},
@@ -86,7 +91,11 @@
 	mu    sync.Mutex
 	taken []*Report
 	asked int
-	got   chan struct{}
+	// claim answers claims, if set; claims are those taken, loads the partial reports.
+	claim  func(c Claim, answer func(Place))
+	claims []Claim
+	loads  []map[Hash]Load
+	got    chan struct{}
 }
 
 func (k *taker) Fill(_ time.Duration, r *Report) { r.Loads = map[Hash]Load{1: {Tokens: 1}} }
@@ -102,6 +111,21 @@
 	return Grant{ID: a.ID, Granted: true, Level: float64(a.Tokens)}
 }
 
+func (k *taker) Claimed(_ time.Duration, _ string, c Claim, answer func(Place)) {
+	k.mu.Lock()
+	k.claims = append(k.claims, c)
+	k.mu.Unlock()
+	if k.claim != nil {
+		k.claim(c, answer)
+	}
+}
+
+func (k *taker) TakeLoads(_ time.Duration, _ string, loads map[Hash]Load) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.loads = append(k.loads, loads)
+}
+
 func (k *taker) Take(_ time.Duration, r *Report) {
 	k.mu.Lock()
 	k.taken = append(k.taken, r)
--- a/fleet/receive.go
+++ b/fleet/receive.go
@@ -35,6 +35,12 @@
 			x.grant(now, r, from)
 		case r.Grant != nil:
 			x.granted(*r.Grant)
+		case r.Claim != nil:
+			x.claimed(now, r, from)
+		case r.Place != nil:
+			x.placed(*r.Place)
+		case r.Partial:
+			x.takeLoads(now, r)
 		default:
 			x.take(now, r, from)
 		}
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -132,9 +132,13 @@
 	// Fleet is what the sender says of its fleet, in most reports without the name. It is
 	// empty in reports of versions that do not tell it.
 	Fleet fleetid.Identity
-	// Ask and Grant stand alone in a datagram.
+	// Ask, Grant, Claim and Place stand alone in a datagram.
 	Ask   *Ask
 	Grant *Grant
+	Claim *Claim
+	Place *Place
+	// Partial tells that there are loads only, and of them those that have just changed.
+	Partial bool
 	// Earliest is the earliest time, of the receiver's clock that counts through
 	// suspensions, at which the sender can have made the report; 0 if it has not heard
 	// the receiver yet. It is not sent.
--- a/gateway/desk.go
+++ b/gateway/desk.go
@@ -45,10 +45,12 @@
 	system  *actor.ActorSystem
 	mu      sync.Mutex
 	byName  map[string]*desk
+	// claims are those of other instances, by id.
+	claims map[uint64]*remoteClaim
 }
 
 func newDesks(g *Gateway) *desks {
-	return &desks{gateway: g, system: observe.NewActorSystem(), byName: make(map[string]*desk)}
+	return &desks{gateway: g, system: observe.NewActorSystem(), byName: make(map[string]*desk), claims: make(map[uint64]*remoteClaim)}
 }
 
 func (d *desks) get(service *object.Service) *desk {
@@ -112,6 +114,14 @@
 	}
 }
 
+func (d *desks) takeLoads(now time.Duration, instance string, loads map[fleet.Hash]fleet.Load) {
+	for _, k := range d.all() {
+		k.decode.takeLoads(now, instance, loads)
+		k.prefill.takeLoads(now, instance, loads)
+		k.look()
+	}
+}
+
 func (d *desks) close() {
 	for _, k := range d.all() {
 		d.system.Root.Stop(k.pid)
@@ -138,6 +148,25 @@
 	grant chan grant
 	// except are engines that refused the request.
 	except map[string]bool
+	// remote is the claim of another instance, nil for a request of this one.
+	remote *remoteClaim
+}
+
+func (t *ticket) give(g grant) {
+	if t.remote != nil {
+		t.remote.give(g)
+		return
+	}
+	t.grant <- g
+}
+
+// claim claims memory for the request.
+func (t *ticket) claim(p *pool, suspects map[string]bool) (upstream.Entry, bool) {
+	except := union(suspects, t.except)
+	if t.remote != nil {
+		return p.claimFor(t.remote.instance, t.item.Tokens, except)
+	}
+	return p.claim(t.item.Tokens, except)
 }
 
 // grant is the answer to a ticket.
@@ -198,6 +227,9 @@
 	case submit:
 		k.queue.Add(message.ticket.item)
 		k.tickets[message.ticket.item] = message.ticket
+		if remote := message.ticket.remote; remote != nil {
+			defer remote.wait()
+		}
 	case withdraw:
 		k.queue.Remove(message.ticket.item)
 		delete(k.tickets, message.ticket.item)
@@ -228,29 +260,49 @@
 // serve gives places to waiting requests and refuses those whose wait is over.
 func (k *desk) serve() {
 	k.sync()
+	k.dropStale()
 	entries := k.gateway.state.Directory.Service(k.service)
 	suspects := k.gateway.suspects.among(entries)
 	now := time.Now()
 	k.queue.Serve(now, func(item *waiting.Item) bool {
 		t := k.tickets[item]
-		entry, ok := k.decode.claim(item.Tokens, union(suspects, t.except))
+		entry, ok := t.claim(k.decode, suspects)
 		if !ok {
 			return false
 		}
 		delete(k.tickets, item)
-		t.grant <- grant{entry: entry}
+		t.give(grant{entry: entry})
 		return true
 	}, func(item *waiting.Item, retry time.Duration) {
 		t := k.tickets[item]
 		delete(k.tickets, item)
-		t.grant <- grant{refused: verdict.Refuse(verdict.ReasonQueueTimeout, retry, "no room at a decode engine within %v", now.Sub(item.Arrived).Round(time.Millisecond))}
+		t.give(grant{refused: noRoom(item, retry)})
 	})
 	k.gateway.changed()
 }
 
+// noRoom refuses a request that no decode engine had room for.
+func noRoom(item *waiting.Item, retry time.Duration) *verdict.Verdict {
+	return verdict.Refuse(verdict.ReasonQueueTimeout, retry, "no room at a decode engine within %v", time.Since(item.Arrived).Round(time.Millisecond))
+}
+
+// dropStale forgets claims of other instances that are not sent again.
+func (k *desk) dropStale() {
+	now := boottime.Now()
+	for item, t := range k.tickets {
+		if t.remote != nil && t.remote.stale(now, fleet.ClaimLife) {
+			k.queue.Remove(item)
+			delete(k.tickets, item)
+			k.gateway.desks.forget(t.remote)
+		}
+	}
+}
+
 // sync takes over the engines that may be given work.
 func (k *desk) sync() {
-	late := k.gateway.reportsLate()
+	large := k.gateway.reportsLate()
+	_, home := k.gateway.homeOf(k.service)
+	late := large && !home
 	k.decode.spread(late)
 	k.prefill.spread(late)
 	shape := k.shape()
@@ -259,10 +311,14 @@
 		memory = int(lateMemory * float64(memory))
 	}
 	near := k.gateway.DataCentre
-	k.decode.sync(k.gateway.state.Directory, k.service, upstream.Decode, func(e upstream.Entry) room.Engine {
+	if large {
+		// Most requests that are placed here come from elsewhere.
+		near = ""
+	}
+	k.decode.sync(k.gateway.state.Directory, k.service, upstream.Decode, late, func(e upstream.Entry) room.Engine {
 		return room.Engine{ID: e.ID, Memory: memory, Slots: e.Slots, Near: e.DataCentre == near}
 	})
-	k.prefill.sync(k.gateway.state.Directory, k.service, upstream.Prefill, func(e upstream.Entry) room.Engine {
+	k.prefill.sync(k.gateway.state.Directory, k.service, upstream.Prefill, late, func(e upstream.Entry) room.Engine {
 		return room.Engine{ID: e.ID, Memory: prefillDepth, Slots: e.Slots, Near: e.DataCentre == near}
 	})
 }
@@ -282,9 +338,10 @@
 	return out
 }
 
-// place waits for a place at a decode engine.
-func (k *desk) place(ctx context.Context, item *waiting.Item, except map[string]bool) (upstream.Entry, *verdict.Verdict) {
-	t := &ticket{item: item, grant: make(chan grant, 1), except: except}
+// placeHere waits for a place at a decode engine that this instance gives.
+func (k *desk) placeHere(ctx context.Context, w want) (upstream.Entry, *verdict.Verdict) {
+	item := w.item
+	t := &ticket{item: item, grant: make(chan grant, 1), except: w.except}
 	root := k.gateway.desks.system.Root
 	root.Send(k.pid, submit{t})
 	select {
@@ -319,18 +376,18 @@
 // leave ends a claim at a decode engine.
 func (k *desk) leave(entry upstream.Entry, tokens int) {
 	k.decode.release(entry.ID, tokens)
-	k.gateway.changed()
+	k.tell(k.decode, entry.ID)
 	k.look()
 }
 
 // shut keeps claims away from an engine for a moment.
-func (k *desk) shut(entry upstream.Entry) {
-	k.decode.shut(entry.ID, false)
+func (k *desk) shut(id string) {
+	k.decode.shut(id, false)
 	time.AfterFunc(shutTime, func() {
-		k.decode.shut(entry.ID, true)
+		k.decode.shut(id, true)
 		k.look()
 	})
-	k.gateway.log.Debug("engine full", zap.String("upstream", entry.ID), zap.Float64("pool_free", k.decode.free()))
+	k.gateway.log.Debug("engine full", zap.String("upstream", id), zap.Float64("pool_free", k.decode.free()))
 }
 
 // gone is the verdict of a request whose context ended before it was sent.
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -52,6 +52,7 @@
 	suspects *suspects
 	budget   *budgets
 	crashes  *crashes
+	homes    Homes
 	bodies   atomic.Int64
 	draining atomic.Bool
 }
@@ -218,6 +219,19 @@
 	g.crashes.fill(now, r)
 }
 
+// Claimed takes in another instance's claim of a place.
+func (g *Gateway) Claimed(now time.Duration, instance string, c fleet.Claim, answer func(fleet.Place)) {
+	g.desks.claimed(now, instance, c, answer)
+}
+
+// TakeLoads takes in what has just changed of what another instance has placed.
+func (g *Gateway) TakeLoads(now time.Duration, instance string, loads map[fleet.Hash]fleet.Load) {
+	g.desks.takeLoads(now, instance, loads)
+}
+
+// Sweep drops what is no longer needed.
+func (g *Gateway) Sweep() { g.desks.sweep() }
+
 // Take takes in a report of another instance.
 func (g *Gateway) Take(now time.Duration, r *fleet.Report) {
 	g.quotas.TakeReport(now, r)
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -53,14 +53,17 @@
 	sent           int
 	// ran is the strongest verdict of all sends so far.
 	ran verdict.Ran
-	// except are decode engines that are not asked again.
-	except map[string]bool
+	// except are decode engines that are not asked again, full those that have just refused
+	// to set memory aside.
+	except, full map[string]bool
+	// exact tells that the place was given by one who knows what all instances have placed.
+	exact bool
 }
 
 // serveModel has the prompt read at a prefill engine and the answer generated at a
 // decode engine.
 func (g *Gateway) serveModel(ctx context.Context, w http.ResponseWriter, a *admitted) *verdict.Verdict {
-	run := &modelRun{gateway: g, admitted: a, desk: g.desks.get(a.service), except: make(map[string]bool)}
+	run := &modelRun{gateway: g, admitted: a, desk: g.desks.get(a.service), except: make(map[string]bool), full: make(map[string]bool)}
 	run.output = run.desk.estimate(a.call)
 	run.tokens = a.call.PromptTokens + run.output
 	out := &stream{gateway: g, admitted: a, w: w, lastID: a.call.LastEventID}
@@ -180,7 +183,7 @@
 	r.drop(place)
 	r.gateway.suspects.fail(place.entry)
 	r.desk.decode.withdraw(place.entry.ID, refusedLimit)
-	r.gateway.changed()
+	r.desk.tell(r.desk.decode, place.entry.ID)
 }
 
 // grow raises the claim of a request whose answer is longer than was estimated, by
@@ -224,10 +227,12 @@
 		Objective: time.Duration(r.admitted.route.ObjectiveMS) * time.Millisecond, Deadline: c.Deadline, Point: hashPoint(c.ID),
 	}
 	for {
-		entry, v := r.desk.place(ctx, item, r.except)
+		entry, exact, v := r.desk.place(ctx, want{item: item, except: r.except, full: r.full})
 		if v != nil {
 			return place{}, v
 		}
+		r.exact = exact
+		clear(r.full)
 		if r.desk.shape().ReservationMS <= 0 {
 			return place{entry: entry}, nil
 		}
@@ -235,13 +240,15 @@
 		if v == nil {
 			return place{entry, reservation}, nil
 		}
-		r.desk.shut(entry)
+		r.desk.shut(entry.ID)
 		r.desk.leave(entry, r.tokens)
 		if ctx.Err() != nil {
 			return place{}, gone(ctx)
 		}
 		if v.Reason != verdict.ReasonUpstreamRefused {
 			r.gateway.blame(ctx, c, entry, v)
+		} else {
+			r.full[entry.ID] = true
 		}
 	}
 }
@@ -257,10 +264,9 @@
 
 // reservedOutput is the tokens of output that are reserved at the engine.
 func (r *modelRun) reservedOutput() int {
-	if r.gateway.reportsLate() {
-		// What the others have placed is known late in a large fleet, so that claims do not
-		// keep an engine from being filled by several instances at once; its own
-		// reservations do.
+	if !r.exact {
+		// Where what others have placed is known late, claims do not keep an engine from being
+		// filled by several instances at once; its own reservations do.
 		return r.output
 	}
 	return min(reservedOutput, r.output)
@@ -315,7 +321,7 @@
 		if v := g.mayRun(r.admitted); v != nil {
 			return Source{}, upstream.Entry{}, v
 		}
-		entry, ok := r.prefillEngine(tried)
+		entry, ok := r.desk.claimPrefill(ctx, r.admitted.call.PromptTokens, tried)
 		if !ok {
 			break
 		}
@@ -344,24 +350,13 @@
 	return Source{}, upstream.Entry{}, nil
 }
 
-// prefillEngine claims a place at the prefill engine with the least to read.
-func (r *modelRun) prefillEngine(tried map[string]bool) (upstream.Entry, bool) {
-	entries := r.gateway.state.Directory.Service(r.admitted.service.Name)
-	suspects := r.gateway.suspects.among(entries)
-	tokens := r.admitted.call.PromptTokens
-	if entry, ok := r.desk.prefill.claim(tokens, union(suspects, tried)); ok {
-		return entry, true
-	}
-	return r.desk.prefill.claim(tokens, tried)
-}
-
 func (r *modelRun) prefillAt(ctx context.Context, entry upstream.Entry) (string, *verdict.Verdict) {
 	tokens := r.admitted.call.PromptTokens
 	alone := r.desk.prefill.requests(entry.ID) == 1
 	r.gateway.changed()
 	defer func() {
 		r.desk.prefill.release(entry.ID, tokens)
-		r.gateway.changed()
+		r.desk.tell(r.desk.prefill, entry.ID)
 	}()
 	ctx, cancel := context.WithTimeout(ctx, prefillPatience)
 	defer cancel()
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -29,6 +29,8 @@
 	ids     map[fleet.Hash]string
 	heard   map[string]time.Duration
 	version uint64
+	// late tells that the engines were taken over while reports were late.
+	late bool
 	// away are engines that get no work, with the claim that keeps it from them.
 	away map[string]int
 }
@@ -38,14 +40,14 @@
 }
 
 // sync takes over the upstreams that may be given work. shape tells an entry's size.
-func (p *pool) sync(directory *upstream.Directory, service string, role upstream.Role, shape func(upstream.Entry) room.Engine) {
+func (p *pool) sync(directory *upstream.Directory, service string, role upstream.Role, late bool, shape func(upstream.Entry) room.Engine) {
 	version := directory.Version()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.version == version {
+	if p.version == version && p.late == late {
 		return
 	}
-	p.version = version
+	p.version, p.late = version, late
 	var engines []room.Engine
 	p.entries = make(map[string]upstream.Entry)
 	p.ids = make(map[fleet.Hash]string)
@@ -88,6 +90,71 @@
 	return p.entries[id], ok
 }
 
+// claimFor places a request of another instance; see room.Room.ClaimFor.
+func (p *pool) claimFor(instance string, tokens int, except map[string]bool) (upstream.Entry, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dropSilent()
+	id, ok := p.room.ClaimFor(instance, tokens, except)
+	if _, heard := p.heard[instance]; ok && !heard {
+		p.heard[instance] = boottime.Now()
+	}
+	return p.entries[id], ok
+}
+
+// giveBack ends a claim that was placed for another instance and that it did not take.
+func (p *pool) giveBack(instance, id string, tokens int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if load := p.room.Peer(instance, id); load.Requests > 0 && load.Tokens >= tokens {
+		p.room.SetPeerLoad(instance, id, room.Load{Requests: load.Requests - 1, Tokens: load.Tokens - tokens})
+	}
+}
+
+// hold notes a request that another instance has placed for this one.
+func (p *pool) hold(hash fleet.Hash, tokens int) (upstream.Entry, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	entry, known := p.entries[p.ids[hash]]
+	if known {
+		p.room.Hold(entry.ID, tokens)
+	}
+	return entry, known
+}
+
+// own is what this instance has placed at an engine.
+func (p *pool) own(id string) fleet.Load {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.room.Own()[id]
+	return fleet.Load{Requests: l.Requests, Tokens: l.Tokens}
+}
+
+// named are the engines with some short hashes.
+func (p *pool) named(list []fleet.Hash) map[string]bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make(map[string]bool, len(list))
+	for _, hash := range list {
+		if id, known := p.ids[hash]; known {
+			out[id] = true
+		}
+	}
+	return out
+}
+
+// takeLoads takes over what has changed of another instance's placements.
+func (p *pool) takeLoads(now time.Duration, instance string, loads map[fleet.Hash]fleet.Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for hash, l := range loads {
+		if id, known := p.ids[hash]; known {
+			p.room.SetPeerLoad(instance, id, room.Load{Requests: l.Requests, Tokens: l.Tokens})
+			p.heard[instance] = now
+		}
+	}
+}
+
 // dropSilent forgets the placements of instances that report no more.
 func (p *pool) dropSilent() {
 	now := boottime.Now()
--- a/instance/routed/readers.go
+++ b/instance/routed/readers.go
@@ -120,6 +120,16 @@
 	return i.quotas.Asked(now, a)
 }
 
+// Claimed implements fleet.Handler.
+func (i *Instance) Claimed(now time.Duration, instance string, c fleet.Claim, answer func(fleet.Place)) {
+	i.gateway.Claimed(now, instance, c, answer)
+}
+
+// TakeLoads implements fleet.Handler.
+func (i *Instance) TakeLoads(now time.Duration, instance string, loads map[fleet.Hash]fleet.Load) {
+	i.gateway.TakeLoads(now, instance, loads)
+}
+
 // Take implements fleet.Handler.
 func (i *Instance) Take(now time.Duration, r *fleet.Report) {
 	i.gateway.Take(now, r)
--- a/instance/routed/routed.go
+++ b/instance/routed/routed.go
@@ -147,6 +147,7 @@
 	}
 	i.exchange = exchange
 	i.quotas.Connect(exchange)
+	i.gateway.Connect(exchange)
 	i.members = fleet.NewMembers(self, outside.Log, log, i.setMembers)
 	i.members.Unlisted, i.members.ReadFirst = i.unlisted, !s.FirstStart
 	i.members.Informs = i.informs
@@ -288,6 +289,7 @@
 		case <-ticker.C:
 			i.outside.Pool.Sweep()
 			i.quotas.Sweep(i.exchange.Knows)
+			i.gateway.Sweep()
 			i.tellHubs()
 			i.metrics.Beliefs(i.beliefs())
 		}
