Homes check engines that others could not reach; one way to place where no home answers

Cause: who cannot reach an engine keeps that to itself, and nothing is placed there, so that the home gives it first to the next.

Change: a home that hears of an unreachable engine opens a connection itself, gives it to nobody meanwhile, and believes only what it finds: an instance that is cut off from engines must not take them from all (TestHomeBelievesItsOwnChecks). Without the check TestHomeChecksWhatOthersDoubt fails. Claims that waited while a home stood still are dropped.

Smaller memory and whole reservations in large fleets are gone: only the way without a home still had them. Tests of places run in a bubble's time.

--- a/fleet/place.go
+++ b/fleet/place.go
@@ -84,6 +84,10 @@
 
 // claimed hands a claim to the handler, which answers it once or more often.
 func (x *Exchange) claimed(now time.Duration, r *Report, from netip.AddrPort) {
+	if x.stalled(now) {
+		// Who asked has gone elsewhere meanwhile.
+		return
+	}
 	to := r.Instance
 	x.handler.Claimed(now, to, *r.Claim, func(place Place) {
 		data, err := (&Report{Instance: x.self.Name, Incarnation: x.self.Incarnation, Fleet: x.identity(), Place: &place}).marshal()
--- a/gateway/claims.go
+++ b/gateway/claims.go
@@ -64,6 +64,10 @@
 	d.claims[c.ID] = r
 	d.mu.Unlock()
 	k.sync()
+	if c.Prefill {
+		r.pool = k.prefill
+	}
+	k.doubt(r.pool, c.Avoid)
 	if c.Prefill {
 		r.prefill(c)
 		return
@@ -84,8 +88,9 @@
 
 // prefill places a prompt at once or not at all.
 func (r *remoteClaim) prefill(c fleet.Claim) {
-	r.pool = r.desk.prefill
 	except, avoid := r.pool.named(c.Except), r.pool.named(c.Avoid)
+	entries := r.desk.gateway.state.Directory.Service(r.desk.service)
+	avoid = union(avoid, r.desk.gateway.suspects.among(entries))
 	entry, ok := r.pool.claimFor(r.instance, c.Tokens, union(except, avoid))
 	if !ok {
 		entry, ok = r.pool.claimFor(r.instance, c.Tokens, except)
--- a/gateway/desk.go
+++ b/gateway/desk.go
@@ -27,12 +27,6 @@
 	// claimDeviations is how far above the middle of what is known of an answer's length
 	// its claim lies.
 	claimDeviations = 0.25
-	// lateMemory is the part of an engine's memory that is claimed in a fleet whose reports
-	// are slowed down. What others have placed in the last second is not known there, and
-	// an engine that is filled by several at once preempts runs, whose prompts are read
-	// again. At 62 and 72 instances in a burst 182 and 226 runs were preempted with all of
-	// the memory, 95 and 85 with this part; with 0.7 more requests were refused.
-	lateMemory = 0.85
 	// shutTime is how long a decode engine gets no claims after it refused a
 	// reservation that should have fitted: another instance was faster and its report
 	// is on the way, or a run grew beyond its claim.
@@ -183,6 +177,7 @@
 	pid     *actor.PID
 	decode  *pool
 	prefill *pool
+	doubts  doubts
 
 	mu      sync.Mutex
 	pool    object.Pool
@@ -197,7 +192,7 @@
 
 func newDesk(g *Gateway, service string) *desk {
 	return &desk{
-		gateway: g, service: service, decode: newPool(), prefill: newPool(),
+		gateway: g, service: service, decode: newPool(), prefill: newPool(), doubts: doubts{checked: make(map[string]time.Duration)},
 		lengths: length.New(length.DefaultConfig()), work: split.New(split.DefaultConfig()),
 		queue: waiting.New(waiting.DefaultConfig()), tickets: make(map[*waiting.Item]*ticket),
 	}
@@ -302,23 +297,17 @@
 func (k *desk) sync() {
 	large := k.gateway.reportsLate()
 	_, home := k.gateway.homeOf(k.service)
-	late := large && !home
-	k.decode.spread(late)
-	k.prefill.spread(late)
-	shape := k.shape()
-	memory := shape.MemoryTokens
-	if late {
-		memory = int(lateMemory * float64(memory))
-	}
-	near := k.gateway.DataCentre
+	k.decode.spread(large && !home)
+	k.prefill.spread(large && !home)
+	memory, near := k.shape().MemoryTokens, k.gateway.DataCentre
 	if large {
 		// Most requests that are placed here come from elsewhere.
 		near = ""
 	}
-	k.decode.sync(k.gateway.state.Directory, k.service, upstream.Decode, late, func(e upstream.Entry) room.Engine {
+	k.decode.sync(k.gateway.state.Directory, k.service, upstream.Decode, near, func(e upstream.Entry) room.Engine {
 		return room.Engine{ID: e.ID, Memory: memory, Slots: e.Slots, Near: e.DataCentre == near}
 	})
-	k.prefill.sync(k.gateway.state.Directory, k.service, upstream.Prefill, late, func(e upstream.Entry) room.Engine {
+	k.prefill.sync(k.gateway.state.Directory, k.service, upstream.Prefill, near, func(e upstream.Entry) room.Engine {
 		return room.Engine{ID: e.ID, Memory: prefillDepth, Slots: e.Slots, Near: e.DataCentre == near}
 	})
 }
--- a/gateway/homes.go
+++ b/gateway/homes.go
@@ -48,22 +48,18 @@
 	except, full map[string]bool
 }
 
-// place waits for a place at a decode engine. exact tells that it was given by one who knows what
-// all instances have placed.
-func (k *desk) place(ctx context.Context, w want) (entry upstream.Entry, exact bool, v *verdict.Verdict) {
+// place waits for a place at a decode engine.
+func (k *desk) place(ctx context.Context, w want) (upstream.Entry, *verdict.Verdict) {
 	for range homeTries {
 		home, own := k.gateway.homeOf(k.service)
 		if own {
-			entry, v = k.placeHere(ctx, w)
-			return entry, true, v
+			break
 		}
-		entry, refused, ok := k.placeAt(ctx, home, w)
-		if ok {
-			return entry, true, refused
+		if entry, refused, ok := k.placeAt(ctx, home, w); ok {
+			return entry, refused
 		}
 	}
-	entry, v = k.placeHere(ctx, w)
-	return entry, false, v
+	return k.placeHere(ctx, w)
 }
 
 // placeAt waits for a place that another instance gives. It reports false if that one does not
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -56,8 +56,6 @@
 	// except are decode engines that are not asked again, full those that have just refused
 	// to set memory aside.
 	except, full map[string]bool
-	// exact tells that the place was given by one who knows what all instances have placed.
-	exact bool
 }
 
 // serveModel has the prompt read at a prefill engine and the answer generated at a
@@ -227,11 +225,10 @@
 		Objective: time.Duration(r.admitted.route.ObjectiveMS) * time.Millisecond, Deadline: c.Deadline, Point: hashPoint(c.ID),
 	}
 	for {
-		entry, exact, v := r.desk.place(ctx, want{item: item, except: r.except, full: r.full})
+		entry, v := r.desk.place(ctx, want{item: item, except: r.except, full: r.full})
 		if v != nil {
 			return place{}, v
 		}
-		r.exact = exact
 		clear(r.full)
 		if r.desk.shape().ReservationMS <= 0 {
 			return place{entry: entry}, nil
@@ -258,20 +255,10 @@
 	ctx, cancel := context.WithTimeout(ctx, reservePatience)
 	defer cancel()
 	ttl := min(reservationTime, time.Duration(r.desk.shape().ReservationMS)*time.Millisecond)
-	reservation, err := r.gateway.Upstreams.Reserve(ctx, entry, r.admitted.call.PromptTokens+r.reservedOutput(), ttl)
+	reservation, err := r.gateway.Upstreams.Reserve(ctx, entry, r.admitted.call.PromptTokens+min(reservedOutput, r.output), ttl)
 	return reservation, verdict.From(err)
 }
 
-// reservedOutput is the tokens of output that are reserved at the engine.
-func (r *modelRun) reservedOutput() int {
-	if !r.exact {
-		// Where what others have placed is known late, claims do not keep an engine from being
-		// filled by several instances at once; its own reservations do.
-		return r.output
-	}
-	return min(reservedOutput, r.output)
-}
-
 // drop gives reserved memory back that will not be used.
 func (r *modelRun) drop(p place) {
 	if p.reservation == "" {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -191,7 +191,7 @@
 // attempt sends the request to one upstream.
 func (r *plainRun) attempt(ctx context.Context) (*keptResponse, *verdict.Verdict) {
 	g, a := r.gateway, r.admitted
-	r.pool.sync(g.state.Directory, a.service.Name, upstream.Plain, false, g.plainShape)
+	r.pool.sync(g.state.Directory, a.service.Name, upstream.Plain, g.DataCentre, g.plainShape)
 	r.pool.spread(g.reportsLate())
 	entry, v := r.place()
 	if v != nil {
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -29,8 +29,8 @@
 	ids     map[fleet.Hash]string
 	heard   map[string]time.Duration
 	version uint64
-	// late tells that the engines were taken over while reports were late.
-	late bool
+	// near is the data centre whose engines went first when they were taken over.
+	near string
 	// away are engines that get no work, with the claim that keeps it from them.
 	away map[string]int
 }
@@ -40,14 +40,14 @@
 }
 
 // sync takes over the upstreams that may be given work. shape tells an entry's size.
-func (p *pool) sync(directory *upstream.Directory, service string, role upstream.Role, late bool, shape func(upstream.Entry) room.Engine) {
+func (p *pool) sync(directory *upstream.Directory, service string, role upstream.Role, near string, shape func(upstream.Entry) room.Engine) {
 	version := directory.Version()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.version == version && p.late == late {
+	if p.version == version && p.near == near {
 		return
 	}
-	p.version, p.late = version, late
+	p.version, p.near = version, near
 	var engines []room.Engine
 	p.entries = make(map[string]upstream.Entry)
 	p.ids = make(map[fleet.Hash]string)
