--- a/observe/explain/explain.go
+++ b/observe/explain/explain.go
@@ -66,6 +66,11 @@
 // Read takes in one log. Lines that cannot be read are counted and skipped: the end of
 // a log of a process that was killed is cut, and logs are pasted with others' lines.
 func (r *Reader) Read(source string, log io.Reader) error {
+	return readLines(log, func(number int, text []byte, cut bool) { r.take(source, number, text, cut) })
+}
+
+// readLines hands on the lines of a log that are not empty.
+func readLines(log io.Reader, take func(number int, text []byte, cut bool)) error {
 	lines := bufio.NewReaderSize(log, maxLine)
 	for number := 1; ; number++ {
 		text, cut, err := readLine(lines)
@@ -73,7 +78,7 @@
 			return err
 		}
 		if len(text) > 0 {
-			r.take(source, number, text, cut)
+			take(number, text, cut)
 		}
 		if err == io.EOF {
 			return nil
--- a/observe/explain/explain_test.go
+++ b/observe/explain/explain_test.go
@@ -1,8 +1,10 @@
 package explain
 
 import (
+	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -58,3 +60,27 @@
 	assert.Equal(t, s.Lines[1].Number, 6)
 	assert.Equal(t, s.Unreadable, 4)
 }
+
+// Guards against a table that misses requests, or counts those that were served.
+func TestFailuresAreCountedByReason(t *testing.T) {
+	f := NewFailureReader()
+	assert.NilError(t, f.Read("a", strings.NewReader(first)))
+	assert.NilError(t, f.Read("b", strings.NewReader(
+		"1.0 edge-1 ts=2026-01-02T03:04:07Z msg=refused request=10 reason=rate_limited status=429 held=0.2 detail=\"used up\"\n"+
+			"1.1 edge-2 ts=2026-01-02T03:04:06Z msg=refused request=11 reason=rate_limited status=429 held=0.4\n"+
+			"1.1 edge-2 ts=2026-01-02T03:04:09Z msg=refused request=12 reason=rate_limited status=429 held=0.3\n"+
+			"1.2 edge-2 ts=2026-01-02T03:04:08Z msg=answered request=13 status=500 took=0.1\n"+
+			"1.3 edge-2 ts=2026-01-02T03:04:08Z msg=\"answer broken off\" request=14 status=200 took=3 error=reset\n")))
+	table := f.Failures()
+	assert.Equal(t, table.Decided, 7)
+	assert.Equal(t, table.Unreadable, 2)
+	var kinds []string
+	for _, row := range table.Rows {
+		kinds = append(kinds, fmt.Sprintf("%d %s %s %d", row.Count, row.Status, row.Reason, row.Instances))
+	}
+	assert.DeepEqual(t, kinds, []string{"3 429 rate_limited 2", "1 200 broken_off 1", "1 500 upstream_answer 1", "1 502 upstream_crashed 1"})
+	limited := table.Rows[0]
+	assert.Equal(t, limited.Held, 300*time.Millisecond)
+	assert.Equal(t, limited.Example+limited.Detail, "10used up")
+	assert.Equal(t, limited.Last.Sub(limited.First), 3*time.Second)
+}
--- a/operator/ctl/ctl_test.go
+++ b/operator/ctl/ctl_test.go
@@ -245,6 +245,15 @@
 	assert.Equal(t, code, exitUsage)
 	code, _ = b.run("explain")
 	assert.Equal(t, code, exitUsage)
+	code, out = b.run("explain", "--failures", file)
+	assert.Equal(t, code, 0)
+	assert.Assert(t, strings.Contains(out, "1 of 1 requests were not served; 1 lines"), out)
+	assert.Assert(t, strings.Contains(out, "queue_timeout"), out)
+	code, out = b.run("--json", "explain", "--failures", file)
+	assert.Equal(t, code, 0)
+	assert.Assert(t, strings.Contains(out, `"reason": "queue_timeout"`), out)
+	code, _ = b.run("explain", "--failures", file+".none")
+	assert.Equal(t, code, exitUsage)
 }
 
 // An operator checks a set with routes; the counts tell whether all files were read.
--- a/operator/ctl/explain.go
+++ b/operator/ctl/explain.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"strings"
+	"text/tabwriter"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -19,12 +20,21 @@
 	return &cli.Command{
 		Name:      "explain",
 		Usage:     "put the log lines of one request in order and name the one that decided it",
-		ArgsUsage: "REQUEST-ID [FILE...]",
+		ArgsUsage: "REQUEST-ID [FILE...] | --failures [FILE...]",
 		Description: `Reads the logs of any number of instances, or standard input. The times are by
 each instance's own clock; lines of one log keep their order. Lines that cannot
-be read are counted and skipped.`,
+be read are counted and skipped. With --failures it counts the requests that were
+not served, by what callers were told and why, with one example each.`,
+		Flags: []cli.Flag{&cli.BoolFlag{Name: flagFailures, Usage: "count what was not served, by reason"}},
 		Action: func(_ context.Context, cmd *cli.Command) error {
 			args := cmd.Args().Slice()
+			if cmd.Bool(flagFailures) {
+				failures := explain.NewFailureReader()
+				if err := readLogs(failures, args); err != nil {
+					return err
+				}
+				return printFailures(env.Out, failures.Failures(), cmd.Bool(flagJSON))
+			}
 			if len(args) == 0 || args[0] == "" {
 				return usageError("name the request")
 			}
@@ -37,8 +47,16 @@
 	}
 }
 
+// flagFailures asks for a table of what was not served.
+const flagFailures = "failures"
+
+// logReader takes in logs.
+type logReader interface {
+	Read(source string, log io.Reader) error
+}
+
 // readLogs reads files, or standard input where none is named.
-func readLogs(reader *explain.Reader, files []string) error {
+func readLogs(reader logReader, files []string) error {
 	if len(files) == 0 {
 		return reader.Read("-", os.Stdin)
 	}
@@ -85,6 +103,27 @@
 	return nil
 }
 
+func printFailures(out io.Writer, t explain.Failures, asJSON bool) error {
+	if asJSON {
+		encoder := json.NewEncoder(out)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(t)
+	}
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "COUNT\tSTATUS\tREASON\tINSTANCES\tHELD\tFIRST\tLAST\tEXAMPLE\tDETAIL")
+	failed := 0
+	for _, row := range t.Rows {
+		failed += row.Count
+		fmt.Fprintf(table, "%d\t%s\t%s\t%d\t%v\t%s\t%s\t%s\t%s\n", row.Count, row.Status, row.Reason, row.Instances, row.Held.Round(time.Millisecond),
+			row.First.Format(time.TimeOnly), row.Last.Format(time.TimeOnly), row.Example, row.Detail)
+	}
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "%d of %d requests were not served; %d lines could not be read and were skipped\n", failed, t.Decided, t.Unreadable)
+	return nil
+}
+
 func fieldsText(line explain.Line) string {
 	var b strings.Builder
 	for _, f := range line.Fields {
