--- a/gateway/doubt.go
+++ b/gateway/doubt.go
@@ -64,7 +64,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), doubtPatience)
 		defer cancel()
 		if err := k.gateway.Upstreams.Reach(ctx, entry); err != nil {
-			k.gateway.suspects.fail(entry)
+			k.gateway.suspects.unreached(entry, err)
 			k.gateway.log.Info("doubted upstream not reached", zap.String("upstream", id), zap.Error(err))
 		}
 	}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -191,7 +191,7 @@
 // attempt sends the request to one upstream.
 func (r *plainRun) attempt(ctx context.Context) (*keptResponse, *verdict.Verdict) {
 	g, a := r.gateway, r.admitted
-	r.pool.sync(g.state.Directory, a.service.Name, upstream.Plain, g.DataCentre, g.plainShape)
+	r.pool.sync(g.state.Directory, a.service.Name, upstream.Plain, shaped{near: g.DataCentre}, g.plainShape)
 	r.pool.spread(g.reportsLate())
 	entry, v := r.place()
 	if v != nil {
@@ -272,7 +272,9 @@
 		g.crashes.broke(c, entry, g.changed)
 	}
 	switch v.Reason {
-	case verdict.ReasonUpstreamUnreachable, verdict.ReasonUpstreamCrashed, verdict.ReasonTimeout:
+	case verdict.ReasonUpstreamUnreachable:
+		g.suspects.unreached(entry, v.Cause)
+	case verdict.ReasonUpstreamCrashed, verdict.ReasonTimeout:
 		g.suspects.fail(entry)
 	case verdict.ReasonWrongUpstream:
 		g.state.Directory.MarkGone(entry)
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -29,8 +29,7 @@
 	ids     map[fleet.Hash]string
 	heard   map[string]time.Duration
 	version uint64
-	// near is the data centre whose engines went first when they were taken over.
-	near string
+	shaped  shaped
 	// away are engines that get no work, with the claim that keeps it from them.
 	away map[string]int
 }
@@ -39,15 +38,23 @@
 	return &pool{room: room.New(), entries: make(map[string]upstream.Entry), ids: make(map[fleet.Hash]string), heard: make(map[string]time.Duration), away: make(map[string]int)}
 }
 
-// sync takes over the upstreams that may be given work. shape tells an entry's size.
-func (p *pool) sync(directory *upstream.Directory, service string, role upstream.Role, near string, shape func(upstream.Entry) room.Engine) {
+// shaped is what upstreams are taken over by, besides their entries: the data centre whose go
+// first, and the memory of each.
+type shaped struct {
+	near   string
+	memory int
+}
+
+// sync takes over the upstreams that may be given work. shape tells an entry's size by what it is
+// shaped by.
+func (p *pool) sync(directory *upstream.Directory, service string, role upstream.Role, by shaped, shape func(upstream.Entry) room.Engine) {
 	version := directory.Version()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.version == version && p.near == near {
+	if p.version == version && p.shaped == by {
 		return
 	}
-	p.version, p.near = version, near
+	p.version, p.shaped = version, by
 	var engines []room.Engine
 	p.entries = make(map[string]upstream.Entry)
 	p.ids = make(map[fleet.Hash]string)
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"errors"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cairnworks/cairnworks/boottime"
@@ -15,6 +17,10 @@
 	// engine is listed for up to three of its heartbeats.
 	firstSuspicion = 400 * time.Millisecond
 	lastSuspicion  = 3 * time.Second
+	// endedSuspicion is how long a model engine gets no work whose process has ended. It may
+	// be back at its address at once, in another role and with nothing in its memory, and refuses
+	// what it is sent until its new entry has come round, which takes a heartbeat and a read.
+	endedSuspicion = 2 * time.Second
 	// suspicionMemory is how long failures are held against an upstream.
 	suspicionMemory = 10 * time.Second
 )
@@ -43,8 +49,20 @@
 	return &suspects{now: now, failed: make(map[suspectKey]suspicion)}
 }
 
-// fail notes a failure to reach an upstream.
-func (s *suspects) fail(e upstream.Entry) {
+// unreached notes that an upstream could not be reached, and why.
+func (s *suspects) unreached(e upstream.Entry, cause error) {
+	least := firstSuspicion
+	if e.Role != upstream.Plain && errors.Is(cause, syscall.ECONNREFUSED) {
+		least = endedSuspicion
+	}
+	s.note(e, least)
+}
+
+// fail notes a failure of an upstream.
+func (s *suspects) fail(e upstream.Entry) { s.note(e, firstSuspicion) }
+
+// note keeps work from an upstream for a time that grows with each failure.
+func (s *suspects) note(e upstream.Entry, least time.Duration) {
 	now := s.now()
 	key := suspectKey{e.ID, e.Started}
 	s.mu.Lock()
@@ -58,7 +76,7 @@
 		f.count = 0
 	}
 	f.last = now
-	f.until = now + min(firstSuspicion<<min(f.count, 4), lastSuspicion)
+	f.until = now + min(max(firstSuspicion<<min(f.count, 4), least), lastSuspicion)
 	f.count++
 	s.failed[key] = f
 }
