--- a/gateway/model_test.go
+++ b/gateway/model_test.go
@@ -212,6 +212,8 @@
 	for range 20 {
 		d.prefilled(5000, 500*time.Millisecond, true)
 	}
-	assert.Assert(t, claim() && claim(), "an idle engine takes any prompt")
+	for range 2 {
+		assert.Assert(t, claim(), "an idle engine takes any prompt")
+	}
 	assert.Assert(t, !claim(), "half a second of reading is all there is time for")
 }
