cairnctl explain tells in words what became of a request

The lines said it to who knows the code. Each event that decides something has a sentence: where it waited and what it got, what each attempt met, what the caller was told and whether it ran.

--- a/observe/explain/explain_test.go
+++ b/observe/explain/explain_test.go
@@ -84,3 +84,21 @@
 	assert.Equal(t, limited.Example+limited.Detail, "10used up")
 	assert.Equal(t, limited.Last.Sub(limited.First), 3*time.Second)
 }
+
+// Guards against an engineer who has to know the code to tell a caller what happened.
+func TestStoryInWords(t *testing.T) {
+	r := NewReader("7")
+	assert.NilError(t, r.Read("edge-1", strings.NewReader(
+		"ts=2026-01-02T03:04:05.100Z msg=placed request=7 upstream=i-1 tokens=5599 waited=0.0344 pool_free=0.1064\n"+
+			"ts=2026-01-02T03:04:05.110Z msg=\"attempt failed\" request=7 upstream=i-1 role=decode reason=wrong_upstream ran=not_run\n"+
+			"ts=2026-01-02T03:04:05.111Z msg=\"something new\" request=7\n"+
+			"ts=2026-01-02T03:04:05.120Z msg=refused request=7 reason=wrong_upstream ran=not_run status=503 retry_after=1.5 held=0.041 detail=\"another stage\"\n")))
+	assert.DeepEqual(t, r.Story().Words(), []string{
+		"At 03:04:05.100 on edge-1 it had waited 34ms for a place and got 5599 tokens of memory at i-1, 11 % of all such memory being free.",
+		"At 03:04:05.110 on edge-1 the decode upstream i-1 failed it (wrong_upstream), it has not run there.",
+		"At 03:04:05.120 on edge-1 it was refused with 503 (wrong_upstream), 41ms after it came: another stage; it has not run there, and its caller was told to come back after 1.5s; this was its end.",
+	})
+	for event := range phrases {
+		assert.Assert(t, phrases[event](Line{Event: event}) != "", "a line without fields")
+	}
+}
--- a/operator/ctl/explain.go
+++ b/operator/ctl/explain.go
@@ -23,7 +23,7 @@
 		ArgsUsage: "REQUEST-ID [FILE...] | --failures [FILE...]",
 		Description: `Reads the logs of any number of instances, or standard input. The times are by
 each instance's own clock; lines of one log keep their order. Lines that cannot
-be read are counted and skipped. With --failures it counts the requests that were
+be read are counted and skipped. What the lines mean follows in words. With --failures it counts the requests that were
 not served, by what callers were told and why, with one example each.`,
 		Flags: []cli.Flag{&cli.BoolFlag{Name: flagFailures, Usage: "count what was not served, by reason"}},
 		Action: func(_ context.Context, cmd *cli.Command) error {
@@ -94,6 +94,9 @@
 		}
 		fmt.Fprintf(out, "%s %+9.3fs  %s:%d  %s%s\n", mark, line.Time.Sub(start).Seconds(), line.Source, line.Number, line.Event, fieldsText(line))
 	}
+	for _, sentence := range s.Words() {
+		fmt.Fprintln(out, sentence)
+	}
 	if s.Deciding < 0 {
 		fmt.Fprintln(out, "no line names the outcome: the instance ended before it, or its log was cut")
 	} else {
