Soak: a run draws each port once

Of 60 ports drawn from 15,000 one pair in eight runs is equal, and a drawn port is free until its instance listens.

--- /dev/null
+++ b/gateway/places_bench_test.go
@@ -0,0 +1,45 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/cairnworks/cairnworks/boottime"
+	"github.com/cairnworks/cairnworks/fleet"
+	"github.com/cairnworks/cairnworks/object"
+	"github.com/cairnworks/cairnworks/observe"
+	"github.com/cairnworks/cairnworks/upstream"
+)
+
+// BenchmarkHome measures what a home does for one request: its claim at a decode engine, which is
+// given at once, and the word of its end. Datagrams are not in it.
+func BenchmarkHome(b *testing.B) {
+	for _, engines := range []int{66, 400} {
+		b.Run(fmt.Sprint(engines, " engines"), func(b *testing.B) {
+			state := NewState(boottime.Now, time.Minute)
+			assert.Assert(b, state.Apply(object.NewIndex(set(), 1)))
+			state.Prove(boottime.Now())
+			for e := range engines {
+				state.Directory.Put(upstream.Entry{ID: fmt.Sprint("d", e), Service: "model", Role: upstream.Decode, Slots: 4})
+			}
+			g := New(Options{Upstreams: &fakes{}, State: state, Log: zap.NewNop(), Metrics: observe.NewMetrics(), Members: func() int { return 295 }})
+			defer g.Close()
+			places := make(chan fleet.Place, 1)
+			c := fleet.Claim{Service: fleet.HashOf("model"), Tokens: 250, Objective: time.Second, Left: time.Minute}
+			for b.Loop() {
+				c.ID++
+				instance := fmt.Sprint("i", c.ID%295)
+				g.Claimed(boottime.Now(), instance, c, func(p fleet.Place) { places <- p })
+				given := <-places
+				g.TakeLoads(boottime.Now(), instance, map[fleet.Hash]fleet.Load{given.Upstream: {}})
+				if c.ID%1000 == 0 {
+					g.Sweep()
+				}
+			}
+		})
+	}
+}
--- a/loopback/loopback.go
+++ b/loopback/loopback.go
@@ -3,9 +3,12 @@
 package loopback
 
 import (
+	"cmp"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"sync"
 )
 
 // Ports lie below those that the system gives to outgoing connections, of which a run opens
@@ -17,19 +20,35 @@
 	portTries = 50
 )
 
-// FreeAddress returns an address at which nobody listens for streams or datagrams. Another run
-// may take it before it is used.
+// drawn are the ports that this process was given. Nobody listens at them yet, or while what uses
+// them restarts.
+var drawn = struct {
+	sync.Mutex
+	ports map[int]bool
+}{ports: make(map[int]bool)}
+
+// FreeAddress returns an address at which nobody listens for streams or datagrams, a different one
+// each time. Another process may take it before it is used.
 func FreeAddress() (string, error) {
+	drawn.Lock()
+	defer drawn.Unlock()
 	var last error
 	for range portTries {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		port := firstPort + rand.IntN(ports)
+		if drawn.ports[port] {
+			continue
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", port)
 		if last = probe(address); last == nil {
+			drawn.ports[port] = true
 			return address, nil
 		}
 	}
-	return "", last
+	return "", cmp.Or(last, errAllDrawn)
 }
 
+var errAllDrawn = errors.New("all ports for processes on this machine were drawn")
+
 func probe(address string) error {
 	streams, err := net.Listen("tcp4", address)
 	if err != nil {
