A new hub counts nobody twice

Cause: the new home knew the sum of all claims from others' answers, and now each instance told it its claims as well. For 1.2 s all engines looked full; four drafts were placed in half a second in which 36 come. 'hubs changed' lines and the count of 'placed' by half second show it.

Change: who speaks for itself is taken out of the sum.

--- a/decision/room/room.go
+++ b/decision/room/room.go
@@ -166,6 +166,15 @@
 	loads[id] = l
 }
 
+// Part takes what one instance has placed out of a sum that holds it, before it is told by itself.
+func (r *Room) Part(sum string, loads map[string]Load) {
+	for id, l := range loads {
+		if of := r.peers[sum][id]; of != (Load{}) {
+			r.SetPeerLoad(sum, id, Load{Requests: max(of.Requests-l.Requests, 0), Tokens: max(of.Tokens-l.Tokens, 0)})
+		}
+	}
+}
+
 // Hold notes a request that another instance has placed for this one.
 func (r *Room) Hold(id string, tokens int) { r.add(id, 1, tokens) }
 
--- a/gateway/places_test.go
+++ b/gateway/places_test.go
@@ -290,3 +290,24 @@
 		}
 	})
 }
+
+// Guards against a new home that counts what all have placed twice, and gives nothing for a second.
+func TestNewHubCountsNobodyTwice(t *testing.T) {
+	playPlaces(t, 20, 1, func(t *testing.T, f *placeFleet) {
+		home := f.desk(0)
+		loads := func(requests int) map[fleet.Hash]fleet.Load {
+			return map[fleet.Hash]fleet.Load{fleet.ShortHashOf("d0"): {Requests: requests, Tokens: 250 * requests}}
+		}
+		placed := func() int { return home.decode.room.Load("d0").Requests }
+		home.decode.take(boottime.Now(), &fleet.Report{Instance: "hub", Answer: true, Whole: true, Loads: loads(3)})
+		assert.Equal(t, placed(), 3)
+		home.decode.take(boottime.Now(), &fleet.Report{Instance: "i1", Loads: loads(1)})
+		assert.Equal(t, placed(), 3, "it was in the sum")
+		home.decode.take(boottime.Now(), &fleet.Report{Instance: "i2", Loads: loads(2)})
+		assert.Equal(t, placed(), 3)
+		home.decode.take(boottime.Now(), &fleet.Report{Instance: "i2", Loads: loads(1)})
+		assert.Equal(t, placed(), 2, "one of its requests has ended")
+		_, v := home.place(t.Context(), want{item: item(time.Second)})
+		assert.Assert(t, v == nil)
+	})
+}
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -28,6 +28,8 @@
 	entries map[string]upstream.Entry
 	ids     map[fleet.Hash]string
 	heard   map[string]time.Duration
+	// whole are the instances that have told all that they have placed themselves.
+	whole   map[string]bool
 	version uint64
 	shaped  shaped
 	// away are engines that get no work, with the claim that keeps it from them.
@@ -35,7 +37,7 @@
 }
 
 func newPool() *pool {
-	return &pool{room: room.New(), entries: make(map[string]upstream.Entry), ids: make(map[fleet.Hash]string), heard: make(map[string]time.Duration), away: make(map[string]int)}
+	return &pool{room: room.New(), entries: make(map[string]upstream.Entry), ids: make(map[fleet.Hash]string), heard: make(map[string]time.Duration), whole: make(map[string]bool), away: make(map[string]int)}
 }
 
 // shaped is what upstreams are taken over by, besides their entries: the data centre whose go
@@ -168,6 +170,7 @@
 	for instance, at := range p.heard {
 		if now-at > peerLoadAge {
 			delete(p.heard, instance)
+			delete(p.whole, instance)
 			p.room.SetPeer(instance, nil)
 		}
 	}
@@ -278,6 +281,7 @@
 		p.room.SetPeer(instance, nil)
 	}
 	clear(p.heard)
+	clear(p.whole)
 }
 
 // fillAll adds the placements of all instances but one.
@@ -308,6 +312,12 @@
 			loads[id] = room.Load{Requests: l.Requests, Tokens: l.Tokens}
 		}
 	}
+	if !r.Answer && !p.whole[from] {
+		// An instance that has just become a hub holds the sum that others told it; counted
+		// twice, all engines would look full until that sum is old.
+		p.whole[from] = true
+		p.room.Part(ofAll, loads)
+	}
 	p.heard[from] = now
 	p.room.SetPeer(from, loads)
 }
