--- a/gateway/claims.go
+++ b/gateway/claims.go
@@ -16,13 +16,13 @@
 
 // remoteClaim is a claim of another instance that is placed here.
 type remoteClaim struct {
+	id       uint64
 	instance string
 	desk     *desk
 	pool     *pool
 	tokens   int
-	ticket   *ticket
-
-	id uint64
+	// ticket waits at the desk; nil for a prompt, which does not wait.
+	ticket *ticket
 
 	mu sync.Mutex
 	// at is when the claim was last heard of.
@@ -58,32 +58,38 @@
 		return
 	}
 	r := &remoteClaim{
-		id: c.ID, instance: instance, desk: k, pool: k.decode, tokens: c.Tokens, at: now, answer: answer, place: fleet.Place{ID: c.ID, State: fleet.PlaceWaiting},
+		id: c.ID, instance: instance, desk: k, pool: k.decode, tokens: c.Tokens, at: now, answer: answer,
+		place: fleet.Place{ID: c.ID, State: fleet.PlaceWaiting},
+	}
+	if c.Prefill {
+		r.pool = k.prefill
 	}
 	d.mu.Lock()
 	d.claims[c.ID] = r
 	d.mu.Unlock()
 	k.sync()
-	if c.Prefill {
-		r.pool = k.prefill
-	}
 	k.doubt(r.pool, c.Avoid)
 	if c.Prefill {
 		r.prefill(c)
-		return
+	} else {
+		r.enqueue(c)
 	}
-	for id := range k.decode.named(c.Full) {
-		k.shut(id)
+}
+
+// enqueue lets a claim of memory wait like a request of this instance.
+func (r *remoteClaim) enqueue(c fleet.Claim) {
+	for id := range r.pool.named(c.Full) {
+		r.desk.shut(id)
 	}
-	arrived := time.Now()
+	now := time.Now()
 	r.ticket = &ticket{
 		item: &waiting.Item{
-			Organisation: strconv.FormatUint(uint64(c.Organisation), 16), Priority: c.Priority, Tokens: c.Tokens, Arrived: arrived.Add(-c.Waited),
-			Objective: c.Objective, Deadline: arrived.Add(c.Left), Point: c.Point,
+			Organisation: strconv.FormatUint(uint64(c.Organisation), 16), Priority: c.Priority, Tokens: c.Tokens, Arrived: now.Add(-c.Waited),
+			Objective: c.Objective, Deadline: now.Add(c.Left), Point: c.Point,
 		},
-		except: union(k.decode.named(c.Except), k.decode.named(c.Avoid)), remote: r,
+		except: union(r.pool.named(c.Except), r.pool.named(c.Avoid)), remote: r,
 	}
-	d.system.Root.Send(k.pid, submit{r.ticket})
+	r.desk.gateway.desks.system.Root.Send(r.desk.pid, submit{r.ticket})
 }
 
 // prefill places a prompt at once or not at all.
