Prompts that wait at prefill engines: the fixed depth is back

Half of the objective by measured speed was to serve engines of other speeds. Cause: prompts that find no prefill engine are read by decode engines, at half the speed and in the way of others' tokens; the lower depth sends more of them there. At 55 tokens a millisecond and an objective of 900 ms the depth was the same 24,000.

--- a/gateway/desk.go
+++ b/gateway/desk.go
@@ -92,8 +92,6 @@
 	pool    object.Pool
 	lengths *length.Estimator
 	work    *split.Advisor
-	// objective is the shortest of the requests so far, 0 while none had one.
-	objective time.Duration
 
 	// What follows belongs to the actor.
 	queue   *waiting.Queue
@@ -131,7 +129,6 @@
 func (k *desk) Receive(ctx actor.Context) {
 	switch message := ctx.Message().(type) {
 	case submit:
-		k.aim(message.ticket.item.Objective)
 		k.queue.Add(message.ticket.item)
 		k.tickets[message.ticket.item] = message.ticket
 		if remote := message.ticket.remote; remote != nil {
@@ -219,9 +216,8 @@
 	k.decode.sync(k.gateway.state.Directory, k.service, upstream.Decode, shaped{near, memory}, func(e upstream.Entry) room.Engine {
 		return room.Engine{ID: e.ID, Memory: memory, Slots: e.Slots, Near: e.DataCentre == near}
 	})
-	depth := k.prefillDepth()
-	k.prefill.sync(k.gateway.state.Directory, k.service, upstream.Prefill, shaped{near, depth}, func(e upstream.Entry) room.Engine {
-		return room.Engine{ID: e.ID, Memory: depth, Slots: e.Slots, Near: e.DataCentre == near}
+	k.prefill.sync(k.gateway.state.Directory, k.service, upstream.Prefill, shaped{near, prefillDepth}, func(e upstream.Entry) room.Engine {
+		return room.Engine{ID: e.ID, Memory: prefillDepth, Slots: e.Slots, Near: e.DataCentre == near}
 	})
 }
 
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -14,6 +14,10 @@
 
 // Figures of model requests.
 const (
+	// prefillDepth is the prompt tokens that may wait at a prefill engine, all
+	// instances together: at 55 tokens a millisecond some 600 ms, after which the
+	// first event would be late.
+	prefillDepth = 24_000
 	// prefillTries is how many prefill engines are asked, as reading a prompt runs
 	// nothing.
 	prefillTries = 2
--- a/gateway/work.go
+++ b/gateway/work.go
@@ -8,40 +8,6 @@
 	"github.com/cairnworks/cairnworks/fleet"
 )
 
-// Figures of prompts that wait.
-const (
-	// unknownDepth is the prompt tokens that may wait at a prefill engine, all instances
-	// together, while it is not known how fast engines read.
-	unknownDepth = 24_000
-	// readShare is the part of the objective in which a prompt must have been read. The rest is
-	// for the wait at a decode engine, the transfer and the first step.
-	readShare = 0.5
-	// depthStep is the unit of the depth, so that it does not change with each prompt.
-	depthStep = 2000
-)
-
-// prefillDepth is the prompt tokens that may wait at a prefill engine, all instances together: what
-// waits behind more is late.
-func (k *desk) prefillDepth() int {
-	speed := k.workView().Speed
-	k.mu.Lock()
-	objective := k.objective
-	k.mu.Unlock()
-	if speed <= 0 || objective <= 0 {
-		return unknownDepth
-	}
-	return max(int(speed*objective.Seconds()*readShare)/depthStep, 1) * depthStep
-}
-
-// aim notes the objective of a request. The shortest holds for all, as they wait in one line.
-func (k *desk) aim(objective time.Duration) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if objective > 0 && (k.objective == 0 || objective < k.objective) {
-		k.objective = objective
-	}
-}
-
 // estimate is the number of output tokens that are claimed for a request.
 func (k *desk) estimate(c *Call) int {
 	k.mu.Lock()
