Prompts are given up by the measured speed of engines

Change: the patience is one and a half times what may wait, by measured speed, between 0.9 and 5 s. At 55 tokens a millisecond it stays 0.9 s for prompts of up to 9,300 tokens, at 33 it becomes 1.2 s.

--- a/gateway/model.go
+++ b/gateway/model.go
@@ -21,9 +21,6 @@
 	// prefillTries is how many prefill engines are asked, as reading a prompt runs
 	// nothing.
 	prefillTries = 2
-	// prefillPatience bounds one prefill. The longest prompts take 200 ms beside
-	// others; an engine that is silent for longer is ill or gone.
-	prefillPatience = 900 * time.Millisecond
 	// growEvents is by how many events the claim of a request grows that runs over its
 	// estimate: about half a second of its run.
 	growEvents = 10
@@ -345,7 +342,7 @@
 		r.desk.prefill.release(entry.ID, tokens)
 		r.desk.tell(r.desk.prefill, entry.ID)
 	}()
-	ctx, cancel := context.WithTimeout(ctx, prefillPatience)
+	ctx, cancel := context.WithTimeout(ctx, r.desk.prefillPatience(tokens))
 	defer cancel()
 	begun := time.Now()
 	handle, err := r.gateway.Upstreams.Prefill(ctx, entry, r.admitted.call)
--- a/gateway/model_test.go
+++ b/gateway/model_test.go
@@ -188,3 +188,20 @@
 	assert.Assert(t, !rec.set[0].IsZero())
 	assert.Assert(t, rec.set[len(rec.set)-1].IsZero())
 }
+
+// Guards against engines that read slowly and are taken for ill, so that their prompts are read
+// again elsewhere and they get none for a while.
+func TestSlowEnginesAreGivenTime(t *testing.T) {
+	patience := func(took time.Duration) time.Duration {
+		d := modelDesk(newWorld(t))
+		assert.Equal(t, d.prefillPatience(3000), leastPatience, "nothing is known yet")
+		for range 20 {
+			d.prefilled(3000, took, true)
+		}
+		return d.prefillPatience(3000)
+	}
+	assert.Equal(t, patience(54*time.Millisecond), leastPatience)
+	slow := patience(250 * time.Millisecond)
+	assert.Assert(t, slow > 2250*time.Millisecond && slow < mostPatience, "nine such prompts wait: %v", slow)
+	assert.Equal(t, patience(3*time.Second), mostPatience)
+}
--- a/gateway/work.go
+++ b/gateway/work.go
@@ -8,6 +8,27 @@
 	"github.com/cairnworks/cairnworks/fleet"
 )
 
+// Bounds of one prefill. An engine that is silent for longer is ill or gone.
+const (
+	// leastPatience is for engines that have not been measured, and for fast ones: the longest
+	// prompts take 200 ms beside others.
+	leastPatience = 900 * time.Millisecond
+	mostPatience  = 5 * time.Second
+	// patienceShare is how many times what may wait at an engine must have been read.
+	patienceShare = 1.5
+)
+
+// prefillPatience is how long a prompt may take: as long as it takes to read all that may wait
+// before it, and half as long again.
+func (k *desk) prefillPatience(tokens int) time.Duration {
+	speed := k.workView().Speed
+	if speed <= 0 {
+		return leastPatience
+	}
+	whole := time.Duration(patienceShare * float64(prefillDepth+tokens) / speed * float64(time.Second))
+	return min(max(whole, leastPatience), mostPatience)
+}
+
 // estimate is the number of output tokens that are claimed for a request.
 func (k *desk) estimate(c *Call) int {
 	k.mu.Lock()
