The last open engine of a pool is not withdrawn

Cause: one decode engine was left; it refused a request whose memory it had reserved, since it still ran one whose caller had left, and was then given nothing for 2 s, as an engine that changes its role.

Change: the last one keeps its work. TestLastEngineIsNotWithdrawn failed before.

--- a/gateway/model.go
+++ b/gateway/model.go
@@ -173,9 +173,13 @@
 
 // refusedBy keeps work away from an engine that had reserved room and refuses
 // nevertheless: it is changing its role or leaving. Each instance would read a prompt in
-// vain to learn the same; a claim on all of the engine tells them.
+// vain to learn the same; a claim on all of the engine tells them. The last engine keeps its
+// work: it may have refused for another reason, and there is nowhere else to go.
 func (r *modelRun) refusedBy(place place) {
 	r.drop(place)
+	if r.desk.decode.open() <= 1 {
+		return
+	}
 	r.gateway.suspects.fail(place.entry)
 	r.desk.decode.withdraw(place.entry.ID, refusedLimit)
 	r.desk.tell(r.desk.decode, place.entry.ID)
--- a/gateway/model_test.go
+++ b/gateway/model_test.go
@@ -205,3 +205,19 @@
 	assert.Assert(t, slow > 2250*time.Millisecond && slow < mostPatience, "nine such prompts wait: %v", slow)
 	assert.Equal(t, patience(3*time.Second), mostPatience)
 }
+
+// Guards against a service without any engine for seconds since its last one refused a request.
+func TestLastEngineIsNotWithdrawn(t *testing.T) {
+	w := newWorld(t)
+	w.always(refused())
+	d := modelDesk(w)
+	engines := d.decode.room.Engines()
+	d.decode.withdraw(engines[0].ID, time.Minute)
+	w.ask("/draft/1", map[string]string{"Tokens": tokens})
+	assert.DeepEqual(t, w.sends, []string{engines[1].ID})
+	w.run = func(context.Context, upstream.Entry, *Call, RunOptions) (*Answer, error) {
+		return answer(http.StatusOK, events(1, 1))
+	}
+	rec, _ := w.ask("/draft/1", map[string]string{"Tokens": tokens})
+	assert.Equal(t, rec.Code, http.StatusOK)
+}
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -231,6 +231,19 @@
 	time.AfterFunc(limit, func() { p.restore(id) })
 }
 
+// open is how many engines are not withdrawn.
+func (p *pool) open() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, e := range p.room.Engines() {
+		if _, away := p.away[e.ID]; !away {
+			n++
+		}
+	}
+	return n
+}
+
 // restore ends a withdrawal.
 func (p *pool) restore(id string) {
 	p.mu.Lock()
