Soak: each run's fleet has a name of its own

The setting says that no two fleets on one network share a name.

Change: runs name their fleets by their process.

--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -32,6 +32,10 @@
 // restartPause is the time between the end of a process and the start of the next.
 const restartPause = 300 * time.Millisecond
 
+// fleetName is the name of this run's fleet. Runs beside one another may draw the same port, and
+// fleets that share a name are not told apart until the store has been read.
+func fleetName() string { return fmt.Sprintf("soak-%d", os.Getpid()) }
+
 // newInstance prepares an instance; nothing runs yet.
 func newInstance(name, store string, first bool) (*instance, error) {
 	p, err := newProxy(store)
@@ -41,7 +45,7 @@
 	s := settings.DefaultRouted()
 	s.Instance, s.DataCentre, s.FirstStart = name, "z", first
 	// Each instance has its own way to the store, so that its address names nothing.
-	s.Fleet = "soak"
+	s.Fleet = fleetName()
 	s.Store, s.MemoryMB = p.address(), memoryMB
 	s.RevokeMS = int(revokeBound / time.Millisecond)
 	s.QuotaS, s.QuotaOver, s.QuotaSlack = quotaWindow.Seconds(), quotaOver, quotaSlack
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -4,8 +4,11 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -171,3 +174,12 @@
 	_, err = c.Read(make([]byte, 1))
 	assert.Assert(t, err != nil)
 }
+
+// Guards against two runs on one machine whose instances take one another for members: prompts of
+// the one were read by engines of the other.
+func TestRunsHaveFleetsOfTheirOwn(t *testing.T) {
+	i, err := newInstance("i0", "127.0.0.1:1", true)
+	assert.NilError(t, err)
+	defer i.store.close()
+	assert.Assert(t, strings.Contains(i.settings.FleetName(), strconv.Itoa(os.Getpid())), i.settings.FleetName())
+}
