One way to send what stands alone in a datagram

Asks, grants, claims, places and loads each filled in their sender, marshalled, wrote and logged by themselves. No change in what is sent.

--- a/fleet/ask.go
+++ b/fleet/ask.go
@@ -34,15 +34,8 @@
 	if !known {
 		return Grant{}, ErrUnanswered
 	}
-	r := &Report{Instance: x.self.Name, Incarnation: x.self.Incarnation, Fleet: x.identity(), Ask: &a}
-	data, err := r.marshal()
-	if err != nil {
-		return Grant{}, err
-	}
 	for _, patience := range askTries {
-		if _, err := x.conn.WriteToUDPAddrPort(data, p.address); err != nil {
-			x.logger.Debug("ask not sent", zap.String("peer", hub), zap.Error(err))
-		}
+		x.sendAlone(hub, p.address, &Report{Ask: &a})
 		timer := time.NewTimer(patience)
 		select {
 		case g := <-answer:
@@ -60,14 +53,18 @@
 // grant answers an ask.
 func (x *Exchange) grant(now time.Duration, r *Report, from netip.AddrPort) {
 	g := x.handler.Asked(now, r.run(), *r.Ask)
-	answer := &Report{Instance: x.self.Name, Incarnation: x.self.Incarnation, Fleet: x.identity(), Grant: &g}
-	data, err := answer.marshal()
-	if err != nil {
-		x.logger.Error("grant not sent", zap.Error(err))
-		return
+	x.sendAlone(r.Instance, from, &Report{Grant: &g})
+}
+
+// sendAlone sends what stands alone in a datagram. Who waits for it sends again or goes elsewhere.
+func (x *Exchange) sendAlone(to string, address netip.AddrPort, r *Report) {
+	r.Instance, r.Incarnation, r.Fleet = x.self.Name, x.self.Incarnation, x.identity()
+	data, err := r.marshal()
+	if err == nil {
+		_, err = x.conn.WriteToUDPAddrPort(data, address)
 	}
-	if _, err := x.conn.WriteToUDPAddrPort(data, from); err != nil {
-		x.logger.Debug("grant not sent", zap.String("peer", r.Instance), zap.Error(err))
+	if err != nil {
+		x.logger.Debug("datagram not sent", zap.String("peer", to), zap.Error(err))
 	}
 }
 
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -5,14 +5,15 @@
 	"math/rand/v2"
 	"net/netip"
 	"time"
-
-	"go.uber.org/zap"
 )
 
 // claimRefresh is how often a claim that waits is sent again. It keeps the claim alive, and
 // brings the answer if that was lost.
 const claimRefresh = 100 * time.Millisecond
 
+// answersHeld is how many answers to one claim may wait to be read; further ones say the same.
+const answersHeld = 4
+
 // ClaimLife is how long a claim that is not sent again waits at its home: three refreshes in a
 // row are seldom lost.
 const ClaimLife = 3*claimRefresh + 50*time.Millisecond
@@ -20,7 +21,7 @@
 // Claim asks a hub for a place at an engine, and waits until it is given or refused.
 func (x *Exchange) Claim(ctx context.Context, hub string, c Claim) (Place, error) {
 	c.ID = rand.Uint64()
-	answers := make(chan Place, 4)
+	answers := make(chan Place, answersHeld)
 	x.mu.Lock()
 	p, known := x.peers[hub]
 	x.claims[c.ID] = answers
@@ -36,7 +37,7 @@
 	place, err := x.awaitPlace(ctx, p, &c, answers)
 	if ctx.Err() != nil && (err != nil || place.State != PlaceGiven) {
 		c.Over = true
-		x.sendClaim(p, &c)
+		x.sendAlone(hub, p.address, &Report{Claim: &c})
 		return Place{}, ctx.Err()
 	}
 	return place, err
@@ -50,7 +51,7 @@
 	for tries := 0; tries < len(askTries); tries++ {
 		passed := time.Since(begun)
 		c.Waited, c.Left = waited+passed, left-passed
-		x.sendClaim(p, c)
+		x.sendAlone(p.Name, p.address, &Report{Claim: c})
 		timer := time.NewTimer(askTries[tries])
 		for pending := true; pending; {
 			select {
@@ -72,16 +73,6 @@
 	return Place{}, ErrUnanswered
 }
 
-func (x *Exchange) sendClaim(p *peer, c *Claim) {
-	data, err := (&Report{Instance: x.self.Name, Incarnation: x.self.Incarnation, Fleet: x.identity(), Claim: c}).marshal()
-	if err == nil {
-		_, err = x.conn.WriteToUDPAddrPort(data, p.address)
-	}
-	if err != nil {
-		x.logger.Debug("claim not sent", zap.String("peer", p.Name), zap.Error(err))
-	}
-}
-
 // claimed hands a claim to the handler, which answers it once or more often.
 func (x *Exchange) claimed(now time.Duration, r *Report, from netip.AddrPort) {
 	if x.stalled(now) {
@@ -89,15 +80,7 @@
 		return
 	}
 	to := r.Instance
-	x.handler.Claimed(now, to, *r.Claim, func(place Place) {
-		data, err := (&Report{Instance: x.self.Name, Incarnation: x.self.Incarnation, Fleet: x.identity(), Place: &place}).marshal()
-		if err == nil {
-			_, err = x.conn.WriteToUDPAddrPort(data, from)
-		}
-		if err != nil {
-			x.logger.Debug("place not sent", zap.String("peer", to), zap.Error(err))
-		}
-	})
+	x.handler.Claimed(now, to, *r.Claim, func(place Place) { x.sendAlone(to, from, &Report{Place: &place}) })
 }
 
 // placed hands an answer to the one who waits for it, if anybody does.
@@ -117,19 +100,10 @@
 	x.mu.Lock()
 	p, known := x.peers[hub]
 	x.sequence++
-	r := &Report{
-		Instance: x.self.Name, Incarnation: x.self.Incarnation, Sequence: x.sequence, Fleet: x.identity(), Partial: true, Loads: loads,
-	}
+	sequence := x.sequence
 	x.mu.Unlock()
-	if !known {
-		return
-	}
-	data, err := r.marshal()
-	if err == nil {
-		_, err = x.conn.WriteToUDPAddrPort(data, p.address)
-	}
-	if err != nil {
-		x.logger.Debug("loads not told", zap.String("peer", hub), zap.Error(err))
+	if known {
+		x.sendAlone(hub, p.address, &Report{Sequence: sequence, Partial: true, Loads: loads})
 	}
 }
 
