A datagram that cannot be made is an error again

The commit before logged it like one that is lost on its way, and the table of events named a line that was not written (TestEveryEventAndMetricStandsInTheTables failed).

--- a/fleet/ask.go
+++ b/fleet/ask.go
@@ -60,10 +60,11 @@
 func (x *Exchange) sendAlone(to string, address netip.AddrPort, r *Report) {
 	r.Instance, r.Incarnation, r.Fleet = x.self.Name, x.self.Incarnation, x.identity()
 	data, err := r.marshal()
-	if err == nil {
-		_, err = x.conn.WriteToUDPAddrPort(data, address)
-	}
 	if err != nil {
+		x.logger.Error("datagram not sent", zap.String("peer", to), zap.Error(err))
+		return
+	}
+	if _, err := x.conn.WriteToUDPAddrPort(data, address); err != nil {
 		x.logger.Debug("datagram not sent", zap.String("peer", to), zap.Error(err))
 	}
 }
