An instance hears nobody before it knows its fleet's id

Names decide nothing between routed instances now: both ids must be known and equal. Topics of the store are read once the id is known, which is tried again every 0.2 to 0.6 s in place of 0.2 to 5 s, so that an instance neither serves nor spends quotas as if it were alone before that.

The check of TestReportsOfAnotherFleetAreNotTaken that a nameless id is heard by name stated the fault; it asks for the opposite now, in both directions. The soak's other deployment has the fleet's own name.

--- a/fleet/sender.go
+++ b/fleet/sender.go
@@ -22,7 +22,8 @@
 // instance sends here when it was given an address that this one's list still names, or the
 // other way round. Taken for one of this fleet it would take a share of every quota, its counts
 // of engines would be added to these, and each deployment would learn the other's
-// configuration: callers' keys would hold where they were never given.
+// configuration: callers' keys would hold where they were never given. Names do not tell
+// deployments apart, so that nobody is heard until both ids are known.
 func (x *Exchange) ownFleet(r *Report, from netip.AddrPort) bool {
 	switch {
 	case x.fleet == nil:
@@ -30,11 +31,8 @@
 	case r.Fleet == (fleetid.Identity{}):
 		// A version that does not tell its fleet is known by the store's list.
 		return x.listed(RunOf(r.Instance, r.Incarnation), r.Instance)
-	case r.Fleet.Name == "" && x.identity().ID == 0:
-		// Without its name it says nothing to an instance that does not know its own id.
-		return false
 	default:
-		return x.fleet.Meet(r.Fleet, r.Instance, from.String()).Member()
+		return x.fleet.Meet(r.Fleet, r.Instance, from.String()) == fleetid.SameFleet
 	}
 }
 
--- a/fleet/sender_test.go
+++ b/fleet/sender_test.go
@@ -50,7 +50,7 @@
 		{"same store", 7, "10.0.0.1:1", true},
 		{"same store at another address", 7, "10.9.9.9:1", true},
 		{"another store at the same address", 8, "10.0.0.1:1", false},
-		{"store not reached yet", 0, "10.0.0.1:1", true},
+		{"store not reached yet", 0, "10.0.0.1:1", false},
 		{"store not reached yet, another address", 0, "10.9.9.9:1", false},
 	} {
 		other, _ := of(t, "b", test.id, test.name)
@@ -58,7 +58,9 @@
 		assert.Equal(t, other.ownFleet(sent(t, own, false), boundTo(own)), test.heard, test.what)
 	}
 	fresh, _ := of(t, "b", 0, "10.0.0.1:1")
-	assert.Assert(t, !fresh.ownFleet(sent(t, own, true), boundTo(own)), "a report without the name")
+	for _, nameless := range []bool{false, true} {
+		assert.Assert(t, !fresh.ownFleet(sent(t, own, nameless), boundTo(own)), "heard without an id")
+	}
 	known, _ := of(t, "b", 7, "10.0.0.1:1")
 	assert.Assert(t, known.ownFleet(sent(t, own, true), boundTo(own)))
 }
--- a/fleetid/keeper.go
+++ b/fleetid/keeper.go
@@ -20,10 +20,11 @@
 
 const (
 	// loadTimeout bounds one Load.
-	loadTimeout = 3 * time.Second
-	// retryMin and retryMax bound the pause after a failed Load.
+	loadTimeout = 1500 * time.Millisecond
+	// retryMin and retryMax bound the pause after a failed Load. An instance that waits for
+	// its fleet's id serves nobody.
 	retryMin = 200 * time.Millisecond
-	retryMax = 5 * time.Second
+	retryMax = 600 * time.Millisecond
 	// doubtInterval is the least time between two reads because of a stranger, which may
 	// go on sending for as long as it likes.
 	doubtInterval = 5 * time.Second
@@ -57,6 +58,7 @@
 	cfg      KeeperConfig
 	id       atomic.Uint64
 	doubt    chan struct{}
+	known    chan struct{}
 	meetings map[Relation]tally.Counter
 
 	mu sync.Mutex
@@ -69,7 +71,7 @@
 	if cfg.Metrics == nil {
 		cfg.Metrics = tally.NoopScope
 	}
-	k := &Keeper{cfg: cfg, doubt: make(chan struct{}, 1), meetings: make(map[Relation]tally.Counter), reported: make(map[Identity]time.Time)}
+	k := &Keeper{cfg: cfg, doubt: make(chan struct{}, 1), known: make(chan struct{}), meetings: make(map[Relation]tally.Counter), reported: make(map[Identity]time.Time)}
 	for _, r := range []Relation{Stranger, Undecided, SameName} {
 		k.meetings[r] = cfg.Metrics.Tagged(map[string]string{"relation": r.String()}).Counter("fleet_meetings")
 	}
@@ -81,6 +83,9 @@
 	return Identity{ID: ID(k.id.Load()), Name: k.cfg.Name}
 }
 
+// Known returns a channel that is closed once the id has been read.
+func (k *Keeper) Known() <-chan struct{} { return k.known }
+
 // Run reads the id and goes on reading it until ctx ends.
 func (k *Keeper) Run(ctx context.Context) error {
 	pause := backoff.NewExponentialBackOff()
@@ -132,6 +137,9 @@
 	}
 	if before := ID(k.id.Swap(uint64(id))); before != id {
 		k.cfg.Logger.Info("fleet known", zap.String("fleet", k.cfg.Name), zap.Stringer("fleet_id", id), zap.Stringer("before", before))
+		if before == 0 {
+			close(k.known)
+		}
 	}
 	return nil
 }
--- a/instance/routed/routed.go
+++ b/instance/routed/routed.go
@@ -264,7 +264,15 @@
 	members.Slow = i.readSlowly
 	for _, f := range append(i.shared[:len(i.shared):len(i.shared)], members) {
 		f.Log, f.Logger = i.outside.Log, i.log
-		group.Go(func() error { return ignoreEnd(ctx, f.Run(ctx)) })
+		group.Go(func() error {
+			// Without the id no other instance is heard, and this one would spend every quota by itself.
+			select {
+			case <-i.fleet.Known():
+				return ignoreEnd(ctx, f.Run(ctx))
+			case <-ctx.Done():
+				return nil
+			}
+		})
 	}
 	group.Go(func() error { return ignoreEnd(ctx, i.fleet.Run(ctx)) })
 	group.Go(func() error { return ignoreEnd(ctx, i.members.Run(ctx)) })
--- a/instance/routed/routed_test.go
+++ b/instance/routed/routed_test.go
@@ -31,6 +31,8 @@
 	mu     sync.Mutex
 	topics map[string][][2]string
 	down   bool
+	// refused are topics that are not served.
+	refused map[string]bool
 	// forgotten is the number of records that are no longer kept, by topic.
 	forgotten map[string]int
 }
@@ -41,6 +43,15 @@
 	s.topics[topic] = append(s.topics[topic], [2]string{key, value})
 }
 
+func (s *store) refuse(topic string, refused bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.refused == nil {
+		s.refused = make(map[string]bool)
+	}
+	s.refused[topic] = refused
+}
+
 func (s *store) setDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -53,7 +64,7 @@
 	body, _ := io.ReadAll(r.Body)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.down {
+	if s.down || s.refused[topic] {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -106,6 +117,16 @@
 func start(t *testing.T, engine http.HandlerFunc) *fleet { return startNamed(t, "a", engine) }
 
 func startNamed(t *testing.T, name string, engine http.HandlerFunc) *fleet {
+	t.Helper()
+	f := prepare(t, name, engine)
+	f.run(t)
+	f.await(t, func() bool { return f.ready() })
+	f.await(t, func() bool { status, _, err := f.ask("k"); return err == nil && status == http.StatusOK })
+	return f
+}
+
+// prepare returns an instance that does not run yet.
+func prepare(t *testing.T, name string, engine http.HandlerFunc) *fleet {
 	t.Helper()
 	f := &fleet{store: &store{topics: map[string][][2]string{}}, engine: httptest.NewServer(engine), done: make(chan error, 1)}
 	t.Cleanup(f.engine.Close)
@@ -118,15 +139,18 @@
 	f.settings.Instance, f.settings.DataCentre, f.settings.FirstStart = name, "z", true
 	f.settings.Callers, f.settings.Readiness, f.settings.Reports, f.settings.Metrics = freePort(t), freePort(t), freePort(t), freePort(t)
 	f.settings.Store, f.settings.GraceS = server.Listener.Addr().String(), 2
+	return f
+}
+
+// run starts the instance.
+func (f *fleet) run(t *testing.T) {
+	t.Helper()
 	i, err := routed.New(f.settings, platform.Outside(f.settings), zap.NewNop())
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
 	f.stop = cancel
 	go func() { f.done <- i.Run(ctx) }()
 	t.Cleanup(cancel)
-	f.await(t, func() bool { return f.ready() })
-	f.await(t, func() bool { status, _, err := f.ask("k"); return err == nil && status == http.StatusOK })
-	return f
 }
 
 // await waits until something holds.
--- a/settings/routed.go
+++ b/settings/routed.go
@@ -16,7 +16,7 @@
 	Instance   string `json:"instance" doc:"name of this instance, unique in the fleet" unit:"name" default:"required"`
 	DataCentre string `json:"data_centre" doc:"data centre of this instance; upstreams in it are preferred when all else is equal" unit:"name" default:"required"`
 	// Fleet is what people call the fleet.
-	Fleet string `json:"fleet" doc:"name of the fleet in logs, up to 64 bytes. It tells fleets apart until the store has been read, so no two fleets on one network may share it. Set it where instances reach one store at several addresses" unit:"name" default:"the address of the store"`
+	Fleet string `json:"fleet" doc:"name of the fleet in logs, up to 64 bytes. It decides nothing: fleets are told apart by the id that their store keeps" unit:"name" default:"the address of the store"`
 	// FirstStart tells that the whole system starts for the first time.
 	FirstStart bool `json:"first_start" doc:"the whole system starts for the first time: nothing of any quota can have been used" unit:"true or false" default:"false"`
 
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -32,8 +32,8 @@
 // restartPause is the time between the end of a process and the start of the next.
 const restartPause = 300 * time.Millisecond
 
-// fleetName is the name of this run's fleet. Runs beside one another may draw the same port, and
-// fleets that share a name are not told apart until the store has been read.
+// fleetName is the name of all instances of this run. The deployment that the fleet meets has it too,
+// as names must not tell deployments apart.
 func fleetName() string { return fmt.Sprintf("soak-%d", os.Getpid()) }
 
 // newInstance prepares an instance; nothing runs yet.
--- a/soak/stranger.go
+++ b/soak/stranger.go
@@ -39,7 +39,6 @@
 		s.server.Close()
 		return nil, err
 	}
-	s.instance.settings.Fleet = "stranger"
 	return s, nil
 }
 
