--- a/loopback/loopback.go
+++ b/loopback/loopback.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"os"
 	"sync"
 )
 
@@ -27,9 +28,25 @@
 	ports map[int]bool
 }{ports: make(map[int]bool)}
 
+// hostOf is the loopback host of a process's addresses. Processes that draw ports at one host can
+// be given the same one, as nobody listens there yet.
+func hostOf(pid int) string {
+	const first = 64
+	return fmt.Sprintf("127.%d.%d.%d", first|pid>>16&(first-1), pid>>8&0xff, pid&0xff)
+}
+
 // FreeAddress returns an address at which nobody listens for streams or datagrams, a different one
-// each time. Another process may take it before it is used.
+// each time. It is of a host that only this process draws from, where the system has more than one
+// loopback host.
 func FreeAddress() (string, error) {
+	address, err := freeAt(hostOf(os.Getpid()))
+	if err != nil {
+		return freeAt("127.0.0.1")
+	}
+	return address, nil
+}
+
+func freeAt(host string) (string, error) {
 	drawn.Lock()
 	defer drawn.Unlock()
 	var last error
@@ -38,7 +55,7 @@
 		if drawn.ports[port] {
 			continue
 		}
-		address := fmt.Sprintf("127.0.0.1:%d", port)
+		address := fmt.Sprintf("%s:%d", host, port)
 		if last = probe(address); last == nil {
 			drawn.ports[port] = true
 			return address, nil
