--- a/gateway/desk.go
+++ b/gateway/desk.go
@@ -288,6 +288,19 @@
 	k.gateway.log.Debug("engine full", zap.String("upstream", id), zap.Float64("pool_free", k.decode.free()))
 }
 
+// refusedBy keeps work away from an engine that refuses though it has room by all that is known
+// here: it is changing its role or leaving. Each instance would send a request in vain to
+// learn the same; a claim on all of the engine tells them. The last engine keeps its work: it
+// may have refused for another reason, and there is nowhere else to go.
+func (k *desk) refusedBy(p *pool, entry upstream.Entry) {
+	if p.open() <= 1 {
+		return
+	}
+	k.gateway.suspects.fail(entry)
+	p.withdraw(entry.ID, refusedLimit)
+	k.tell(p, entry.ID)
+}
+
 // gone is the verdict of a request whose context ended before it was sent.
 func gone(ctx context.Context) *verdict.Verdict {
 	if context.Cause(ctx) == context.DeadlineExceeded {
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -171,18 +171,10 @@
 	return nil, v
 }
 
-// refusedBy keeps work away from an engine that had reserved room and refuses
-// nevertheless: it is changing its role or leaving. Each instance would read a prompt in
-// vain to learn the same; a claim on all of the engine tells them. The last engine keeps its
-// work: it may have refused for another reason, and there is nowhere else to go.
+// refusedBy gives up a place at an engine that had reserved it and refuses nevertheless.
 func (r *modelRun) refusedBy(place place) {
 	r.drop(place)
-	if r.desk.decode.open() <= 1 {
-		return
-	}
-	r.gateway.suspects.fail(place.entry)
-	r.desk.decode.withdraw(place.entry.ID, refusedLimit)
-	r.desk.tell(r.desk.decode, place.entry.ID)
+	r.desk.refusedBy(r.desk.decode, place.entry)
 }
 
 // grow raises the claim of a request whose answer is longer than was estimated, by
@@ -320,8 +312,8 @@
 		}
 		g.blame(ctx, c, entry, v)
 		if v.Reason == verdict.ReasonUpstreamRefused {
-			// It has room by all that is known here: it is changing its role or leaving.
 			g.suspects.fail(entry)
+			r.desk.refusedBy(r.desk.prefill, entry)
 		}
 		last = v
 	}
--- a/gateway/places_test.go
+++ b/gateway/places_test.go
@@ -311,3 +311,29 @@
 		assert.Assert(t, v == nil)
 	})
 }
+
+// Guards against a prefill engine that refuses while it changes its role, unknown to the home, and is
+// sent prompts by every instance until its entry shows it.
+func TestPrefillEngineThatRefusesIsToldToTheHome(t *testing.T) {
+	playPlaces(t, 20, 3, func(t *testing.T, f *placeFleet) {
+		refusals := 0
+		for i := range f.gateways {
+			f.upstreams[i].prefill = func(to upstream.Entry) (string, error) {
+				if to.ID == "p0" {
+					refusals++
+					return "", refused()
+				}
+				return "handle", nil
+			}
+		}
+		for range 3 {
+			for i := 1; i < len(f.gateways); i++ {
+				call := &Call{PromptTokens: 100}
+				run := &modelRun{gateway: f.gateways[i], desk: f.desk(i), admitted: &admitted{call: call, service: &object.Service{Name: "model"}}}
+				_, _, v := run.prefill(t.Context())
+				assert.Assert(t, v == nil)
+			}
+		}
+		assert.Equal(t, refusals, 1)
+	})
+}
