Quotas: what is older than the window counts against the burst no more

A home into which the whole rate has flowed for a window knows all that was spent in it, and now gives what no part of the window forbids: the burst and the rate for its length. Retry-After follows the window.

--- a/decision/escrow/home.go
+++ b/decision/escrow/home.go
@@ -9,6 +9,10 @@
 type Limit struct {
 	// Rate in tokens a second, Burst in tokens.
 	Rate, Burst float64
+	// Window is the time in which what was taken counts against the burst: no part of it may
+	// hold more than the burst and the rate for its length. 0 means that the burst only comes
+	// back at the rate.
+	Window time.Duration
 }
 
 // Figures of buckets.
@@ -43,18 +47,21 @@
 	room time.Duration
 	// inflow is the part of the rate that flowed in lately.
 	inflow float64
+	// parted is when less than the whole rate last flowed in.
+	parted time.Duration
 }
 
 type bucket struct {
 	limit Limit
 	level float64
+	spent spends
 }
 
 // NewHome returns a home without buckets.
 func NewHome(now time.Duration) *Home {
 	h := &Home{buckets: make(map[uint64]*bucket), seen: make(map[Run]*[Shards]time.Duration), bills: make(map[Run]map[uint64]int64)}
 	for s := range h.shards {
-		h.shards[s].at = now
+		h.shards[s].at, h.shards[s].parted = now, now
 	}
 	return h
 }
@@ -104,6 +111,9 @@
 	given = min(given, in.room)
 	in.room -= given
 	in.inflow = in.inflow*math.Exp(-elapsed.Seconds()/partTime.Seconds()) + given.Seconds()/partTime.Seconds()
+	if in.part() < 1 {
+		in.parted = now
+	}
 	for org, b := range h.buckets {
 		if ShardOf(org) == shard {
 			b.flow(given.Seconds(), in.part(), elapsed)
@@ -160,17 +170,25 @@
 		return Decision{Granted: true, Part: 1}
 	}
 	h.flow(now, ShardOf(org), 0)
-	part := h.shards[ShardOf(org)].part()
+	in := &h.shards[ShardOf(org)]
+	part, whole := in.part(), now-in.parted >= b.limit.Window && b.limit.Window > 0
+	if whole {
+		b.level = max(b.level, b.spent.level(now, b.limit))
+	}
 	need := float64(tokens)
 	// A request larger than the whole burst passes when the bucket is full, since it could
 	// never pass otherwise. A bucket that only a part flows into is not full with that part of
 	// the burst: each of many would let such a request pass.
 	enough := max(min(need, fullEnough*b.limit.Burst), 1)
 	if b.level < enough {
-		wait := (enough - b.level) / (b.limit.Rate * max(part, leastPart))
-		return Decision{Retry: time.Duration(wait * float64(time.Second)), Level: b.level, Part: part}
+		wait := time.Duration((enough - b.level) / (b.limit.Rate * max(part, leastPart)) * float64(time.Second))
+		if whole {
+			wait = min(wait, b.spent.wait(now, b.limit, enough))
+		}
+		return Decision{Retry: wait, Level: b.level, Part: part}
 	}
 	b.level -= need
+	b.spent.add(now, b.limit.Window, need)
 	return Decision{Granted: true, Level: b.level, Part: part}
 }
 
@@ -197,6 +215,7 @@
 	bills[org] = total
 	if known && b.limit.Rate > 0 {
 		b.level = min(max(b.level-float64(spent), -mostDebt*b.limit.Rate), b.limit.Burst)
+		b.spent.add(h.shards[ShardOf(org)].at, b.limit.Window, float64(spent))
 	}
 }
 
--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -52,6 +52,7 @@
 func (b QuotaBound) widen(limit escrow.Limit) escrow.Limit {
 	tolerance := (limit.Rate*b.Window.Seconds()+limit.Burst)*b.Over + b.Slack
 	limit.Burst += max(boundShare*tolerance-escrow.Hold.Seconds()*limit.Rate, 0)
+	limit.Window = b.Window
 	return limit
 }
 
