--- a/decision/room/room.go
+++ b/decision/room/room.go
@@ -14,8 +14,8 @@
 //     claim ends with it.
 //   - Requests at one engine begin and end at different times, so that they never hold all that they
 //     claim together. Of those that were placed here it is known since when they run:
-//     the most that they will hold together stays below the engine's memory (peak, as in the
-//     Past-Future scheduler, arXiv 2507.10150). What others have placed counts whole.
+//     the most that they will hold together stays below the engine's memory (peak, after the
+//     Past-Future scheduler, ASPLOS 2025). What others have placed counts whole.
 //   - Among the engines with room the one with the lowest load is taken, load being
 //     the higher of the used shares of memory and slots; equal ones in the own data
 //     centre go first, since a transfer between data centres takes twice as long.
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -30,6 +30,8 @@
 	// maxUnsent is how many upstreams that cannot be reached are passed over before a
 	// request is refused. Nothing was sent to them.
 	maxUnsent = 4
+	// slowObjectives is after how many objectives an answer counts as lost.
+	slowObjectives = 4
 	// keptAnswer is the most bytes of an answer that are read before it is handed on.
 	// An answer that ends early within them can still be replaced by an honest
 	// failure, or asked for again.
@@ -207,7 +209,7 @@
 	r.sent++
 	ctx, giveUp := context.WithCancelCause(ctx)
 	defer giveUp(nil)
-	hedge := time.AfterFunc(r.patience(), func() {
+	hedge := time.AfterFunc(r.patience(time.Now()), func() {
 		if r.moreAllowed() && g.budget.repeat(a.service.Name) {
 			r.prepaid = true
 			giveUp(errSlow)
@@ -237,16 +239,17 @@
 // errSlow ends an attempt of a request that is sent to another upstream instead.
 var errSlow = errors.New("no answer in the time that leaves another upstream one")
 
-// patience is how long an attempt may go on before another upstream is asked. At half
-// of the objective the other still has time for an answer that is worth its full
-// value; an upstream that has run the request and lost the answer, or that hangs,
-// would otherwise hold it until its deadline.
-func (r *plainRun) patience() time.Duration {
+// patience is how long an attempt may go on before another upstream is asked. An upstream that has
+// run the request and lost the answer, or that hangs, would otherwise hold it until its deadline. In
+// a burst all answers are slow, and second sends within the objective would double the load when
+// there is least room.
+func (r *plainRun) patience(now time.Time) time.Duration {
 	route := r.admitted.route
 	if !route.MayRepeat() || route.ObjectiveMS == 0 {
 		return defaultPatience
 	}
-	return time.Duration(route.ObjectiveMS) * time.Millisecond / 2
+	slow := slowObjectives * time.Duration(route.ObjectiveMS) * time.Millisecond
+	return min(slow, r.admitted.call.Deadline.Sub(now)/2)
 }
 
 // moreAllowed reports whether the route lets the request be sent once more.
