--- a/decision/escrow/home.go
+++ b/decision/escrow/home.go
@@ -54,7 +54,8 @@
 type bucket struct {
 	limit Limit
 	level float64
-	spent spends
+	// spent is nil while nothing was taken.
+	spent *spends
 }
 
 // NewHome returns a home without buckets.
@@ -188,7 +189,7 @@
 		return Decision{Retry: wait, Level: b.level, Part: part}
 	}
 	b.level -= need
-	b.spent.add(now, b.limit.Window, need)
+	b.note(now, need)
 	return Decision{Granted: true, Level: b.level, Part: part}
 }
 
@@ -215,7 +216,7 @@
 	bills[org] = total
 	if known && b.limit.Rate > 0 {
 		b.level = min(max(b.level-float64(spent), -mostDebt*b.limit.Rate), b.limit.Burst)
-		b.spent.add(h.shards[ShardOf(org)].at, b.limit.Window, float64(spent))
+		b.note(h.shards[ShardOf(org)].at, float64(spent))
 	}
 }
 
--- a/decision/escrow/window.go
+++ b/decision/escrow/window.go
@@ -13,6 +13,17 @@
 	tokens [windowSlots + 1]float64
 }
 
+// note remembers tokens that were taken of a bucket, or given back if negative.
+func (b *bucket) note(now time.Duration, tokens float64) {
+	if b.limit.Window <= 0 {
+		return
+	}
+	if b.spent == nil {
+		b.spent = &spends{}
+	}
+	b.spent.add(now, b.limit.Window, tokens)
+}
+
 // slotOf is the number of the slot that a time lies in, for a window.
 func slotOf(now, window time.Duration) int64 { return int64(now / slotLength(window)) }
 
@@ -20,11 +31,7 @@
 
 func (s *spends) at(slot int64) *float64 { return &s.tokens[slot%int64(len(s.tokens))] }
 
-// add notes tokens that were taken, or given back if negative.
 func (s *spends) add(now, window time.Duration, tokens float64) {
-	if window <= 0 {
-		return
-	}
 	s.forget(slotOf(now, window))
 	slot := s.at(s.newest)
 	*slot = max(*slot+tokens, 0)
@@ -43,6 +50,9 @@
 // level is how many tokens may be taken so that no part of the window holds more than the burst
 // and the rate for its length.
 func (s *spends) level(now time.Duration, limit Limit) float64 {
+	if s == nil {
+		return limit.Burst
+	}
 	length := slotLength(limit.Window)
 	level, sum := limit.Burst, 0.0
 	for slot := s.newest; slot >= max(slotOf(now, limit.Window)-windowSlots, s.newest-windowSlots, 0); slot-- {
--- a/decision/room/course.go
+++ b/decision/room/course.go
@@ -57,12 +57,13 @@
 	p.n, p.output, p.seconds = p.n*keep+1, p.output*keep+float64(c.need.Output), p.seconds*keep+took
 }
 
-// spread is the standard deviation of outputs from what was expected, as a part of that.
+// spread is the standard deviation of outputs from what was expected, as a part of that, at
+// most 1.
 func (p *pace) spread() float64 {
 	if p.errors < leastPaces {
 		return 1
 	}
-	return math.Sqrt(p.squares / p.errors)
+	return min(math.Sqrt(p.squares/p.errors), 1)
 }
 
 // of is the pace in output tokens a second of one request, 0 while it is not known.
@@ -83,15 +84,19 @@
 	}
 }
 
-// endOwn ends the own course with a claim nearest to a size.
+// endOwn ends the own course with a claim nearest to a size, unless all of them still run.
 func (r *Room) endOwn(id string, tokens int) {
-	best, apart := -1, 0
+	best, apart, count := -1, 0, 0
 	for i, c := range r.courses[id] {
-		if d := max(c.need.Tokens-tokens, tokens-c.need.Tokens); c.instance == own && (best < 0 || d < apart) {
+		if c.instance != own {
+			continue
+		}
+		count++
+		if d := max(c.need.Tokens-tokens, tokens-c.need.Tokens); best < 0 || d < apart {
 			best, apart = i, d
 		}
 	}
-	if best >= 0 {
+	if count > r.own[id].Requests {
 		r.end(id, best)
 	}
 }
@@ -116,13 +121,26 @@
 	}
 }
 
+// forget drops the courses of an instance that is silent. When they ended is not known.
+func (r *Room) forget(instance string) {
+	for id, list := range r.courses {
+		r.keep(id, slices.DeleteFunc(list, func(c course) bool { return c.instance == instance }))
+	}
+}
+
 func (r *Room) end(id string, at int) {
 	if c := r.courses[id][at]; r.now-c.begun >= leastCourse {
 		r.pace.learn(c, r.now)
 	}
-	if r.courses[id] = slices.Delete(r.courses[id], at, at+1); len(r.courses[id]) == 0 {
+	r.keep(id, slices.Delete(r.courses[id], at, at+1))
+}
+
+func (r *Room) keep(id string, list []course) {
+	if len(list) == 0 {
 		delete(r.courses, id)
+		return
 	}
+	r.courses[id] = list
 }
 
 // growth is what a request holds now, and what is still to come.
--- a/decision/room/course_test.go
+++ b/decision/room/course_test.go
@@ -133,6 +133,19 @@
 	assert.Equal(t, len(r.courses), 0)
 }
 
+// Guards against requests that are taken for ended when an engine that was claimed whole comes back.
+func TestWithdrawnEngineKeepsItsCourses(t *testing.T) {
+	r := New()
+	r.SetEngines(engines(1))
+	r.Advance(time.Minute)
+	_, ok := r.Claim(Need{Tokens: 20, Output: 10}, nil)
+	assert.Assert(t, ok)
+	r.Release("e0", r.Fill("e0"))
+	assert.Equal(t, len(r.courses["e0"]), 1)
+	r.Release("e0", 20)
+	assert.Equal(t, len(r.courses), 0)
+}
+
 // Guards against memory that is given twice where little is known: an instance that has just become the
 // home knows no courses, and others' requests count whole.
 func TestUnknownRequestsCountWhole(t *testing.T) {
--- a/decision/room/room.go
+++ b/decision/room/room.go
@@ -88,16 +88,17 @@
 	for id, l := range r.peers[instance] {
 		r.addOther(id, -l.Requests, -l.Tokens)
 	}
-	for id := range r.courses {
-		r.trim(instance, id, loads[id].Requests)
-	}
 	for id, l := range loads {
 		r.addOther(id, l.Requests, l.Tokens)
 	}
 	if loads == nil {
 		delete(r.peers, instance)
+		r.forget(instance)
 		return
 	}
+	for id := range r.courses {
+		r.trim(instance, id, loads[id].Requests)
+	}
 	r.peers[instance] = loads
 }
 
@@ -269,8 +270,8 @@
 
 // Release ends a claim.
 func (r *Room) Release(id string, tokens int) {
-	r.endOwn(id, tokens)
 	r.add(id, -1, -tokens)
+	r.endOwn(id, tokens)
 }
 
 // Resize changes a claim's size.
