--- a/decision/room/room.go
+++ b/decision/room/room.go
@@ -58,17 +58,17 @@
 	// shut engines refused a claim that should have fitted; they get none until
 	// they are opened again.
 	shut map[string]bool
-	// courses are the requests that were placed here and still run, by engine id.
-	courses map[string][]course
-	pace    pace
-	now     time.Duration
+	// running are the requests that were placed here and still run, by engine id.
+	running    map[string][]runningRequest
+	growthRate growthRate
+	now        time.Duration
 }
 
 // New returns a room without engines.
 func New() *Room {
 	return &Room{
 		own: make(map[string]Load), peers: make(map[string]map[string]Load), others: make(map[string]Load), shut: make(map[string]bool),
-		courses: make(map[string][]course),
+		running: make(map[string][]runningRequest),
 	}
 }
 
@@ -94,7 +94,7 @@
 		r.forget(instance)
 		return
 	}
-	for id := range r.courses {
+	for id := range r.running {
 		r.trim(instance, id, loads[id].Requests)
 	}
 	r.peers[instance] = loads
--- a/decision/room/course_test.go
+++ b/decision/room/running_test.go
@@ -94,29 +94,29 @@
 // Guards against requests that are refused in a burst beside memory that is claimed by others and
 // not used, as they have only begun or are about to end.
 func TestBurstUsesMemoryThatOthersWillHaveFreed(t *testing.T) {
-	whole, course := newSimulation(), newSimulation()
+	whole, peak := newSimulation(), newSimulation()
 	whole.play(true)
-	course.play(false)
-	t.Logf("whole: %d placed, %d refused, %d overfull; courses: %d placed, %d refused, %d overfull",
-		whole.onTime, whole.refused, whole.overfull, course.onTime, course.refused, course.overfull)
+	peak.play(false)
+	t.Logf("whole: %d placed, %d refused, %d overfull; peak: %d placed, %d refused, %d overfull",
+		whole.onTime, whole.refused, whole.overfull, peak.onTime, peak.refused, peak.overfull)
 	assert.Assert(t, whole.refused > 30, "the burst is too small")
-	assert.Assert(t, course.refused < whole.refused)
-	assert.Assert(t, course.overfull <= 1200*2/100, "engines are overfull in %d of 2,400 steps", course.overfull)
+	assert.Assert(t, peak.refused < whole.refused)
+	assert.Assert(t, peak.overfull <= 1200*2/100, "engines are overfull in %d of 2,400 steps", peak.overfull)
 }
 
 // Guards against a peak that is told too low: requests that begin together and end together hold all
 // that they claim right before their end.
 func TestRequestsThatBeginTogetherHoldAllTheyClaim(t *testing.T) {
-	together := []growth{{100, 50}, {100, 50}, {100, 50}}
-	assert.Equal(t, highest(together), 450.0)
-	staggered := []growth{{100, 50}, {125, 25}, {149, 1}}
-	assert.Equal(t, highest(staggered), 377.0)
-	assert.Equal(t, highest(nil), 0.0)
+	together := []demand{{100, 50}, {100, 50}, {100, 50}}
+	assert.Equal(t, peakOf(together), 450.0)
+	staggered := []demand{{100, 50}, {125, 25}, {149, 1}}
+	assert.Equal(t, peakOf(staggered), 377.0)
+	assert.Equal(t, peakOf(nil), 0.0)
 }
 
-// Guards against courses that are counted for good since a report of their end was lost, or that are
+// Guards against requests that are counted for good since a report of their end was lost, or that are
 // ended by a report made before its sender knew of them.
-func TestCoursesEndWithTheReportsOfTheirInstance(t *testing.T) {
+func TestRunningRequestsEndWithTheReportsOfTheirInstance(t *testing.T) {
 	r := New()
 	r.SetEngines(engines(1))
 	r.Advance(time.Minute)
@@ -125,33 +125,33 @@
 		assert.Assert(t, ok)
 	}
 	r.SetPeer("i1", map[string]Load{"e0": {Requests: 1, Tokens: 20}})
-	assert.Equal(t, len(r.courses["e0"]), 2, "it may not know of the second yet")
-	r.Advance(time.Minute + 2*leastCourse)
+	assert.Equal(t, len(r.running["e0"]), 2, "it may not know of the second yet")
+	r.Advance(time.Minute + 2*leastRun)
 	r.SetPeer("i1", map[string]Load{"e0": {Requests: 1, Tokens: 20}})
-	assert.Equal(t, len(r.courses["e0"]), 1)
+	assert.Equal(t, len(r.running["e0"]), 1)
 	r.SetPeer("i1", nil)
-	assert.Equal(t, len(r.courses), 0)
+	assert.Equal(t, len(r.running), 0)
 }
 
 // Guards against requests that are taken for ended when an engine that was claimed whole comes back.
-func TestWithdrawnEngineKeepsItsCourses(t *testing.T) {
+func TestWithdrawnEngineKeepsItsRunningRequests(t *testing.T) {
 	r := New()
 	r.SetEngines(engines(1))
 	r.Advance(time.Minute)
 	_, ok := r.Claim(Need{Tokens: 20, Output: 10}, nil)
 	assert.Assert(t, ok)
 	r.Release("e0", r.Fill("e0"))
-	assert.Equal(t, len(r.courses["e0"]), 1)
+	assert.Equal(t, len(r.running["e0"]), 1)
 	r.Release("e0", 20)
-	assert.Equal(t, len(r.courses), 0)
+	assert.Equal(t, len(r.running), 0)
 }
 
 // Guards against memory that is given twice where little is known: an instance that has just become the
-// home knows no courses, and others' requests count whole.
+// home knows no running requests, and others' requests count whole.
 func TestUnknownRequestsCountWhole(t *testing.T) {
 	r := New()
 	r.SetEngines(engines(1))
-	r.pace = pace{n: leastPaces, output: 100, seconds: 1}
+	r.growthRate = growthRate{n: leastEnds, output: 100, seconds: 1}
 	r.SetPeer("i1", map[string]Load{"e0": {Requests: 3, Tokens: 90}})
 	_, ok := r.Claim(Need{Tokens: 20, Output: 10}, nil)
 	assert.Assert(t, !ok)
