--- a/decision/room/running_test.go
+++ b/decision/room/running_test.go
@@ -158,3 +158,25 @@
 	_, ok = r.Claim(Need{Tokens: 10}, nil)
 	assert.Assert(t, ok)
 }
+
+// BenchmarkClaimAmongRunning places one request at a pool of forty engines with ten running requests each.
+func BenchmarkClaimAmongRunning(b *testing.B) {
+	for name, need := range map[string]Need{"whole": {Tokens: 5200}, "peak": {Tokens: 5200, Output: 2000}} {
+		b.Run(name, func(b *testing.B) {
+			r := New()
+			r.SetEngines(engines(40))
+			for i := range r.engines {
+				r.engines[i].Memory, r.engines[i].Slots = 100_000, 48
+			}
+			r.growthRate = growthRate{n: leastEnds, output: 600, seconds: 1}
+			for range 400 {
+				_, ok := r.Claim(need, nil)
+				assert.Assert(b, ok)
+			}
+			for b.Loop() {
+				id, _ := r.Claim(need, nil)
+				r.Release(id, need.Tokens)
+			}
+		})
+	}
+}
