--- a/e2e/rolling_test.go
+++ b/e2e/rolling_test.go
@@ -144,6 +144,7 @@
 	})
 	t.Logf("%d answered, %d errors", answered.Load(), count)
 	assert.Equal(t, count, 0)
+	assert.Assert(t, answered.Load() >= int64(size), "the balancer looked too seldom for callers to ask")
 	for key, runs := range f.runs() {
 		assert.Equal(t, runs, 1, key)
 	}
