--- a/decision/escrow/escrow.go
+++ b/decision/escrow/escrow.go
@@ -24,11 +24,6 @@
 //     while instances know too few of one another.
 //   - A bucket holds no more of the burst than the part of the rate that flows into it. One
 //     that others have turned away from does not keep a burst for the time when they return.
-//   - A home that the whole rate has flowed into for a window knows all that was spent in it.
-//     It counts what is older against the burst no more (Window), so that an organisation
-//     that goes on asking for too much gets what its quota allows in each window and
-//     not the bare rate. The next home, which does not know, begins with an empty bucket and the rate, by
-//     which no window holds more.
 //   - A home that knows that another has taken its place hands over what it has left, as a
 //     total as well.
 //
--- a/decision/escrow/home.go
+++ b/decision/escrow/home.go
@@ -9,10 +9,6 @@
 type Limit struct {
 	// Rate in tokens a second, Burst in tokens.
 	Rate, Burst float64
-	// Window is the time in which what was taken counts against the burst: no part of it may
-	// hold more than the burst and the rate for its length. 0 means that the burst only comes
-	// back at the rate.
-	Window time.Duration
 }
 
 // Figures of buckets.
@@ -35,8 +31,6 @@
 type Home struct {
 	shards  [Shards]intake
 	buckets map[uint64]*bucket
-	// window is the longest of all limits.
-	window time.Duration
 	// seen is what each run has handed on, and bills what it has spent here by itself.
 	seen  map[Run]*[Shards]time.Duration
 	bills map[Run]map[uint64]int64
@@ -49,24 +43,18 @@
 	room time.Duration
 	// inflow is the part of the rate that flowed in lately.
 	inflow float64
-	// parted is when less than the whole rate last flowed in, least the least part that flowed in
-	// within the window: evenness lets a part count as the whole that others may spend the rest of.
-	parted time.Duration
-	least  float64
 }
 
 type bucket struct {
 	limit Limit
 	level float64
-	// spent is nil while nothing was taken.
-	spent *spends
 }
 
 // NewHome returns a home without buckets.
 func NewHome(now time.Duration) *Home {
 	h := &Home{buckets: make(map[uint64]*bucket), seen: make(map[Run]*[Shards]time.Duration), bills: make(map[Run]map[uint64]int64)}
 	for s := range h.shards {
-		h.shards[s].at, h.shards[s].parted = now, now
+		h.shards[s].at = now
 	}
 	return h
 }
@@ -86,7 +74,6 @@
 			h.buckets[org] = b
 		}
 		b.limit = limit
-		h.window = max(h.window, limit.Window)
 		b.level = min(b.level, limit.Burst)
 	}
 }
@@ -117,7 +104,6 @@
 	given = min(given, in.room)
 	in.room -= given
 	in.inflow = in.inflow*math.Exp(-elapsed.Seconds()/partTime.Seconds()) + given.Seconds()/partTime.Seconds()
-	in.note(now, elapsed, h.window)
 	for org, b := range h.buckets {
 		if ShardOf(org) == shard {
 			b.flow(given.Seconds(), in.part(), elapsed)
@@ -174,25 +160,17 @@
 		return Decision{Granted: true, Part: 1}
 	}
 	h.flow(now, ShardOf(org), 0)
-	in := &h.shards[ShardOf(org)]
-	part, whole := in.part(), now-in.parted >= b.limit.Window && b.limit.Window > 0
-	if whole {
-		b.level = max(b.level, b.spent.level(now, b.limit.times(in.least)))
-	}
+	part := h.shards[ShardOf(org)].part()
 	need := float64(tokens)
 	// A request larger than the whole burst passes when the bucket is full, since it could
 	// never pass otherwise. A bucket that only a part flows into is not full with that part of
 	// the burst: each of many would let such a request pass.
 	enough := max(min(need, fullEnough*b.limit.Burst), 1)
 	if b.level < enough {
-		wait := time.Duration((enough - b.level) / (b.limit.Rate * max(part, leastPart)) * float64(time.Second))
-		if whole {
-			wait = min(wait, b.spent.wait(now, b.limit.times(in.least), enough))
-		}
-		return Decision{Retry: wait, Level: b.level, Part: part}
+		wait := (enough - b.level) / (b.limit.Rate * max(part, leastPart))
+		return Decision{Retry: time.Duration(wait * float64(time.Second)), Level: b.level, Part: part}
 	}
 	b.level -= need
-	b.note(now, need)
 	return Decision{Granted: true, Level: b.level, Part: part}
 }
 
@@ -219,7 +197,6 @@
 	bills[org] = total
 	if known && b.limit.Rate > 0 {
 		b.level = min(max(b.level-float64(spent), -mostDebt*b.limit.Rate), b.limit.Burst)
-		b.note(h.shards[ShardOf(org)].at, float64(spent))
 	}
 }
 
--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -37,9 +37,6 @@
 	// boundShare is the part of the bound on a quota that bursts and what instances hold may
 	// use up. The rest is for requests that were granted tokens and are sent later.
 	boundShare = 0.7
-	// sendDelay bounds the time between a grant and the send: waits for room and reading the prompt.
-	// Requests granted that much earlier may arrive in one window with those granted in it.
-	sendDelay = 2 * time.Second
 )
 
 // QuotaBound is what the fleet may pass a quota by, in total over a window.
@@ -55,9 +52,6 @@
 func (b QuotaBound) widen(limit escrow.Limit) escrow.Limit {
 	tolerance := (limit.Rate*b.Window.Seconds()+limit.Burst)*b.Over + b.Slack
 	limit.Burst += max(boundShare*tolerance-escrow.Hold.Seconds()*limit.Rate, 0)
-	if b.Window > 0 {
-		limit.Window = b.Window + sendDelay
-	}
 	return limit
 }
 
