Quotas: an instance that does not know its fleet spends and hands over nothing

Cause: "the list of instances was not read yet" and "the fleet has one instance" were one value. Until it had read the list an instance was its own home of each organisation, let the whole rate flow into its own buckets, spent from them, and handed what was left to the real home once the list was there: up to 29,000 tokens of each of 295 instances, the larger half.

fleet.Size is a size that may be unknown, and unknown is no number: nothing flows, nobody is a home, a retry budget has no slack of its own, nobody leads or reads for all. An empty list counts only when it was read again 1.2 s after the first time, since those that start together write their entries meanwhile.

TestInstanceWithoutTheListSpendsNothing failed before (200 in place of 503).

--- a/decision/escrow/escrow.go
+++ b/decision/escrow/escrow.go
@@ -60,6 +60,9 @@
 	return &Giver{at: now, given: make(map[Run]*[Shards]time.Duration)}
 }
 
+// Pass lets time pass in which nothing flows here, since the size of the fleet is not known.
+func (g *Giver) Pass(now time.Duration) { g.at = max(g.at, now) }
+
 // Accrue adds this instance's part of the time that has passed in a fleet of a size.
 func (g *Giver) Accrue(now time.Duration, instances int) {
 	elapsed := now - g.at
--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -78,6 +78,8 @@
 	current func(name string, incarnation uint64) bool
 	// expire is told from time to time to drop instances that are gone, if set.
 	expire func()
+	// listRead tells whether the list of instances has been read, if set.
+	listRead func() bool
 	// fleet is nil where every report is taken.
 	fleet *fleetid.Keeper
 
@@ -212,6 +214,10 @@
 // OnExpire sets what drops instances that are gone. It must be called before Run.
 func (x *Exchange) OnExpire(expire func()) { x.expire = expire }
 
+// OnceListed sets what tells whether the list of instances has been read. The size of the fleet is
+// not known before that. It must be called before Run.
+func (x *Exchange) OnceListed(listRead func() bool) { x.listRead = listRead }
+
 // Run sends and takes reports until ctx ends.
 func (x *Exchange) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = x.conn.Close() })
@@ -245,7 +251,12 @@
 // send reports, and returns the time until the next report is due at the latest.
 func (x *Exchange) send(toAll bool) time.Duration {
 	now := x.wake()
-	if !x.large() {
+	size := x.Size()
+	if _, known := size.Instances(); !known {
+		// It is not known whom to tell.
+		return reportInterval
+	}
+	if !size.Large() {
 		x.report(now, x.everyone(), false)
 		time.Sleep(reportSpacing)
 		return reportInterval
@@ -320,7 +331,10 @@
 	x.sequence++
 	r := &Report{
 		Instance: x.self.Name, Incarnation: x.self.Incarnation, Sequence: x.sequence, Made: now, Leaving: x.leaving,
-		Instances: len(x.peers) + 1, Fleet: x.identity(),
+		Fleet: x.identity(),
+	}
+	if x.settled() {
+		r.Instances = len(x.peers) + 1
 	}
 	if r.Fleet.ID != 0 && x.sequence%nameEvery != 0 {
 		r.Fleet.Name = ""
--- a/fleet/hubs.go
+++ b/fleet/hubs.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math"
 	"time"
 
 	"github.com/cairnworks/cairnworks/boottime"
@@ -39,10 +40,11 @@
 type choice struct {
 	at   time.Duration
 	hubs []Member
-	size int
+	size Size
 }
 
-// Hubs are the instances that this one reports to, itself included if it is one.
+// Hubs are the instances that this one reports to, itself included if it is one. There are none
+// while the size of the fleet is not known.
 func (x *Exchange) Hubs() []Hub {
 	chosen := x.choose(boottime.Now()).hubs
 	out := make([]Hub, len(chosen))
@@ -52,10 +54,10 @@
 	return out
 }
 
-// Instances is the size of the fleet, this instance included.
-func (x *Exchange) Instances() int { return x.choose(boottime.Now()).size }
+// Size is the size of the fleet.
+func (x *Exchange) Size() Size { return x.choose(boottime.Now()).size }
 
-func (x *Exchange) large() bool { return x.Instances() > hub.SmallFleet }
+func (x *Exchange) large() bool { return x.Size().Large() }
 
 // Alone reports whether no other instance is heard.
 func (x *Exchange) Alone() bool { return !x.hears(boottime.Now()) }
@@ -73,11 +75,14 @@
 }
 
 // Rank is the number of instances that come before this one, in an order that depends on a
-// subject: hubs first.
+// subject: hubs first. While the size of the fleet is not known, this one comes last.
 func (x *Exchange) Rank(subject string) int {
 	own := HashOf(subject + x.self.Name)
 	before, isHub := 0, false
 	hubs := x.Hubs()
+	if len(hubs) == 0 {
+		return math.MaxInt
+	}
 	for _, h := range hubs {
 		if h.Name == x.self.Name {
 			isHub = true
@@ -132,14 +137,20 @@
 		return x.chosen
 	}
 	x.chosen.size = x.size(now)
-	x.chosen.hubs = x.pick(x.candidates(now), x.chosen.size, hub.Hubs)
+	x.chosen.hubs = nil
+	if n, known := x.chosen.size.Instances(); known {
+		x.chosen.hubs = x.pick(x.candidates(now), n, hub.Hubs)
+	}
 	x.chosen.at = now
 	return x.chosen
 }
 
 // size is the size of the fleet; the lock is held. An instance that is no hub does not hear of
 // most others, and goes by the hubs' word. While it hears nobody the last word holds.
-func (x *Exchange) size(now time.Duration) int {
+func (x *Exchange) size(now time.Duration) Size {
+	if !x.settled() {
+		return Size{}
+	}
 	recent, heard := 0, false
 	for name, told := range x.told {
 		if now-told.at > toldAge {
@@ -154,13 +165,16 @@
 	if recent > 0 || heard {
 		x.toldSize = recent
 	}
-	return max(len(x.peers)+1, x.toldSize)
+	return SizeOf(max(len(x.peers)+1, x.toldSize))
 }
 
+// settled reports whether it is known who is in the fleet.
+func (x *Exchange) settled() bool { return x.listRead == nil || x.listRead() }
+
 // silent reports whether an instance has left reports unanswered for long; the lock is held.
 func (x *Exchange) silent(now time.Duration, p *peer) bool {
 	limit := silence
-	if x.chosen.size > hub.SmallFleet {
+	if x.chosen.size.Large() {
 		limit = hubSilence
 	}
 	return p.unanswered > 0 && now-p.unanswered > limit || p.suspect > now
--- a/fleet/hubs_test.go
+++ b/fleet/hubs_test.go
@@ -85,11 +85,11 @@
 	x.note(now, &Report{Instance: "i3", Incarnation: 1, Answer: true, Instances: 295})
 	x.note(now, &Report{Instance: "i4", Incarnation: 1, Answer: true, Instances: 290})
 	x.chosen.at = 0
-	assert.Equal(t, x.choose(now).size, 295)
+	assert.Equal(t, x.choose(now).size, SizeOf(295))
 	// While nobody is heard the last word holds.
-	assert.Equal(t, x.choose(now+time.Minute).size, 295)
+	assert.Equal(t, x.choose(now+time.Minute).size, SizeOf(295))
 	x.last[RunOf("i3", 1)] = lastReport{at: now + time.Hour}
-	assert.Equal(t, x.choose(now+time.Hour).size, 20)
+	assert.Equal(t, x.choose(now+time.Hour).size, SizeOf(20))
 }
 
 // Guards against an instance that is cut off and never tries its fleet again.
@@ -130,7 +130,8 @@
 	met := func() bool {
 		want := digest(exchanges[0].choose(boottime.Now()).hubs)
 		for _, x := range exchanges {
-			if digest(x.choose(boottime.Now()).hubs) != want || x.Instances() < len(exchanges) {
+			n, _ := x.Size().Instances()
+			if digest(x.choose(boottime.Now()).hubs) != want || n < len(exchanges) {
 				return false
 			}
 		}
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -36,6 +36,9 @@
 	// replacedAfter is the silence after which a run gives its name up to one with a lower
 	// incarnation. One that lives reports several times within it.
 	replacedAfter = 1500 * time.Millisecond
+	// aloneAfter is how long after the first read of a list without others an instance takes
+	// itself for the only one: those that start together write their entries meanwhile.
+	aloneAfter = 1200 * time.Millisecond
 	// maxUnlisted bounds the instances that are known by their reports only. It is above
 	// what starts at once in the largest fleet.
 	maxUnlisted = 512
@@ -85,6 +88,10 @@
 	mu     sync.Mutex
 	others map[string]Member
 	lost   bool
+	// firstRead is when the list was first read, 0 before.
+	firstRead time.Duration
+	// settled tells that the list says who is in the fleet.
+	settled atomic.Bool
 	// read is closed once the list has been read.
 	read     chan struct{}
 	readOnce sync.Once
@@ -352,12 +359,27 @@
 	}
 	m.drop(now)
 	m.lost = false
+	m.settle(now)
 	list := m.list()
 	m.mu.Unlock()
 	m.changed(list)
 	m.readOnce.Do(func() { close(m.read) })
 }
 
+// settle notes whether the list says who is in the fleet; the lock is held.
+func (m *Members) settle(now time.Duration) {
+	if m.firstRead == 0 {
+		m.firstRead = now
+	}
+	if len(m.others) > 0 || now-m.firstRead >= aloneAfter {
+		m.settled.Store(true)
+	}
+}
+
+// Settled reports whether it is known who is in the fleet. A list that names nobody else counts
+// only once it has been read again: where all start together, the first to read it finds it empty.
+func (m *Members) Settled() bool { return m.settled.Load() }
+
 // Lost implements follow.Reader.
 func (m *Members) Lost() {
 	m.mu.Lock()
--- a/fleet/receive.go
+++ b/fleet/receive.go
@@ -136,7 +136,7 @@
 		}
 		p.unanswered, p.suspect, p.leaving = 0, 0, r.Leaving
 	}
-	if r.Answer {
+	if r.Answer && r.Instances > 0 {
 		x.told[r.Instance] = toldSize{r.Instances, now}
 	}
 	x.mu.Unlock()
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -102,7 +102,8 @@
 	Incarnation uint64
 	Sequence    uint64
 	Machine     Machine
-	// Instances is how many the sender knows of, itself included.
+	// Instances is how many the sender knows of, itself included; 0 while it does not know who is
+	// in the fleet.
 	Instances int
 	// Leaving tells that the sender takes no new work, or soon will not.
 	Leaving bool
--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cairnworks/cairnworks/boottime"
+	"github.com/cairnworks/cairnworks/fleet"
 )
 
 // RetryBudget bounds what repeated sends add to a service's load, over the fleet.
@@ -27,7 +28,7 @@
 // that the fleet keeps to both whoever is cut off. It is safe for concurrent use.
 type budgets struct {
 	limit   RetryBudget
-	members func() int
+	members func() fleet.Size
 	// slackFrom is when the share of the slack may be used. An instance that has just
 	// started again does not know what it sent before; when all are killed at once, each
 	// with its share used up, the window would hold the slack twice.
@@ -40,7 +41,7 @@
 	asks, repeats []time.Duration
 }
 
-func newBudgets(limit RetryBudget, members func() int) *budgets {
+func newBudgets(limit RetryBudget, members func() fleet.Size) *budgets {
 	b := &budgets{limit: limit, members: members, byName: make(map[string]*budget)}
 	if !limit.FirstStart {
 		b.slackFrom = boottime.Now() + limit.Window
@@ -74,7 +75,7 @@
 	s := b.service(service)
 	s.asks = since(s.asks, now-b.limit.Window)
 	s.repeats = since(s.repeats, now-b.limit.Window)
-	slack := b.limit.Slack / float64(max(b.members(), 1))
+	slack := b.members().Part(b.limit.Slack)
 	if now < b.slackFrom {
 		slack = 0
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -228,7 +228,7 @@
 // Retries are bounded by what was asked, so that a failing service does not get three
 // times its load.
 func TestRetryBudget(t *testing.T) {
-	b := newBudgets(RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Slack: 9, FirstStart: true}, func() int { return 3 })
+	b := newBudgets(RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Slack: 9, FirstStart: true}, func() fleet.Size { return fleet.SizeOf(3) })
 	for range 100 {
 		b.asked("s")
 	}
@@ -244,7 +244,7 @@
 // up. Starting again with full shares they would repeat twice what the window allows,
 // while the upstreams are at their worst.
 func TestRestartDoesNotRenewTheRetrySlack(t *testing.T) {
-	b := newBudgets(RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Slack: 90}, func() int { return 3 })
+	b := newBudgets(RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Slack: 90}, func() fleet.Size { return fleet.SizeOf(3) })
 	for range 100 {
 		b.asked("s")
 	}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -12,7 +12,6 @@
 	"go.uber.org/zap"
 
 	"github.com/cairnworks/cairnworks/boottime"
-	"github.com/cairnworks/cairnworks/decision/hub"
 	"github.com/cairnworks/cairnworks/fleet"
 	"github.com/cairnworks/cairnworks/object"
 	"github.com/cairnworks/cairnworks/observe"
@@ -38,7 +37,7 @@
 	// Budget is what repeated sends may add to an upstream service's load.
 	Budget RetryBudget
 	// Members is how many instances share the budget.
-	Members func() int
+	Members func() fleet.Size
 }
 
 // Gateway is the callers' door for routed requests.
@@ -192,7 +191,7 @@
 func hashPoint(id string) uint64 { return xxhash.Sum64String(id) }
 
 // reportsLate reports whether the fleet is so large that reports go by way of hubs.
-func (g *Gateway) reportsLate() bool { return g.Members() > hub.SmallFleet }
+func (g *Gateway) reportsLate() bool { return g.Members().Large() }
 
 // Fill completes a report to other instances.
 func (g *Gateway) Fill(now time.Duration, r *fleet.Report) {
--- a/gateway/places_bench_test.go
+++ b/gateway/places_bench_test.go
@@ -26,7 +26,7 @@
 			for e := range engines {
 				state.Directory.Put(upstream.Entry{ID: fmt.Sprint("d", e), Service: "model", Role: upstream.Decode, Slots: 4})
 			}
-			g := New(Options{Upstreams: &fakes{}, State: state, Log: zap.NewNop(), Metrics: observe.NewMetrics(), Members: func() int { return 295 }})
+			g := New(Options{Upstreams: &fakes{}, State: state, Log: zap.NewNop(), Metrics: observe.NewMetrics(), Members: func() fleet.Size { return fleet.SizeOf(295) }})
 			defer g.Close()
 			places := make(chan fleet.Place, 1)
 			c := fleet.Claim{Service: fleet.HashOf("model"), Tokens: 250, Objective: time.Second, Left: time.Minute}
--- a/gateway/places_test.go
+++ b/gateway/places_test.go
@@ -111,7 +111,7 @@
 			state.Directory.Put(upstream.Entry{ID: fmt.Sprint("p", e), Service: "model", Role: upstream.Prefill, Slots: 4})
 		}
 		f.upstreams = append(f.upstreams, &fakes{})
-		g := New(Options{Upstreams: f.upstreams[i], State: state, Log: zap.NewNop(), Metrics: observe.NewMetrics(), Members: func() int { return instances }})
+		g := New(Options{Upstreams: f.upstreams[i], State: state, Log: zap.NewNop(), Metrics: observe.NewMetrics(), Members: func() fleet.Size { return fleet.SizeOf(instances) }})
 		g.Connect(homesOf{f, i})
 		// No suspicion ends while a test runs.
 		g.suspects.now = func() time.Duration { return now }
--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -59,8 +59,8 @@
 type Network interface {
 	// Hubs are the instances that hold buckets, this one included if it does.
 	Hubs() []fleet.Hub
-	// Instances is the size of the fleet.
-	Instances() int
+	// Size is the size of the fleet. While it is not known, nobody's home is.
+	Size() fleet.Size
 	Ask(ctx context.Context, hub string, a fleet.Ask) (fleet.Grant, error)
 	// Suspect makes another take the place of a hub that does not answer.
 	Suspect(hub string)
@@ -141,12 +141,16 @@
 	Retry time.Duration
 	// Waited is the time spent waiting for tokens.
 	Waited time.Duration
-	// Home was asked last. Level is what it had left, Part the part of the rate that it gets.
+	// Home was asked last, and is empty where none is known yet. Level is what it had left, Part
+	// the part of the rate that it gets.
 	Home        string
 	Level, Part float64
 }
 
 func (d QuotaDecision) String() string {
+	if d.Unanswered && d.Home == "" {
+		return "the quota's home is not known yet"
+	}
 	if d.Unanswered {
 		return fmt.Sprintf("the quota's home %s does not answer", d.Home)
 	}
@@ -166,7 +170,8 @@
 		if d.Admitted || ctx.Err() != nil || d.Waited+d.Retry > patience {
 			return d
 		}
-		if !d.Unanswered && !pause(ctx, d.Retry) {
+		// A home that does not answer was waited for by the ask.
+		if (!d.Unanswered || d.Home == "") && !pause(ctx, d.Retry) {
 			return d
 		}
 	}
@@ -198,9 +203,11 @@
 	if float64(tokens) > smallShare*limit.Burst || q.now() < q.short[org] {
 		return fleet.Hub{}, false
 	}
-	home := q.homeOf(org)
-	q.bill(home, org, tokens)
-	return home, true
+	home, known := q.homeOf(org)
+	if known {
+		q.bill(home, org, tokens)
+	}
+	return home, known
 }
 
 // bill charges tokens to a bucket; the lock is held.
@@ -227,15 +234,22 @@
 	org := fleet.HashOf(organisation)
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if limit, known := q.limits[org]; known && limit.Rate > 0 {
-		q.bill(q.homeOf(org), org, -tokens)
+	if limit, known := q.limits[org]; !known || limit.Rate <= 0 {
+		return
+	}
+	if home, known := q.homeOf(org); known {
+		q.bill(home, org, -tokens)
 	}
 }
 
 // ask asks the organisation's home for tokens.
 func (q *Quotas) ask(ctx context.Context, org fleet.Hash, tokens int64) QuotaDecision {
 	q.mu.Lock()
-	home := q.homeOf(org)
+	home, known := q.homeOf(org)
+	if !known {
+		q.mu.Unlock()
+		return QuotaDecision{Unanswered: true, Retry: unansweredRetry}
+	}
 	if home == q.self {
 		d := q.take(q.now(), org, tokens)
 		q.mu.Unlock()
@@ -258,20 +272,24 @@
 	return q.home.Take(now, uint64(org), tokens)
 }
 
-// homeOf is the home of an organisation; the lock is held.
-func (q *Quotas) homeOf(org fleet.Hash) fleet.Hub {
-	q.chooseHomes()
-	return q.homes[escrow.ShardOf(uint64(org))]
+// homeOf is the home of an organisation, if it is known; the lock is held.
+func (q *Quotas) homeOf(org fleet.Hash) (fleet.Hub, bool) {
+	known := q.chooseHomes()
+	return q.homes[escrow.ShardOf(uint64(org))], known
 }
 
-// chooseHomes chooses the homes anew where the hubs have changed; the lock is held.
-func (q *Quotas) chooseHomes() {
+// chooseHomes chooses the homes anew where the hubs have changed, and reports whether they are
+// known; the lock is held.
+func (q *Quotas) chooseHomes() bool {
+	if _, known := q.network.Size().Instances(); !known {
+		return false
+	}
 	hubs := q.network.Hubs()
 	if len(hubs) == 0 {
 		hubs = []fleet.Hub{q.self}
 	}
 	if slices.Equal(hubs, q.hubs) {
-		return
+		return true
 	}
 	hashes := make([]uint64, len(hubs))
 	for i, h := range hubs {
@@ -285,6 +303,7 @@
 			q.handOver(s, home)
 		}
 	}
+	return true
 }
 
 // handOver gives what is left in a shard's buckets to the home that has taken this one's place;
@@ -297,7 +316,12 @@
 
 // giveOwn lets this instance's part of the rates flow into its own buckets; the lock is held.
 func (q *Quotas) giveOwn(now time.Duration) {
-	q.giver.Accrue(now, q.network.Instances())
+	n, known := q.network.Size().Instances()
+	if !known {
+		q.giver.Pass(now)
+		return
+	}
+	q.giver.Accrue(now, n)
 	if shards := q.shardsOf(q.self.Run); len(shards) > 0 {
 		q.home.Receive(now, escrow.Run(q.self.Run), q.giver.Give(escrow.Run(q.self.Run), shards))
 	}
@@ -305,7 +329,9 @@
 
 // shardsOf are the shards that a run is the home of; the lock is held.
 func (q *Quotas) shardsOf(run fleet.Run) []int {
-	q.chooseHomes()
+	if !q.chooseHomes() {
+		return nil
+	}
 	var out []int
 	for s, home := range q.homes {
 		if home.Run == run {
@@ -389,7 +415,7 @@
 			delete(q.bills, run)
 		}
 	}
-	if q.home.Runs() > runsKept*q.network.Instances() {
+	if n, known := q.network.Size().Instances(); known && q.home.Runs() > runsKept*n {
 		q.home.Forget(ended)
 	}
 }
--- a/gateway/quota_test.go
+++ b/gateway/quota_test.go
@@ -74,7 +74,7 @@
 	return out
 }
 
-func (m *quotaMember) Instances() int      { return len(m.fleet.members) }
+func (m *quotaMember) Size() fleet.Size    { return fleet.SizeOf(len(m.fleet.members)) }
 func (m *quotaMember) Suspect(name string) { m.suspects[name] = true }
 
 func (m *quotaMember) Ask(_ context.Context, to string, a fleet.Ask) (fleet.Grant, error) {
@@ -90,7 +90,7 @@
 
 // homeOf is the member that is an organisation's home.
 func (f *quotaFleet) homeOf(organisation string) *quotaMember {
-	home := f.members[0].homeOf(fleet.HashOf(organisation))
+	home, _ := f.members[0].homeOf(fleet.HashOf(organisation))
 	for _, m := range f.members {
 		if m.hub == home {
 			return m
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -159,7 +159,7 @@
 	w.fill(quotas)
 	w.gateway = New(Options{
 		Apply: 2 * time.Second, Codec: w.fakes, Upstreams: w.fakes, State: w.state, Quotas: quotas, Log: zap.NewNop(), Metrics: observe.NewMetrics(),
-		MaxBodies: 1 << 20, Budget: RetryBudget{Ratio: 1, Window: 10 * time.Second, Slack: 20, FirstStart: true}, Members: func() int { return 1 },
+		MaxBodies: 1 << 20, Budget: RetryBudget{Ratio: 1, Window: 10 * time.Second, Slack: 20, FirstStart: true}, Members: func() fleet.Size { return fleet.SizeOf(1) },
 	})
 	t.Cleanup(w.gateway.Close)
 	return w
@@ -178,7 +178,7 @@
 type alone struct{}
 
 func (alone) Hubs() []fleet.Hub { return nil }
-func (alone) Instances() int    { return 1 }
+func (alone) Size() fleet.Size  { return fleet.SizeOf(1) }
 func (alone) Suspect(string)    {}
 func (alone) Ask(context.Context, string, fleet.Ask) (fleet.Grant, error) {
 	return fleet.Grant{}, fleet.ErrUnanswered
--- a/instance/routed/readers.go
+++ b/instance/routed/readers.go
@@ -7,7 +7,6 @@
 	"go.uber.org/zap"
 
 	"github.com/cairnworks/cairnworks/boottime"
-	"github.com/cairnworks/cairnworks/decision/hub"
 	"github.com/cairnworks/cairnworks/fleet"
 	"github.com/cairnworks/cairnworks/follow"
 	"github.com/cairnworks/cairnworks/object"
@@ -41,22 +40,25 @@
 // How often the list of instances is read.
 const (
 	// calmReads is how much more seldom the list of instances is read while others are
-	// heard, and aloneReads how much more often while nobody is.
-	calmReads, aloneReads = 15, 0.4
+	// heard, aloneReads how much more often while nobody is, and firstReads until it is known
+	// who is in the fleet.
+	calmReads, aloneReads, firstReads = 15, 0.4, 0.1
 )
 
 // unlisted reports whether this instance needs no entry: who starts must find the hubs of a
 // large fleet only, and hubs hear of the others by their reports.
 func (i *Instance) unlisted() bool {
-	return i.fleetSize() > hub.SmallFleet && !i.exchange.IsHub()
+	return i.fleetSize().Large() && !i.exchange.IsHub()
 }
 
 // readSlowly is how much more seldom than in a small fleet the list of instances is read.
 func (i *Instance) readSlowly() float64 {
 	switch {
+	case !i.members.Settled():
+		return firstReads
 	case i.exchange.Alone():
 		return aloneReads
-	case i.fleetSize() > hub.SmallFleet:
+	case i.fleetSize().Large():
 		return calmReads
 	default:
 		return 1
--- a/instance/routed/routed.go
+++ b/instance/routed/routed.go
@@ -155,6 +155,7 @@
 	exchange.OnVouched(i.members.Vouch)
 	exchange.OnExpire(i.members.Expire)
 	exchange.OnlyFrom(i.members.Current)
+	exchange.OnceListed(i.members.Settled)
 	i.fleet = fleetid.NewKeeper(fleetid.KeeperConfig{
 		Store: fleetid.NewKeyedStore(outside.Log), Spread: idSpread(s.FirstStart), Name: s.FleetName(), Logger: log, Metrics: metrics.Scope,
 	})
@@ -193,13 +194,13 @@
 // informs returns what tells of changes that all instances learn of: in a large fleet the hubs'
 // lines are enough.
 func (i *Instance) informs() func(string, ...zap.Field) {
-	if i.fleetSize() > hub.SmallFleet && !i.exchange.IsHub() {
+	if i.fleetSize().Large() && !i.exchange.IsHub() {
 		return i.log.Debug
 	}
 	return i.log.Info
 }
 
-func (i *Instance) fleetSize() int { return max(i.exchange.Instances(), 1) }
+func (i *Instance) fleetSize() fleet.Size { return i.exchange.Size() }
 
 // setMembers takes over the list of other instances.
 func (i *Instance) setMembers(members []fleet.Member) { i.exchange.SetMembers(members) }
@@ -312,13 +313,14 @@
 	}
 	if !slices.Equal(names, i.hubs) {
 		i.hubs = names
-		i.log.Info("hubs changed", zap.Strings("hubs", names[:min(len(names), hub.Hubs)]), zap.Bool("hub", i.exchange.IsHub()), zap.Int("instances", i.fleetSize()))
+		i.log.Info("hubs changed", zap.Strings("hubs", names[:min(len(names), hub.Hubs)]), zap.Bool("hub", i.exchange.IsHub()), zap.Stringer("instances", i.fleetSize()))
 	}
 }
 
 func (i *Instance) beliefs() observe.Beliefs {
+	instances, _ := i.fleetSize().Instances()
 	b := observe.Beliefs{
-		Ready: i.notReady() == "", Upstreams: i.state.Directory.Len(), Instances: i.fleetSize(), Hubs: len(i.exchange.Hubs()), Hub: i.exchange.IsHub(),
+		Ready: i.notReady() == "", Upstreams: i.state.Directory.Len(), Instances: instances, Hubs: len(i.exchange.Hubs()), Hub: i.exchange.IsHub(),
 	}
 	if index := i.state.Index(); index != nil {
 		b.Version, b.Age = index.Version(), i.state.Age()
--- a/instance/routed/routed_test.go
+++ b/instance/routed/routed_test.go
@@ -301,3 +301,22 @@
 		return err == nil && status == http.StatusServiceUnavailable
 	})
 }
+
+// Guards against an instance that has not read the list of instances and spends quotas as if it
+// were the whole fleet.
+func TestInstanceWithoutTheListSpendsNothing(t *testing.T) {
+	f := prepare(t, "a", signed)
+	f.store.put("keyed.op", "config", `{"version":2,"routes":[{"name":"r","host":"h.example","path-prefix":"/x/","route-type":"unsafe","service":"s","timeout-ms":5000}],
+ "services":[{"name":"s"}],"limits":{"max-header-bytes":16384,"max-body-bytes":1000,"header-timeout-ms":3000,"idle-timeout-ms":15000},
+ "tenants":[{"name":"t","api-keys":["k"],"rate-per-s":1000,"burst":1000}]}`)
+	f.store.refuse("keyed.instances", true)
+	f.run(t)
+	f.await(t, func() bool { _, _, err := f.ask("k"); return err == nil })
+	for range 100 {
+		status, _, err := f.ask("k")
+		assert.Assert(t, err != nil || status == http.StatusServiceUnavailable, "status %d", status)
+		time.Sleep(20 * time.Millisecond)
+	}
+	f.store.refuse("keyed.instances", false)
+	f.await(t, func() bool { status, _, err := f.ask("k"); return err == nil && status == http.StatusOK })
+}
--- a/observe/metrics.go
+++ b/observe/metrics.go
@@ -142,7 +142,8 @@
 	// one exists.
 	Version uint64
 	Age     time.Duration
-	// Upstreams and Instances that are known.
+	// Upstreams and Instances that are known. No instances are while it is not known who is in
+	// the fleet.
 	Upstreams, Instances int
 	// Hubs are those that this instance reports to; Hub tells that it is one.
 	Hubs int
