An instance serves once it has read the lists of upstreams and instances

Callers of lookups and swaps were refused as "no_upstream" beside upstreams that were well, in the first 0.1 s after a start: an instance took requests when it had the configuration, and a list of upstreams that was not read yet counted as an empty one. An instance that was the home of places refused prefill claims the same way.

gateway.State knows which part is missing. The callers' server waits for all three parts in place of the configuration alone, 2 s at most as before; requests after that are refused as "starting" with a time to come back, readiness names the missing part, and claims are left unanswered so that who asks goes by what it knows.

--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -12,6 +12,9 @@
 
 // Figures of admission.
 const (
+	// startRetry is when a caller is told to come back that reached an instance which has not
+	// read all that it decides by: the reads take some hundred ms.
+	startRetry = 500 * time.Millisecond
 	// staleRetry is when a caller is told to come back that was refused since this
 	// instance cannot tell which keys hold: by then the balancer has taken it out,
 	// and the caller reaches another.
@@ -44,10 +47,14 @@
 
 // find finds the route, the organisation and the service of a call.
 func (g *Gateway) find(c *Call, key string) (*admitted, *verdict.Verdict) {
-	index := g.state.Index()
-	if index == nil {
-		return nil, verdict.Refuse(verdict.ReasonNoConfiguration, staleRetry, "this instance has no configuration yet")
+	if part := g.state.Missing(); part != NoPart {
+		reason := verdict.ReasonStarting
+		if part == PartConfiguration {
+			reason = verdict.ReasonNoConfiguration
+		}
+		return nil, verdict.Refuse(reason, startRetry, "this instance has not read the %s yet", part)
 	}
+	index := g.state.Index()
 	route, ok := index.Route(hostName(c.Host), c.Path)
 	if !ok {
 		return nil, g.denied(verdict.ReasonUnknownService, "no route for this host and path")
--- a/gateway/claims.go
+++ b/gateway/claims.go
@@ -54,8 +54,8 @@
 // open begins a claim.
 func (d *desks) open(now time.Duration, instance string, c fleet.Claim, answer func(fleet.Place)) {
 	k, known := d.byHash(c.Service)
-	if !known {
-		// No configuration yet. The one who asks goes by what it knows.
+	if !known || d.gateway.state.Missing() != NoPart {
+		// No configuration or no engines yet. The one who asks goes by what it knows.
 		return
 	}
 	r := &remoteClaim{
--- a/gateway/places_bench_test.go
+++ b/gateway/places_bench_test.go
@@ -21,6 +21,8 @@
 	for _, engines := range []int{66, 400} {
 		b.Run(fmt.Sprint(engines, " engines"), func(b *testing.B) {
 			state := NewState(boottime.Now, time.Minute)
+			state.UpstreamsRead()
+			state.InstancesRead()
 			assert.Assert(b, state.Apply(object.NewIndex(set(), 1)))
 			state.Prove(boottime.Now())
 			for e := range engines {
--- a/gateway/places_test.go
+++ b/gateway/places_test.go
@@ -104,6 +104,8 @@
 	now := boottime.Now()
 	for i := range instances {
 		state := NewState(boottime.Now, time.Minute)
+		state.UpstreamsRead()
+		state.InstancesRead()
 		assert.Assert(t, state.Apply(object.NewIndex(set(), 1)))
 		state.Prove(boottime.Now())
 		for e := range engines {
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,13 +19,65 @@
 	proof atomic.Int64
 	// maxAge is the age of the proof from which requests with a key are refused.
 	maxAge time.Duration
+	// upstreams and instances tell that these lists have been read, complete is closed once
+	// nothing is missing.
+	upstreams, instances atomic.Bool
+	complete             chan struct{}
+	completeOnce         sync.Once
 
 	Directory *upstream.Directory
 }
 
-// NewState returns a state without a configuration.
+// NewState returns a state in which nothing has been read.
 func NewState(now boottime.Clock, maxAge time.Duration) *State {
-	return &State{now: now, maxAge: maxAge, Directory: upstream.NewDirectory()}
+	return &State{now: now, maxAge: maxAge, complete: make(chan struct{}), Directory: upstream.NewDirectory()}
+}
+
+// Part is what an instance must have read before it can serve.
+type Part string
+
+// Parts of what an instance reads.
+const (
+	NoPart            Part = ""
+	PartConfiguration Part = "configuration"
+	PartUpstreams     Part = "list of upstreams"
+	PartInstances     Part = "list of instances"
+)
+
+// Missing is what has not been read yet, NoPart if nothing is missing. A list that was not read
+// names nobody, which is not to be taken for an empty one.
+func (s *State) Missing() Part {
+	switch {
+	case s.Index() == nil:
+		return PartConfiguration
+	case !s.upstreams.Load():
+		return PartUpstreams
+	case !s.instances.Load():
+		return PartInstances
+	}
+	return NoPart
+}
+
+// Complete returns a channel that is closed once nothing is missing.
+func (s *State) Complete() <-chan struct{} { return s.complete }
+
+// UpstreamsRead notes that the list of upstreams has been read.
+func (s *State) UpstreamsRead() {
+	s.upstreams.Store(true)
+	s.look()
+}
+
+// InstancesRead notes that the list of instances has been read.
+func (s *State) InstancesRead() {
+	s.instances.Store(true)
+	s.look()
+}
+
+// look tells those who wait once nothing is missing.
+func (s *State) look() {
+	if s.Missing() == NoPart {
+		s.completeOnce.Do(func() { close(s.complete) })
+	}
 }
 
 // Apply puts a configuration in force unless a newer one is. It reports whether it
@@ -36,6 +89,7 @@
 			return false
 		}
 		if s.index.CompareAndSwap(old, index) {
+			s.look()
 			return true
 		}
 	}
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -143,6 +143,8 @@
 	t.Helper()
 	w := &world{fakes: &fakes{}}
 	w.state = NewState(w.now, 4*time.Second)
+	w.state.UpstreamsRead()
+	w.state.InstancesRead()
 	index := object.NewIndex(set(), 1)
 	assert.Assert(t, w.state.Apply(index))
 	w.state.Prove(w.now())
--- a/instance/routed/readers.go
+++ b/instance/routed/readers.go
@@ -209,7 +209,6 @@
 		i.intake = c.Intake
 	}
 	i.mu.Unlock()
-	i.settledOnce.Do(func() { close(i.settled) })
 	i.log.Info("configuration applied", zap.Uint64("version", c.Version), zap.Uint64("offset", record.Offset),
 		zap.Int("routes", len(c.Set.Routes)), zap.Int("keys", len(c.Set.Keys)))
 	return true
@@ -307,6 +306,7 @@
 
 // Proven implements follow.Reader.
 func (r *upstreamReader) Proven(time.Duration) {
+	r.instance.state.UpstreamsRead()
 	r.returned()
 	if len(r.removed) == 0 || boottime.Now() < r.holdUntil {
 		return
--- a/instance/routed/routed.go
+++ b/instance/routed/routed.go
@@ -111,16 +111,13 @@
 	mu       sync.Mutex
 	intake   Intake
 	draining bool
-	// settled is closed once a configuration was applied.
-	settled     chan struct{}
-	settledOnce sync.Once
 }
 
 // New prepares an instance; Run starts it.
 func New(s settings.Routed, outside Outside, log *zap.Logger) (*Instance, error) {
 	metrics := observe.NewMetrics()
 	outside.Log = &countedLog{outside.Log, metrics}
-	i := &Instance{settings: s, outside: outside, log: log, metrics: metrics, began: time.Now(), intake: defaultIntake, settled: make(chan struct{})}
+	i := &Instance{settings: s, outside: outside, log: log, metrics: metrics, began: time.Now(), intake: defaultIntake}
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * 1e6))
 	}
@@ -203,7 +200,12 @@
 func (i *Instance) fleetSize() fleet.Size { return i.exchange.Size() }
 
 // setMembers takes over the list of other instances.
-func (i *Instance) setMembers(members []fleet.Member) { i.exchange.SetMembers(members) }
+func (i *Instance) setMembers(members []fleet.Member) {
+	i.exchange.SetMembers(members)
+	if i.members.Settled() {
+		i.state.InstancesRead()
+	}
+}
 
 // Run serves until ctx ends, then drains: what was read is answered, new requests
 // are taken while the balancer still sends them, and the process ends within its
@@ -241,12 +243,12 @@
 	return nil
 }
 
-// callersServer waits a moment for the configuration, which says what callers may
-// send, and returns the server for them.
+// callersServer waits a moment for what requests are decided by, the configuration with what
+// callers may send among it, and returns the server for them.
 func (i *Instance) callersServer(ctx context.Context) *http.Server {
 	const patience = 2 * time.Second
 	select {
-	case <-i.settled:
+	case <-i.state.Complete():
 	case <-ctx.Done():
 	case <-time.After(patience):
 	}
@@ -365,8 +367,8 @@
 	switch {
 	case draining:
 		return "draining"
-	case i.state.Index() == nil:
-		return "no configuration"
+	case i.state.Missing() != gateway.NoPart:
+		return fmt.Sprintf("no %s yet", i.state.Missing())
 	case i.state.Directory.Len() == 0:
 		return "no upstreams"
 	case i.state.Age() > time.Duration(float64(i.settings.RevokeMS)*readyShare)*time.Millisecond:
--- a/verdict/reason.go
+++ b/verdict/reason.go
@@ -6,15 +6,17 @@
 
 // Reasons found at the door.
 const (
-	ReasonBadRequest        Reason = "bad_request"
-	ReasonBodyTooLarge      Reason = "body_too_large"
-	ReasonPromptTooLong     Reason = "prompt_too_long"
-	ReasonUnknownModel      Reason = "unknown_model"
-	ReasonUnknownService    Reason = "unknown_service"
-	ReasonUnauthenticated   Reason = "unauthenticated"
-	ReasonKeyWithdrawn      Reason = "key_withdrawn"
-	ReasonForbidden         Reason = "forbidden"
-	ReasonNoConfiguration   Reason = "no_configuration"
+	ReasonBadRequest      Reason = "bad_request"
+	ReasonBodyTooLarge    Reason = "body_too_large"
+	ReasonPromptTooLong   Reason = "prompt_too_long"
+	ReasonUnknownModel    Reason = "unknown_model"
+	ReasonUnknownService  Reason = "unknown_service"
+	ReasonUnauthenticated Reason = "unauthenticated"
+	ReasonKeyWithdrawn    Reason = "key_withdrawn"
+	ReasonForbidden       Reason = "forbidden"
+	ReasonNoConfiguration Reason = "no_configuration"
+	// ReasonStarting means that the instance has not read yet what it decides by.
+	ReasonStarting          Reason = "starting"
 	ReasonMethodNotAllowed  Reason = "method_not_allowed"
 	ReasonIdempotencyNeeded Reason = "idempotency_key_invalid"
 )
