Stand-ins and instances log when their process stood still; tests name streams that ended early

Failures of tests with processes on a starved machine could not be told from faults: neither a stand-in nor an instance of our own interface said that it did not run, and TestEngineMemoryIsFreedWhenCallersLeave did not say why only five of six streams flowed. observe.WatchStalls logs "process stood still" with the gap, as routed instances do; openStreams names the status and code of a stream that ends before its first token. Checks are as they were.

--- a/cmd/cairnstand/main.go
+++ b/cmd/cairnstand/main.go
@@ -16,6 +16,7 @@
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
 
+	"github.com/cairnworks/cairnworks/boottime"
 	"github.com/cairnworks/cairnworks/observe"
 )
 
@@ -72,6 +73,7 @@
 		return err
 	}
 	logger.Info("listening", zap.String("kind", kind), zap.String("address", listener.Addr().String()))
+	go observe.WatchStalls(ctx, boottime.Now, logger)
 	server := &http.Server{Handler: s.Handler()}
 	go func() {
 		<-ctx.Done()
--- a/e2e/gone_test.go
+++ b/e2e/gone_test.go
@@ -37,7 +37,10 @@
 		var once sync.Once
 		all.Go(func() {
 			answers[k] = chat(ctx, d.callers, f.keys["alpha"], prompt(0, k), longAnswer, func(int) { once.Do(flowing.Done) })
-			once.Do(flowing.Done)
+			once.Do(func() {
+				f.t.Logf("stream %d ended before its first token: status %d code %s ran %s error %v", k, answers[k].status, answers[k].code, answers[k].ran, answers[k].err)
+				flowing.Done()
+			})
 		})
 	}
 	flowing.Wait()
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/cairnworks/cairnworks/boottime"
 	"github.com/cairnworks/cairnworks/caller"
 	"github.com/cairnworks/cairnworks/config"
 	"github.com/cairnworks/cairnworks/fleetid"
@@ -144,6 +145,7 @@
 	})
 	group.Go(func() error { return ignoreEnd(ctx, i.guard.Run(ctx)) })
 	group.Go(func() error { return i.awaitRate(ctx) })
+	group.Go(func() error { observe.WatchStalls(ctx, boottime.Now, i.log); return nil })
 	group.Go(func() error { return i.followUpstreams(ctx) })
 	for _, l := range i.listeners.all() {
 		group.Go(func() error { return l.serve() })
