Refusals of plain calls say when to come back, at different times

The model's path named a time, the plain one did not.

A plain call that was not run now names 0.2 to 0.6 s by its id. TestRefusedPlainCallsReturnAtDifferentTimes fails before. The model of a fleet that loses power also has a list that names the hubs only.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -260,3 +262,23 @@
 	}
 	assert.Equal(t, n, 34) // 0.7 of 20 and a third of 90, less the one counted
 }
+
+// Guards against callers that are refused by a full plain upstream, are not told when to come back,
+// and all return at once.
+func TestRefusedPlainCallsReturnAtDifferentTimes(t *testing.T) {
+	w := newWorld(t)
+	w.run = func(context.Context, upstream.Entry, *Call, RunOptions) (*Answer, error) { return nil, refused() }
+	times := make(map[string]bool)
+	for n := range 20 {
+		rec, _ := w.ask("/book/1", map[string]string{"Id": fmt.Sprint(n)})
+		assert.Equal(t, rec.Code, http.StatusServiceUnavailable)
+		after, err := strconv.ParseFloat(rec.Header().Get("Retry-After"), 64)
+		assert.NilError(t, err)
+		assert.Assert(t, after >= 0.5*plainRetry.Seconds() && after <= 1.5*plainRetry.Seconds(), "%v s", after)
+		times[rec.Header().Get("Retry-After")] = true
+	}
+	assert.Assert(t, len(times) > 10, "%v", times)
+	w.always(verdict.Refuse(verdict.ReasonKeyWithdrawn, 0, "gone"))
+	rec, _ := w.ask("/book/1", nil)
+	assert.Equal(t, rec.Header().Get("Retry-After"), "")
+}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"sync"
@@ -25,7 +26,7 @@
 	// slots, those at work included; more would wait there for long while others may
 	// have room.
 	plainDepth = 4
-	// plainRetry is when a caller is told to come back after a full service.
+	// plainRetry is when a caller is told to come back after a full service, on average.
 	plainRetry = 400 * time.Millisecond
 	// maxUnsent is how many upstreams that cannot be reached are passed over before a
 	// request is refused. Nothing was sent to them.
@@ -92,12 +93,22 @@
 	run := &plainRun{gateway: g, admitted: a, pool: g.plain.get(a.service.Name), tried: make(map[string]bool)}
 	answer, v := run.answer(ctx)
 	if v != nil {
+		if v.Ran == verdict.NotRun && v.Reason.Retryable() && v.RetryAfter == 0 {
+			v.RetryAfter = plainReturn(a.call.ID)
+		}
 		return v
 	}
 	g.deliver(w, a, answer)
 	return nil
 }
 
+// plainReturn is when the caller of a refused request is told to come back. The times are spread,
+// since upstreams that are full refuse many at once, which would return as one.
+func plainReturn(id string) time.Duration {
+	part := float64(hashPoint(id)) / math.MaxUint64
+	return time.Duration((0.5 + part) * float64(plainRetry))
+}
+
 // plainRun is a plain request on its way.
 type plainRun struct {
 	gateway  *Gateway
@@ -303,7 +314,7 @@
 	if entry, ok := r.pool.claim(room.Need{}, r.tried); ok {
 		return entry, nil
 	}
-	return upstream.Entry{}, verdict.Refuse(verdict.ReasonNoUpstream, plainRetry, "no upstream of %s has room", r.admitted.service.Name)
+	return upstream.Entry{}, verdict.Refuse(verdict.ReasonNoUpstream, 0, "no upstream of %s has room", r.admitted.service.Name)
 }
 
 // keep reads an answer as far as it is kept.
--- a/gateway/quota_power_test.go
+++ b/gateway/quota_power_test.go
@@ -31,8 +31,9 @@
 	*Quotas
 	fleet *powerFleet
 	self  fleet.Member
-	// up is when it serves again, listed when it has read the list of instances.
-	up, listed time.Duration
+	// up is when it serves again, listed when it has read the list of instances, and told when the
+	// hubs have told it of those whom the list does not name.
+	up, listed, told time.Duration
 }
 
 type powerGrant struct {
@@ -65,6 +66,7 @@
 func (m *powerMember) start(up, listed time.Duration) {
 	m.self.Incarnation++
 	m.up, m.listed = m.fleet.now+up, m.fleet.now+up+listed
+	m.told = m.listed
 	m.Quotas = NewQuotas(func() time.Duration { return m.fleet.now }, m.self, QuotaBound{Window: powerWindow})
 	m.Connect(m)
 	m.SetLimits(m.fleet.index)
@@ -75,8 +77,11 @@
 }
 
 func (m *powerMember) Size() fleet.Size {
-	if m.fleet.now < m.listed {
+	switch {
+	case m.fleet.now < m.listed:
 		return fleet.Size{}
+	case m.fleet.now < m.told:
+		return fleet.SizeOf(m.fleet.hubs + 1)
 	}
 	return fleet.SizeOf(len(m.fleet.members))
 }
@@ -175,12 +180,15 @@
 		share float64
 		// listed is the longest time until they have read the list.
 		listed time.Duration
+		// told is how long it takes after that to hear of those whom the list does not name.
+		told time.Duration
 	}{
-		{"all", 1, 300 * time.Millisecond},
-		{"all, the store slow", 1, 3 * time.Second},
-		{"all, the store away", 1, 9 * time.Second},
-		{"a tenth", 0.1, 300 * time.Millisecond},
-		{"a tenth, the store slow", 0.1, 3 * time.Second},
+		{"all", 1, 300 * time.Millisecond, 0},
+		{"all, the store slow", 1, 3 * time.Second, 0},
+		{"all, the store away", 1, 9 * time.Second, 0},
+		{"a tenth", 0.1, 300 * time.Millisecond, 0},
+		{"a tenth, the store slow", 0.1, 3 * time.Second, 0},
+		{"all, the list names hubs only", 1, 300 * time.Millisecond, time.Second},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			f := newPowerFleet(200, hub.Hubs, 7)
@@ -188,6 +196,7 @@
 			for _, m := range f.members {
 				if f.rng.Float64() < c.share {
 					m.start(time.Duration(f.rng.Int64N(int64(time.Second))), time.Duration(f.rng.Int64N(int64(c.listed))))
+					m.told += c.told
 				}
 			}
 			f.run(14*time.Second, 3)
