Soak: all instances are killed at once, alone or beside a store that is down or slow

The known failures came from losses of all power and stores that are slow or away at a start, which no fault of the soak repeated. Drawn apart from the others, every 12 s, so that the other faults of a seed stay as they were.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -135,6 +135,34 @@
 	{"reports unheard", 1, func(r *run, f fault) { r.loseReports(f, allLost, 0) }},
 }
 
+// fleetKinds befall all instances at once. They are drawn apart like lateKinds.
+var fleetKinds = []kind{
+	{"all killed", 1, func(r *run, _ fault) { r.killAll() }},
+	{"all killed, store down", 1, func(r *run, f fault) {
+		r.store.SetDown(true)
+		r.killAll()
+		time.Sleep(f.For / 2)
+		r.store.SetDown(false)
+	}},
+	{"all killed, store slow", 1, func(r *run, f fault) {
+		for n := range r.instances {
+			r.instances[n].store.delay.Store(int64(200 * time.Millisecond))
+		}
+		r.killAll()
+		time.Sleep(f.For)
+		for n := range r.instances {
+			r.instances[n].store.calm()
+		}
+	}},
+}
+
+// killAll ends all instances at once, as a loss of power does.
+func (r *run) killAll() {
+	for _, i := range r.instances {
+		i.signal(syscall.SIGKILL)
+	}
+}
+
 // loseReports loses parts, in hundredths, of what an instance reports and is reported.
 func (r *run) loseReports(f fault, sent, got int32) {
 	end := r.relays.end(r.instance(f).name)
@@ -148,6 +176,8 @@
 const (
 	// reportGap is the mean time between two faults of reportKinds.
 	reportGap = 3 * time.Second
+	// fleetGap is the mean time between two faults of fleetKinds.
+	fleetGap = 12 * time.Second
 	// lateBy is how long after it was asked for it is carried out.
 	lateBy = 2500 * time.Millisecond
 	// lateGap is the mean time between two faults of lateKinds.
@@ -161,6 +191,7 @@
 		draw(rand.New(rand.NewPCG(seed, 1)), kinds, faultGap, length, targets),
 		draw(rand.New(rand.NewPCG(seed, 2)), lateKinds, lateGap, length, targets),
 		draw(rand.New(rand.NewPCG(seed, 3)), reportKinds, reportGap, length, targets),
+		draw(rand.New(rand.NewPCG(seed, 4)), fleetKinds, fleetGap, length, targets),
 	)
 }
 
--- a/soak/run.go
+++ b/soak/run.go
@@ -258,7 +258,7 @@
 				return
 			case <-time.After(time.Until(r.began.Add(f.At))):
 			}
-			for _, k := range slices.Concat(kinds, lateKinds, reportKinds) {
+			for _, k := range slices.Concat(kinds, lateKinds, reportKinds, fleetKinds) {
 				if k.name == f.Kind {
 					began := time.Now()
 					k.apply(r, f)
@@ -296,7 +296,7 @@
 // disturbs names the instance that a fault disturbs, or everybody.
 func (r *run) disturbs(f fault) string {
 	switch {
-	case f.Kind == "store down":
+	case f.Kind == "store down" || strings.HasPrefix(f.Kind, "all "):
 		return everybody
 	case strings.HasPrefix(f.Kind, "engine") || strings.HasSuffix(f.Kind, "late"):
 		return "none"
