--- a/fleet/hubs_test.go
+++ b/fleet/hubs_test.go
@@ -189,3 +189,28 @@
 	assert.ErrorIs(t, err, ErrUnanswered)
 	a.granted(Grant{ID: 7})
 }
+
+// Guards against an instance that leads, is a hub, or reports before it knows who is in its fleet.
+func TestUnknownFleetHasNoHubs(t *testing.T) {
+	x := fleetOf(t, 10)
+	read := false
+	x.OnceListed(func() bool { return read })
+	x.chosen.at = 0
+	assert.Equal(t, x.Size(), Size{})
+	assert.Equal(t, x.Size().String(), "unknown")
+	assert.Equal(t, x.Size().Part(9), 0.0)
+	assert.Equal(t, len(x.Hubs()), 0)
+	assert.Assert(t, !x.IsHub() && x.Rank("s") > 0)
+	assert.Equal(t, x.begin(boottime.Now()).Instances, 0)
+	x.send(true)
+	for _, p := range x.peers {
+		assert.Equal(t, p.unanswered, time.Duration(0), "a report was sent")
+	}
+	x.note(boottime.Now(), &Report{Instance: "i1", Incarnation: 1, Answer: true})
+	assert.Equal(t, len(x.told), 0, "a size that the sender does not know counts")
+	read = true
+	x.chosen.at = 0
+	assert.Equal(t, x.Size(), SizeOf(10))
+	assert.Assert(t, x.IsHub())
+	assert.Equal(t, x.begin(boottime.Now()).Instances, 10)
+}
--- a/fleet/members_test.go
+++ b/fleet/members_test.go
@@ -105,3 +105,22 @@
 	assert.Equal(t, last[0].Incarnation, uint64(2))
 	assert.Equal(t, last[0].Machine, strong)
 }
+
+// Guards against instances that start together and each take themselves for the whole fleet, since
+// the list was empty when they read it first.
+func TestEmptyListCountsOnceItWasReadAgain(t *testing.T) {
+	m := NewMembers(Member{Name: "a"}, nil, zap.NewNop(), func([]Member) {})
+	m.Introduce(Member{Name: "b", Incarnation: 1, Address: "1.2.3.4:5"})
+	assert.Assert(t, !m.Settled(), "nothing was read")
+	m = NewMembers(Member{Name: "a"}, nil, zap.NewNop(), func([]Member) {})
+	m.Replace(nil)
+	m.Proven(0)
+	assert.Assert(t, !m.Settled())
+	m.firstRead -= aloneAfter
+	m.Proven(0)
+	assert.Assert(t, m.Settled())
+	m = NewMembers(Member{Name: "a"}, nil, zap.NewNop(), func([]Member) {})
+	m.Add(record("b", 1, 4))
+	m.Proven(0)
+	assert.Assert(t, m.Settled())
+}
