--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -28,6 +28,9 @@
 	plainDepth = 4
 	// plainRetry is when a caller is told to come back after a full service, on average.
 	plainRetry = 400 * time.Millisecond
+	// plainSpread is the part of it by which the times of two callers lie apart at most, half to
+	// each side.
+	plainSpread = 1.0
 	// maxUnsent is how many upstreams that cannot be reached are passed over before a
 	// request is refused. Nothing was sent to them.
 	maxUnsent = 4
@@ -106,7 +109,7 @@
 // since upstreams that are full refuse many at once, which would return as one.
 func plainReturn(id string) time.Duration {
 	part := float64(hashPoint(id)) / math.MaxUint64
-	return time.Duration((0.5 + part) * float64(plainRetry))
+	return time.Duration((1 + plainSpread*(part-0.5)) * float64(plainRetry))
 }
 
 // plainRun is a plain request on its way.
