--- a/follow/follow.go
+++ b/follow/follow.go
@@ -98,9 +98,10 @@
 	asOf, lastRead time.Duration
 	// behind is set while another instance knows records that are missing here. They end below
 	// behindMark, and are read from the store at catchUpAt unless they arrive earlier.
-	behind     bool
-	catchUpAt  time.Duration
-	behindMark uint64
+	behind      bool
+	behindSince time.Duration
+	catchUpAt   time.Duration
+	behindMark  uint64
 	// active is set while this instance reads the topic on behalf of all.
 	active bool
 	relay  relay
@@ -108,7 +109,7 @@
 
 // NewFollower returns a follower of a topic. Exported fields may be set until Run is called.
 func NewFollower(topic port.Topic, timing PollTiming, handler Handler) *Follower {
-	return &Follower{Topic: topic, Timing: timing, Handler: handler, Now: boottime.Now, wake: make(chan struct{}, 1)}
+	return &Follower{Topic: topic, Timing: timing, Handler: handler, Logger: zap.NewNop(), Now: boottime.Now, wake: make(chan struct{}, 1)}
 }
 
 // Run follows the topic until ctx ends.
@@ -215,10 +216,26 @@
 func (f *Follower) noteCaughtUp(started time.Duration) {
 	f.asOf = max(f.asOf, started)
 	f.lastRead = f.Now()
-	f.behind = false
+	f.endBehind(sourceStore)
 	f.Handler.CaughtUp(started)
 }
 
+// Sources of missing records, as they appear in logs.
+const (
+	sourceStore  = "store"
+	sourceReport = "report"
+)
+
+// endBehind records that nothing is missing any more. f.mu must be held.
+func (f *Follower) endBehind(source string) {
+	if !f.behind {
+		return
+	}
+	f.behind = false
+	f.Logger.Info("missing records received", zap.Stringer("topic", f.Topic), zap.String("source", source),
+		zap.Uint64("next", f.next), zap.Duration("missing_for", f.Now()-f.behindSince))
+}
+
 // handleFailure reports a failed call and waits before the next one.
 func (f *Follower) handleFailure(ctx context.Context, err error) {
 	if ctx.Err() != nil {
--- a/follow/share.go
+++ b/follow/share.go
@@ -121,7 +121,9 @@
 		return
 	}
 	f.adoptMark(n)
-	f.behind = f.behind && f.next < f.behindMark
+	if f.next >= f.behindMark {
+		f.endBehind(sourceReport)
+	}
 	asOf := earliest - n.Age
 	if earliest <= 0 || asOf <= f.asOf {
 		return
@@ -138,6 +140,9 @@
 	if len(n.Records) == 0 {
 		catchUpAt = f.Now() + relayTimeout
 	}
+	if !f.behind {
+		f.behindSince = f.Now()
+	}
 	if !f.behind || catchUpAt < f.catchUpAt {
 		f.catchUpAt = catchUpAt
 	}
--- a/instance/routed/readers.go
+++ b/instance/routed/readers.go
@@ -190,6 +190,7 @@
 	if dataCentre, evacuated, ok := i.adapters.Evacuation(record); ok {
 		return r.setEvacuated(dataCentre, evacuated)
 	}
+	start := boottime.Now()
 	c, ok, err := i.adapters.Configuration(record)
 	if err != nil {
 		i.log.Error("invalid configuration; keeping the previous one", zap.Error(err))
@@ -212,7 +213,7 @@
 	}
 	i.mu.Unlock()
 	i.log.Info("configuration applied", zap.Uint64("version", c.Version), zap.Uint64("offset", record.Offset),
-		zap.Int("routes", len(c.Set.Routes)), zap.Int("keys", len(c.Set.Keys)))
+		zap.Int("routes", len(c.Set.Routes)), zap.Int("keys", len(c.Set.Keys)), zap.Int("bytes", len(record.Value)), zap.Duration("took", boottime.Now()-start))
 	return true
 }
 
--- a/instance/routed/storecalls.go
+++ b/instance/routed/storecalls.go
@@ -21,6 +21,7 @@
 	start := time.Now()
 	records, next, err := l.KeyedLog.Newest(ctx, topic)
 	l.count(topic, "newest", start, err)
+	l.metrics.CountStoreBytes(topic.String(), "newest", sizeOf(records))
 	return records, next, err
 }
 
@@ -29,6 +30,7 @@
 	start := time.Now()
 	records, next, err := l.KeyedLog.Since(ctx, topic, from, wait)
 	l.count(topic, "since", start, err)
+	l.metrics.CountStoreBytes(topic.String(), "since", sizeOf(records))
 	return records, next, err
 }
 
@@ -55,8 +57,18 @@
 		result = "forgotten"
 	case errors.Is(err, port.ErrConflict):
 		result = "conflict"
+	case errors.Is(err, context.DeadlineExceeded):
+		result = "timeout"
 	case err != nil:
 		result = "failed"
 	}
 	l.metrics.RecordStoreCall(topic.String(), call, result, time.Since(start))
 }
+
+func sizeOf(records []port.KeyedRecord) int {
+	size := 0
+	for _, record := range records {
+		size += record.Size()
+	}
+	return size
+}
--- a/observe/metrics.go
+++ b/observe/metrics.go
@@ -113,6 +113,11 @@
 	scope.Histogram("store_seconds", latencyBuckets).RecordDuration(d)
 }
 
+// CountStoreBytes counts the bytes of the records that a call to the platform's store returned.
+func (m *Metrics) CountStoreBytes(topic, call string, bytes int) {
+	m.Scope.Tagged(map[string]string{"topic": topic, "call": call}).Counter("store_read_bytes").Inc(int64(bytes))
+}
+
 // RecordQuotaWait records how long a request waited for tokens of its quota.
 func (m *Metrics) RecordQuotaWait(d time.Duration) {
 	m.Scope.Histogram("quota_wait_seconds", latencyBuckets).RecordDuration(d)
--- a/port/keyed.go
+++ b/port/keyed.go
@@ -37,6 +37,9 @@
 	Offset uint64
 }
 
+// Size returns the number of bytes of the key and the value.
+func (r KeyedRecord) Size() int { return len(r.Key) + len(r.Value) }
+
 // ErrCompacted is returned if the requested records have been compacted away. The
 // caller must read the newest record of each key instead.
 var ErrCompacted = errors.New("requested records have been compacted")
