Test: large records reach all instances in time, and few of them read the store; both fail

Cause: seen by callers as requests handled by a configuration older than the bound allows on the large deployment. A record above the limit of a report is read from the store by every instance at once. Change: two tests over a store whose responses share one rate, with sixty instances and records of 700 KB; a failing step of a test fleet ends its instances.

--- a/follow/share_test.go
+++ b/follow/share_test.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"sync"
@@ -22,6 +23,10 @@
 	// refused contains the clients whose calls fail.
 	refused map[int]bool
 	calls   int
+	// bytesPerS is the rate at which all responses together are sent, or 0 if it is unlimited.
+	// receiving is the number of responses on their way, sentBytes the bytes sent so far.
+	bytesPerS            float64
+	receiving, sentBytes int
 }
 
 // topicClient is one instance's connection to the topic.
@@ -50,13 +55,58 @@
 		time.Sleep(10 * time.Millisecond)
 		l.mu.Lock()
 	}
-	return l.records[from:], uint64(len(l.records)), nil
+	records := l.records[from:]
+	if err := l.transfer(ctx, records); err != nil {
+		return nil, 0, err
+	}
+	return records, from + uint64(len(records)), nil
+}
+
+// transfer waits until a response has been sent. Responses share the rate evenly. l.mu must be held.
+func (l *sharedTopic) transfer(ctx context.Context, records []port.KeyedRecord) error {
+	const tick = 10 * time.Millisecond
+	left := 0
+	for _, record := range records {
+		left += record.Size()
+	}
+	l.receiving++
+	defer func() { l.receiving-- }()
+	for left > 0 && l.bytesPerS > 0 {
+		l.mu.Unlock()
+		time.Sleep(tick)
+		l.mu.Lock()
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		sent := min(left, int(l.bytesPerS*tick.Seconds())/l.receiving)
+		left -= sent
+		l.sentBytes += sent
+	}
+	return nil
 }
 
-func (l *sharedTopic) put(key string) {
+func (l *sharedTopic) put(key string) { l.putValue(key, []byte(key)) }
+
+func (l *sharedTopic) putValue(key string, value []byte) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.records = append(l.records, port.KeyedRecord{Key: key, Value: []byte(key), Offset: uint64(len(l.records))})
+	l.records = append(l.records, port.KeyedRecord{Key: key, Value: value, Offset: uint64(len(l.records))})
+}
+
+// largeKey is the key of records that are padded to a large size.
+const largeKey = "config"
+
+// putLarge adds a record whose value is the given text, padded to size bytes.
+func (l *sharedTopic) putLarge(text string, size int) {
+	l.putValue(largeKey, append([]byte(text), bytes.Repeat([]byte(" "), size-len(text))...))
+}
+
+// limitRate sets bytesPerS and returns the bytes sent so far.
+func (l *sharedTopic) limitRate(bytesPerS float64) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.bytesPerS = bytesPerS
+	return l.sentBytes
 }
 
 func (l *sharedTopic) refuse(ids ...int) {
@@ -97,6 +147,9 @@
 		return false
 	}
 	i.known = r.Key
+	if r.Key == largeKey {
+		i.known = string(bytes.TrimRight(r.Value, " "))
+	}
 	return true
 }
 
@@ -142,14 +195,22 @@
 var testTiming = PollTiming{Wait: 400 * time.Millisecond, Gap: 50 * time.Millisecond, TakeoverAge: 1200 * time.Millisecond, Stagger: 25 * time.Millisecond}
 
 func runFleet(t *testing.T, n int, steps func(s *testFleet)) {
+	t.Helper()
+	runFleetWithTiming(t, n, testTiming, steps)
+}
+
+func runFleetWithTiming(t *testing.T, n int, timing PollTiming, steps func(s *testFleet)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		s := &testFleet{topic: &sharedTopic{}}
 		s.topic.put("first")
 		ctx, cancel := context.WithCancel(t.Context())
 		var running sync.WaitGroup
+		defer running.Wait()
+		defer cancel()
 		for id := range n {
 			i := &instance{}
-			i.follower = NewFollower(port.TopicConfiguration, testTiming, i)
+			i.follower = NewFollower(port.TopicConfiguration, timing, i)
 			i.follower.Log, i.follower.Logger, i.follower.Now = &topicClient{topic: s.topic, id: id}, zap.NewNop(), virtualNow
 			i.follower.Rank = func() int { return id }
 			s.instances = append(s.instances, i)
@@ -158,8 +219,6 @@
 		running.Go(func() { s.deliverNotes(ctx) })
 		time.Sleep(4 * time.Second)
 		steps(s)
-		cancel()
-		running.Wait()
 	})
 }
 
