Follow: records too large for a report are fetched from the instance that announced them

What callers saw: on the large deployment a change was not in force within 4 s of its confirmation (CONFIG), and in the worst case nearly all requests were refused, since no instance had a fresh proof of the configuration. Cause: a record above 24 KB was not passed on, so that each of 295 instances read it from the store at once, 218 MB a version of 740 KB. A read that did not end within 1.2 s was given up, with all that it had cost, and begun anew. The class: work that grows with size times readers, and retries that throw progress away, until nothing completes. Change: an instance keeps the newest changed record of each key (8 MB at most). A note says if the missing records are too large for it; the receiver fetches them by connect from its sender, on the TCP port of the reports' number, compressed once for all. After two failed fetches it reads the store. A response of the store that keeps arriving is not given up. Why it works: the store sends a large record to the two active readers only, whatever the size of the fleet; the reports say within a poll who has it, and each hub serves its share of the instances. The time of a fetch proves freshness as a report does. Instances that the store turns away get large records too.

--- a/fleet/codec.go
+++ b/fleet/codec.go
@@ -33,7 +33,7 @@
 		m.Crashes = append(m.Crashes, &fleetv1.Crash{Fingerprint: c.Fingerprint, Upstream: uint64(c.Upstream), AgeMs: uint32(c.Age.Milliseconds())})
 	}
 	for _, n := range r.Notes {
-		m.Notes = append(m.Notes, marshalNote(n))
+		m.Notes = append(m.Notes, marshalNote(n, marshalRecord))
 	}
 	for topic, offset := range r.Known {
 		if m.Known == nil {
@@ -202,19 +202,22 @@
 	return w
 }
 
-func marshalNote(n follow.Note) *fleetv1.Note {
+func marshalNote(n follow.Note, marshal func(port.KeyedRecord) *fleetv1.Record) *fleetv1.Note {
 	// Ages are rounded up so that the sender's as-of time never appears later than it is.
 	age := uint32((n.Age + time.Millisecond - 1).Milliseconds())
-	m := &fleetv1.Note{Topic: uint32(n.Topic), Mark: n.Mark, Next: n.Next, AgeMs: age, From: n.From}
+	m := &fleetv1.Note{Topic: uint32(n.Topic), Mark: n.Mark, Next: n.Next, AgeMs: age, From: n.From, Large: n.Large}
 	for _, record := range n.Records {
-		m.Records = append(m.Records, marshalRecord(record))
+		m.Records = append(m.Records, marshal(record))
 	}
 	return m
 }
 
 func unmarshalNote(m *fleetv1.Note) (follow.Note, error) {
-	n := follow.Note{Topic: port.Topic(m.Topic), Mark: m.Mark, Next: m.Next, Age: time.Duration(m.AgeMs) * time.Millisecond, From: m.From}
-	for _, record := range m.Records {
+	n := follow.Note{
+		Topic: port.Topic(m.GetTopic()), Mark: m.GetMark(), Next: m.GetNext(), Age: time.Duration(m.GetAgeMs()) * time.Millisecond,
+		From: m.GetFrom(), Large: m.GetLarge(),
+	}
+	for _, record := range m.GetRecords() {
 		read, err := unmarshalRecord(record)
 		if err != nil {
 			return follow.Note{}, err
--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -15,6 +15,8 @@
 	"github.com/cairnworks/cairnworks/boottime"
 	"github.com/cairnworks/cairnworks/decision/hub"
 	"github.com/cairnworks/cairnworks/fleetid"
+	"github.com/cairnworks/cairnworks/follow"
+	"github.com/cairnworks/cairnworks/port"
 )
 
 // Parameters of the report exchange.
@@ -59,14 +61,18 @@
 	HandleAsk(now time.Duration, from Run, a Ask) Grant
 	// HandleClaim processes another instance's claim and answers it immediately or later.
 	HandleClaim(now time.Duration, instance string, c Claim, answer func(Place))
+	// ServeRecords returns a note with the records of a topic from an offset on, whatever their size.
+	ServeRecords(now time.Duration, topic port.Topic, from uint64) (follow.Note, error)
 	// HandleLoads processes the changed loads of another instance.
 	HandleLoads(now time.Duration, instance string, loads map[Hash]Load)
 }
 
 // Exchange sends this instance's reports and receives those of other instances.
 type Exchange struct {
-	self     Member
-	conn     *net.UDPConn
+	self Member
+	conn *net.UDPConn
+	// records accepts connections on the TCP port with the same number.
+	records  net.Listener
 	handler  Handler
 	logger   *zap.Logger
 	trigger  chan struct{}
@@ -131,7 +137,7 @@
 	at, made time.Duration
 }
 
-// Listen opens the UDP socket for reports at self.Address.
+// Listen opens the UDP socket for reports and the TCP socket for records at self.Address.
 func Listen(self Member, handler Handler, logger *zap.Logger) (*Exchange, error) {
 	address, err := net.ResolveUDPAddr("udp4", self.Address)
 	if err != nil {
@@ -141,8 +147,13 @@
 	if err != nil {
 		return nil, err
 	}
+	records, err := net.Listen("tcp4", self.Address)
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
 	return &Exchange{
-		self: self, conn: conn, handler: handler, logger: logger, trigger: make(chan struct{}, 1), announce: make(chan struct{}, 1),
+		self: self, conn: conn, records: records, handler: handler, logger: logger, trigger: make(chan struct{}, 1), announce: make(chan struct{}, 1),
 		peers: make(map[string]*peer), last: make(map[Run]lastReport), lastWake: boottime.Now(),
 		pollIndex: rand.IntN(hub.Hubs), reportedSizes: make(map[string]reportedSize), pendingAsks: make(map[uint64]chan Grant), pendingClaims: make(map[uint64]chan Place),
 	}, nil
@@ -228,6 +239,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = x.conn.Close() })
 	defer stop()
 	go x.receive(ctx)
+	go newRecordService(x).serve(ctx, x.records)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	var expired time.Duration
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -43,7 +43,7 @@
 		Known: map[port.Topic]uint64{port.TopicUpstreams: 44},
 		Notes: []follow.Note{{
 			Topic: port.TopicUpstreams, Mark: 16, Next: 17, Age: 18 * time.Millisecond, From: 19,
-			Records: []port.KeyedRecord{{Key: "k", Value: []byte("v"), Offset: 20}, {Key: "dropped", Offset: 21}},
+			Records: []port.KeyedRecord{{Key: "k", Value: []byte("v"), Offset: 20}, {Key: "dropped", Offset: 21}}, Large: true,
 		}},
 	}
 	data, err := r.marshal()
@@ -122,6 +122,10 @@
 	}
 }
 
+func (h *fakeHandler) ServeRecords(_ time.Duration, topic port.Topic, from uint64) (follow.Note, error) {
+	return follow.Note{Topic: topic, From: from}, nil
+}
+
 func (h *fakeHandler) HandleLoads(_ time.Duration, _ string, loads map[Hash]Load) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/fleet/receive.go
+++ b/fleet/receive.go
@@ -61,7 +61,7 @@
 	if !x.accept(now, r) {
 		return
 	}
-	r.Earliest = x.earliestMade(now, r)
+	r.Earliest, r.Sender = x.earliestMade(now, r), from.String()
 	x.recordFleetState(now, r)
 	x.handler.HandleReport(now, r)
 	if r.Poll != nil {
--- a/fleet/record.go
+++ b/fleet/record.go
@@ -16,8 +16,8 @@
 	// a fifth; entries of upstreams are too small for compression to pay off.
 	minDeflateBytes = 512
 	// maxValueBytes is the maximum size of a decompressed value, so that a forged report cannot
-	// exhaust memory.
-	maxValueBytes = 1 << 20
+	// exhaust memory. The store returns at most as much.
+	maxValueBytes = 4 << 20
 )
 
 var errRecordTooLarge = errors.New("record in a report exceeds the maximum size")
@@ -52,7 +52,7 @@
 
 func deflate(value []byte) ([]byte, error) {
 	var packed bytes.Buffer
-	w, err := flate.NewWriter(&packed, flate.BestCompression)
+	w, err := flate.NewWriter(&packed, flate.DefaultCompression)
 	if err != nil {
 		return nil, err
 	}
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -146,6 +146,8 @@
 	// clock that includes suspensions, or 0 if the sender has received no report of the receiver yet.
 	// It is not sent.
 	Earliest time.Duration
+	// Sender is the address from which the report was received. It is not sent.
+	Sender string
 }
 
 func (r *Report) run() Run { return RunOf(r.Instance, r.Incarnation) }
--- a/follow/explore_test.go
+++ b/follow/explore_test.go
@@ -65,6 +65,8 @@
 	instances []*modelInstance
 	reads     []pendingRead
 	notes     []pendingNote
+	// value is the value of further records.
+	value []byte
 }
 
 func (x *model) restart(i int) {
@@ -77,7 +79,7 @@
 }
 
 func (x *model) write(key string) {
-	x.records = append(x.records, port.KeyedRecord{Key: key, Value: []byte(key), Offset: uint64(len(x.records))})
+	x.records = append(x.records, port.KeyedRecord{Key: key, Value: x.value, Offset: uint64(len(x.records))})
 	x.written = append(x.written, x.now)
 }
 
@@ -131,8 +133,9 @@
 	}
 }
 
-// Records are written and read by any instance at any time, and relayed in notes that are
-// lost, repeated, reordered or delayed; instances restart and read a snapshot. Whatever the
+// Records of any size are written and read by any instance at any time, and relayed in notes or
+// fetched from other instances. Notes and fetched records are lost, repeated, reordered or
+// delayed; instances restart and read a snapshot. Whatever the
 // order, an instance that is caught up as of a time must know everything written before that
 // time. Otherwise it would accept a withdrawn key, or use an engine that has left, while it
 // believes itself up to date.
@@ -147,7 +150,7 @@
 		pick := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "pick") }
 		for range 120 {
 			x.now += time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond
-			switch step := rapid.IntRange(0, 11).Draw(t, "step"); {
+			switch step := rapid.IntRange(0, 13).Draw(t, "step"); {
 			case step == 0:
 				x.write([]string{"a", "b"}[pick(2)])
 			case step == 1:
@@ -176,6 +179,13 @@
 				x.instances[n.to].follower.Receive(n.note, n.earliest)
 			case step == 11 && pick(10) == 0:
 				x.restart(pick(instances))
+			case step == 12:
+				from, to := pick(instances), pick(instances)
+				if note, err := x.instances[from].follower.Serve(x.now, x.instances[to].follower.NextOffset()); err == nil && from != to {
+					x.notes = append(x.notes, pendingNote{to, note, x.now})
+				}
+			case step == 13:
+				x.value = make([]byte, pick(2)*(maxRelayBytes+1))
 			}
 			for _, e := range x.instances {
 				e.follower.mu.Lock()
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -50,11 +50,15 @@
 	ReadFailed()
 }
 
-// Limits for failed calls.
+// Limits for calls.
 const (
-	// callTimeoutMargin is added to a call's wait to get its timeout. The store answers within
-	// some milliseconds, and up to sixty times as slowly when it is degraded.
+	// callTimeoutMargin is the longest time without any part of a response, in addition to the
+	// call's wait. The store answers within some milliseconds, and up to sixty times as slowly when
+	// it is degraded.
 	callTimeoutMargin = 1200 * time.Millisecond
+	// maxCallTime limits a call whose response keeps arriving. All instances of a fleet that starts
+	// share the store's rate.
+	maxCallTime = 10 * time.Second
 	// minRetryDelay and maxRetryDelay limit the delay after a failed call. The store rejects
 	// calls beyond its rate limit, and rejected calls are billed too.
 	minRetryDelay = 120 * time.Millisecond
@@ -77,6 +81,9 @@
 	// Announce is called when there is something new to report to the other instances. It may
 	// be nil.
 	Announce func()
+	// Fetcher fetches records that are too large for reports. If it is nil, they are read from the
+	// store.
+	Fetcher Fetcher
 	// Now is the clock that includes suspensions.
 	Now boottime.Clock
 
@@ -102,9 +109,14 @@
 	behindSince time.Duration
 	catchUpAt   time.Duration
 	behindMark  uint64
+	// sources are the addresses of instances that have the missing records. failedFetches is the
+	// number of failed fetches since they are missing.
+	sources       []string
+	failedFetches int
 	// active is set while this instance reads the topic on behalf of all.
-	active bool
-	relay  relay
+	active  bool
+	relay   relay
+	history history
 }
 
 // NewFollower returns a follower of a topic. Exported fields may be set until Run is called.
@@ -120,6 +132,9 @@
 			return ctx.Err()
 		}
 		started := f.Now()
+		if f.fetchMissing(ctx, started) {
+			continue
+		}
 		if err := f.readOnce(ctx, started); err != nil {
 			f.handleFailure(ctx, err)
 			continue
@@ -144,7 +159,7 @@
 		wait = 0
 	}
 	f.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, wait+callTimeoutMargin)
+	ctx, cancel := withCallTimeout(ctx, wait)
 	defer cancel()
 	if !known {
 		return f.readSnapshot(ctx, started)
@@ -161,6 +176,20 @@
 	return nil
 }
 
+// withCallTimeout returns the context of a call that waits at the store. A response that arrives slowly
+// is not given up: all that it has cost would be lost, and the next call would be as slow.
+func withCallTimeout(ctx context.Context, wait time.Duration) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	expire := func() { cancel(context.DeadlineExceeded) }
+	silence := time.AfterFunc(wait+callTimeoutMargin, expire)
+	total := time.AfterFunc(wait+maxCallTime, expire)
+	return port.WithProgress(ctx, func() { silence.Reset(callTimeoutMargin) }), func() {
+		silence.Stop()
+		total.Stop()
+		cancel(nil)
+	}
+}
+
 // readSnapshot reads the newest record of each key.
 func (f *Follower) readSnapshot(ctx context.Context, started time.Duration) error {
 	records, next, err := f.Log.Newest(ctx, f.Topic)
@@ -182,6 +211,9 @@
 		return
 	}
 	changed := f.Handler.Replace(records)
+	if !f.known || changed {
+		f.history.reset(next)
+	}
 	if !f.known {
 		f.known, f.knownSince = true, f.Now()
 	}
@@ -194,17 +226,18 @@
 
 // applyRecords processes the records of a read. Some may have been relayed in the meantime.
 func (f *Follower) applyRecords(records []port.KeyedRecord, next uint64, started time.Duration) {
-	var changed []port.KeyedRecord
 	f.mu.Lock()
+	changedUpTo := uint64(0)
 	for _, record := range records {
 		if record.Offset >= f.next && f.Handler.Add(record) {
-			changed = append(changed, record)
+			f.history.add(record)
+			changedUpTo = record.Offset + 1
 		}
 	}
 	f.next = max(f.next, next)
-	f.queueRelay(changed)
+	f.queueRelay(changedUpTo)
 	f.noteCaughtUp(started)
-	announce := f.Rank != nil && (len(changed) > 0 || !f.active)
+	announce := f.Rank != nil && (changedUpTo > 0 || !f.active)
 	f.mu.Unlock()
 	if announce && f.Announce != nil {
 		f.Announce()
@@ -222,8 +255,8 @@
 
 // Sources of missing records, as they appear in logs.
 const (
-	sourceStore  = "store"
-	sourceReport = "report"
+	sourceStore    = "store"
+	sourceInstance = "instance"
 )
 
 // endBehind records that nothing is missing any more. f.mu must be held.
@@ -231,7 +264,7 @@
 	if !f.behind {
 		return
 	}
-	f.behind = false
+	f.behind, f.sources, f.failedFetches = false, nil, 0
 	f.Logger.Info("missing records received", zap.Stringer("topic", f.Topic), zap.String("source", source),
 		zap.Uint64("next", f.next), zap.Duration("missing_for", f.Now()-f.behindSince))
 }
@@ -248,6 +281,7 @@
 	f.failedCalls++
 	f.mu.Lock()
 	f.Handler.ReadFailed()
+	f.failedFetches = 0
 	f.mu.Unlock()
 	delay := min(minRetryDelay<<min(f.failedCalls-1, 4), maxRetryDelay)
 	sleep(ctx, delay/2+rand.N(delay))
--- a/follow/large_test.go
+++ b/follow/large_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/cairnworks/cairnworks/port"
 )
 
 // largeTiming is the timing of a configuration that must be applied within largeBound.
@@ -53,3 +55,61 @@
 		assert.Assert(t, s.allKnow("large"))
 	})
 }
+
+// Guards against an instance that waits for others that do not serve it, while the store would.
+func TestLargeRecordIsReadFromStoreIfNoInstanceServesIt(t *testing.T) {
+	runFleetWithTiming(t, 9, largeTiming, func(s *testFleet) {
+		s.set(func() { s.unreachable = func(int) bool { return true } })
+		s.topic.putLarge("large", largeRecord)
+		time.Sleep(largeBound)
+		assert.Assert(t, s.allKnow("large"))
+	})
+}
+
+// Guards against an instance that the store rejects and that stays without a configuration that is too
+// large for a report.
+func TestRejectedInstanceFetchesLargeRecord(t *testing.T) {
+	runFleetWithTiming(t, 9, largeTiming, func(s *testFleet) {
+		s.topic.refuse(4, 5, 6, 7, 8)
+		s.topic.putLarge("large", largeRecord)
+		time.Sleep(largeBound)
+		assert.Assert(t, s.allKnow("large"))
+		oldest := s.maxAge(10 * time.Second)
+		assert.Assert(t, oldest < largeBound, "an as-of time was %v old", oldest)
+	})
+}
+
+// Guards against a store that answers slowly and is asked again and again, because each response is
+// given up halfway.
+func TestSlowResponseIsNotGivenUp(t *testing.T) {
+	runFleetWithTiming(t, 1, largeTiming, func(s *testFleet) {
+		before := s.topic.limitRate(largeRecord / 2.5)
+		s.topic.putLarge("large", largeRecord)
+		time.Sleep(largeBound)
+		assert.Assert(t, s.allKnow("large"))
+		assert.Assert(t, s.topic.limitRate(0)-before <= 2*largeRecord)
+	})
+}
+
+// Guards against missing records and deletions in what an instance serves to others.
+func TestHistoryHoldsNewestRecordOfEachKey(t *testing.T) {
+	var h history
+	h.reset(10)
+	h.add(port.KeyedRecord{Key: "a", Value: []byte("1"), Offset: 10})
+	h.add(port.KeyedRecord{Key: "b", Value: []byte("2"), Offset: 11})
+	before, _, _ := h.since(10)
+	h.add(port.KeyedRecord{Key: "a", Offset: 12})
+	assert.Equal(t, before[0].Key, "a", "what was handed out does not change")
+	_, _, ok := h.since(9)
+	assert.Assert(t, !ok)
+	records, size, ok := h.since(10)
+	assert.Assert(t, ok)
+	assert.Equal(t, len(records), 2)
+	assert.Equal(t, size, 3)
+	assert.Assert(t, records[1].Key == "a" && records[1].Value == nil)
+	h.add(port.KeyedRecord{Key: "c", Value: make([]byte, maxHistoryBytes), Offset: 13})
+	_, _, ok = h.since(13)
+	assert.Assert(t, !ok, "a record above the limit is not kept")
+	records, _, ok = h.since(14)
+	assert.Assert(t, ok && len(records) == 0)
+}
--- a/follow/share.go
+++ b/follow/share.go
@@ -22,8 +22,7 @@
 	// lost on a bad link; an instance that misses both reads the store.
 	relayReports = 2
 	// maxRelayBytes limits the records that a report carries, before compression to about a
-	// fifth. The report goes to every instance; each reads larger amounts from the store
-	// itself.
+	// fifth. The report goes to every instance; larger records are fetched from its sender.
 	maxRelayBytes = 24 << 10
 	// relayTimeout is how long an instance that learns of a record waits for the report that
 	// carries it: the time a 10 Mbit/s link takes to send 4 KB to eighty instances. Instances
@@ -52,13 +51,20 @@
 	// Mark.
 	From    uint64
 	Records []port.KeyedRecord
+	// Large reports that the records between From and Mark are too large for a report. The sender
+	// serves them.
+	Large bool
+	// Sender is the address at which the sender serves records. It is set by the receiver.
+	Sender string
 }
 
-// relay holds the new records that the next reports carry.
+// relay describes the new records that the next reports carry.
 type relay struct {
+	// from is the mark before the new records.
 	from        uint64
-	records     []port.KeyedRecord
 	reportsLeft int
+	// large is set if the records are too large for a report.
+	large bool
 }
 
 // Note returns the note for the next report; ok is false while there is nothing to report.
@@ -69,13 +75,26 @@
 		return Note{}, false
 	}
 	n = f.newNote(now)
-	if f.relay.reportsLeft > 0 {
-		f.relay.reportsLeft--
-		n.From, n.Records = f.relay.from, f.relay.records
+	if f.relay.reportsLeft > 0 || f.relay.large {
+		f.relay.reportsLeft = max(f.relay.reportsLeft-1, 0)
+		f.addRecords(&n, f.relay.from)
 	}
 	return n, true
 }
 
+// addRecords adds the records from an offset on to a note, or the statement that they are too large for
+// it. f.mu must be held.
+func (f *Follower) addRecords(n *Note, from uint64) {
+	records, size, ok := f.history.since(from)
+	switch {
+	case !ok || len(records) == 0:
+	case size > maxRelayBytes:
+		n.From, n.Large = f.history.from, true
+	default:
+		n.From, n.Records = from, records
+	}
+}
+
 // NoteFor returns the note for an instance that knows the topic up to offset known. It
 // includes the records that the instance lacks, if they are still kept.
 func (f *Follower) NoteFor(now time.Duration, known uint64) (n Note, ok bool) {
@@ -85,8 +104,8 @@
 		return Note{}, false
 	}
 	n = f.newNote(now)
-	if len(f.relay.records) > 0 && known < f.mark && f.relay.from <= known {
-		n.From, n.Records = f.relay.from, f.relay.records
+	if known < f.mark {
+		f.addRecords(&n, known)
 	}
 	return n, true
 }
@@ -122,7 +141,7 @@
 	}
 	f.adoptMark(n)
 	if f.next >= f.behindMark {
-		f.endBehind(sourceReport)
+		f.endBehind(sourceInstance)
 	}
 	asOf := earliest - n.Age
 	if earliest <= 0 || asOf <= f.asOf {
@@ -137,7 +156,10 @@
 // records may have overtaken the ones that carry them. f.mu must be held.
 func (f *Follower) setBehind(n Note) {
 	var catchUpAt time.Duration
-	if len(n.Records) == 0 {
+	switch {
+	case n.Large && n.From <= f.next:
+		f.addSource(n.Sender)
+	case len(n.Records) == 0:
 		catchUpAt = f.Now() + relayTimeout
 	}
 	if !f.behind {
@@ -158,6 +180,7 @@
 	for _, record := range n.Records {
 		if record.Offset >= f.next {
 			f.Handler.Add(record)
+			f.history.add(record)
 		}
 	}
 	f.next = n.Mark
@@ -168,33 +191,34 @@
 func (f *Follower) adoptMark(n Note) {
 	if !f.markKnown && n.Next >= f.next {
 		f.markKnown, f.mark = true, n.Mark
+		// Nothing changed between the mark and next.
+		f.history.from = min(f.history.from, n.Mark)
 	}
 	if f.markKnown && f.mark < n.Mark {
-		// The records queued here do not include those that were just received.
-		f.mark, f.relay = n.Mark, relay{from: n.From, records: n.Records}
+		f.relay = relay{from: f.mark, large: f.isLarge(f.mark)}
+		f.mark = n.Mark
 	}
 	f.next = max(f.next, n.Next)
 }
 
-// queueRelay queues records that this instance has read and that changed something. f.mu must
-// be held.
-func (f *Follower) queueRelay(records []port.KeyedRecord) {
-	if f.Rank == nil || !f.markKnown || len(records) == 0 {
+// queueRelay queues the records before an offset that this instance has read and that changed
+// something. f.mu must be held.
+func (f *Follower) queueRelay(changedUpTo uint64) {
+	if f.Rank == nil || !f.markKnown || changedUpTo == 0 {
 		return
 	}
 	if f.relay.reportsLeft == 0 {
 		f.relay = relay{from: f.mark}
 	}
-	f.relay.records = append(f.relay.records, records...)
 	f.relay.reportsLeft = relayReports
-	size := 0
-	for _, record := range f.relay.records {
-		size += len(record.Key) + len(record.Value)
-	}
-	if size > maxRelayBytes {
-		f.relay = relay{}
-	}
-	f.mark = max(f.mark, records[len(records)-1].Offset+1)
+	f.relay.large = f.isLarge(f.relay.from)
+	f.mark = max(f.mark, changedUpTo)
+}
+
+// isLarge reports whether the records from an offset on are too large for a report. f.mu must be held.
+func (f *Follower) isLarge(from uint64) bool {
+	_, size, ok := f.history.since(from)
+	return ok && size > maxRelayBytes
 }
 
 // readDelay returns how long this instance may wait before it reads the topic itself.
--- a/follow/share_test.go
+++ b/follow/share_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -79,6 +80,7 @@
 			return ctx.Err()
 		}
 		sent := min(left, int(l.bytesPerS*tick.Seconds())/l.receiving)
+		port.ReportProgress(ctx)
 		left -= sent
 		l.sentBytes += sent
 	}
@@ -188,6 +190,29 @@
 	drop func(from, to int) bool
 	// delay is the time a note takes to arrive.
 	delay time.Duration
+	// unreachable, if set, reports whether an instance serves no records.
+	unreachable func(id int) bool
+}
+
+// fetchDelay is the time that a fetch from another instance takes.
+const fetchDelay = 150 * time.Millisecond
+
+// Fetch implements Fetcher. The address of an instance is its number.
+func (s *testFleet) Fetch(ctx context.Context, address string, _ port.Topic, from uint64) (Note, error) {
+	id, err := strconv.Atoi(address)
+	if err != nil {
+		return Note{}, err
+	}
+	s.mu.Lock()
+	unreachable := s.unreachable != nil && s.unreachable(id)
+	s.mu.Unlock()
+	if unreachable {
+		<-ctx.Done()
+		return Note{}, ctx.Err()
+	}
+	note, err := s.instances[id].follower.Serve(virtualNow(), from)
+	time.Sleep(fetchDelay)
+	return note, err
 }
 
 const noteInterval = 100 * time.Millisecond
@@ -212,7 +237,7 @@
 			i := &instance{}
 			i.follower = NewFollower(port.TopicConfiguration, timing, i)
 			i.follower.Log, i.follower.Logger, i.follower.Now = &topicClient{topic: s.topic, id: id}, zap.NewNop(), virtualNow
-			i.follower.Rank = func() int { return id }
+			i.follower.Rank, i.follower.Fetcher = func() int { return id }, s
 			s.instances = append(s.instances, i)
 			running.Go(func() { _ = i.follower.Run(ctx) })
 		}
@@ -245,6 +270,7 @@
 			if !ok {
 				continue
 			}
+			note.Sender = strconv.Itoa(from)
 			drop, delay := s.delivery()
 			for to, other := range s.instances {
 				if to == from || drop != nil && drop(from, to) {
--- a/instance/routed/readers.go
+++ b/instance/routed/readers.go
@@ -1,6 +1,7 @@
 package routed
 
 import (
+	"errors"
 	"math"
 	"time"
 
@@ -134,12 +135,25 @@
 	i.gateway.ApplyLoads(now, instance, loads)
 }
 
+var errUnknownTopic = errors.New("the topic is not shared")
+
+// ServeRecords implements fleet.Handler.
+func (i *Instance) ServeRecords(now time.Duration, topic port.Topic, from uint64) (follow.Note, error) {
+	for _, f := range i.sharedFollowers {
+		if f.Topic == topic {
+			return f.Serve(now, from)
+		}
+	}
+	return follow.Note{}, errUnknownTopic
+}
+
 // HandleReport implements fleet.Handler.
 func (i *Instance) HandleReport(now time.Duration, r *fleet.Report) {
 	i.gateway.ApplyReport(now, r)
 	for _, n := range r.Notes {
 		for _, f := range i.sharedFollowers {
 			if f.Topic == n.Topic {
+				n.Sender = r.Sender
 				f.Receive(n, r.Earliest)
 			}
 		}
--- a/instance/routed/routed.go
+++ b/instance/routed/routed.go
@@ -141,6 +141,9 @@
 		return nil, err
 	}
 	i.exchange = exchange
+	for _, f := range i.sharedFollowers {
+		f.Fetcher = exchange
+	}
 	i.quotas.Connect(exchange)
 	i.gateway.Connect(exchange)
 	i.members = fleet.NewMembers(self, adapters.Log, log, i.setMembers)
