Upstream: the decision to postpone the removal of an upstream stands apart, without a clock

Change: what the reader of upstreams decided is in upstream.Removals, with the time passed in. No behaviour changes. Result: tests of upstream and instance/routed pass with -race.

--- a/instance/routed/readers.go
+++ b/instance/routed/readers.go
@@ -12,6 +12,7 @@
 	"github.com/cairnworks/cairnworks/follow"
 	"github.com/cairnworks/cairnworks/object"
 	"github.com/cairnworks/cairnworks/port"
+	"github.com/cairnworks/cairnworks/upstream"
 )
 
 // Intervals of store calls, each of which is billed. The fractions are relative to the time
@@ -244,22 +245,12 @@
 // upstreamReader applies the entries of upstreams.
 type upstreamReader struct {
 	instance *Instance
-	// storeUnavailable is set if the last call to the store failed.
-	storeUnavailable bool
-	// keepRemovedUntil is the time until which removed entries are kept, because entries that
-	// expired during a store outage are registered again.
-	keepRemovedUntil time.Duration
-	// pendingRemovals are the entries to remove after keepRemovedUntil.
-	pendingRemovals map[string]bool
+	removals upstream.Removals
 }
 
-// reregistrationTime is how long entries of running upstreams may still be missing after an outage
-// of the store.
-const reregistrationTime = 2200 * time.Millisecond
-
 // Replace implements follow.Handler.
 func (r *upstreamReader) Replace(records []port.KeyedRecord) bool {
-	r.noteStoreReachable()
+	r.removals.Reachable(boottime.Now())
 	changed := false
 	named := make(map[string]bool, len(records))
 	for _, record := range records {
@@ -275,7 +266,7 @@
 
 // Add implements follow.Handler.
 func (r *upstreamReader) Add(record port.KeyedRecord) bool {
-	r.noteStoreReachable()
+	r.removals.Reachable(boottime.Now())
 	i := r.instance
 	if record.Value == nil {
 		r.remove(record.Key)
@@ -286,8 +277,7 @@
 		i.log.Debug("entry does not describe an upstream", zap.String("key", record.Key), zap.Error(err))
 		return false
 	}
-	wasPending := r.pendingRemovals[record.Key]
-	delete(r.pendingRemovals, record.Key)
+	wasPending := r.removals.Restore(record.Key)
 	changed := i.state.Directory.Put(entry)
 	if logChange := i.changeLogger(); changed {
 		logChange("upstream changed", zap.String("upstream", entry.ID), zap.String("service", entry.Service), zap.String("address", entry.Address),
@@ -296,17 +286,11 @@
 	return changed || wasPending
 }
 
-// remove removes an entry. Shortly after a store outage, it postpones the removal until
-// keepRemovedUntil.
+// remove removes an entry, unless its removal is postponed.
 func (r *upstreamReader) remove(id string) {
-	if boottime.Now() < r.keepRemovedUntil {
-		if r.pendingRemovals == nil {
-			r.pendingRemovals = make(map[string]bool)
-		}
-		r.pendingRemovals[id] = true
-		return
+	if r.removals.Remove(boottime.Now(), id) {
+		r.drop(id)
 	}
-	r.drop(id)
 }
 
 func (r *upstreamReader) drop(id string) {
@@ -315,26 +299,13 @@
 	}
 }
 
-// noteStoreReachable starts the time for re-registration if the store was unreachable before.
-func (r *upstreamReader) noteStoreReachable() {
-	if r.storeUnavailable {
-		r.storeUnavailable = false
-		r.keepRemovedUntil = boottime.Now() + reregistrationTime
-	}
-}
-
 // CaughtUp implements follow.Handler.
-func (r *upstreamReader) CaughtUp(time.Duration) {
+func (r *upstreamReader) CaughtUp(asOf time.Duration) {
 	r.instance.state.UpstreamsRead()
-	r.noteStoreReachable()
-	if len(r.pendingRemovals) == 0 || boottime.Now() < r.keepRemovedUntil {
-		return
-	}
-	for id := range r.pendingRemovals {
+	for _, id := range r.removals.CaughtUp(boottime.Now(), asOf) {
 		r.drop(id)
 	}
-	r.pendingRemovals = nil
 }
 
 // ReadFailed implements follow.Handler.
-func (r *upstreamReader) ReadFailed() { r.storeUnavailable = true }
+func (r *upstreamReader) ReadFailed() { r.removals.ReadFailed() }
