Upstream: a failed read of the store does not postpone the removal of upstreams

What callers saw: requests can reach an upstream that has left later than the bound of 4 s (2 s in small fleets): DRAIN. Cause: any failed call of the store counted as an outage, in which entries expire, and removals were postponed by 2.2 s from the next success; with a call that timed out after 1.2 s and the pause of 1 s before it, more than 4 s. The class: one failed call taken for the state of the other side. Change: removals are postponed only if nothing proved the list current, by own reads or by reports, for two intervals of renewal, the shortest outage in which an entry can expire. The interval is a setting, renew_ms. Why it works: after an outage in which entries can have expired, removals wait as before; without one they are in force at once, also on an instance that the store alone rejects. Result: TestFailedReadDoesNotPostponeRemoval, TestRejectedInstanceDoesNotPostponeRemovals and TestFirstReadIsNoOutage failed on the decision before and pass; TestRemovalsArePostponedAfterOutage passes; instance/routed passes with -race.

--- a/instance/routed/readers.go
+++ b/instance/routed/readers.go
@@ -248,6 +248,10 @@
 	removals upstream.Removals
 }
 
+func newUpstreamReader(i *Instance) *upstreamReader {
+	return &upstreamReader{instance: i, removals: upstream.Removals{RenewInterval: time.Duration(i.settings.RenewMS) * time.Millisecond}}
+}
+
 // Replace implements follow.Handler.
 func (r *upstreamReader) Replace(records []port.KeyedRecord) bool {
 	r.removals.Reachable(boottime.Now())
--- a/instance/routed/routed.go
+++ b/instance/routed/routed.go
@@ -134,7 +134,7 @@
 	})
 	i.sharedFollowers = []*follow.Follower{
 		i.newSharedFollower(port.TopicConfiguration, time.Duration(s.ApplyMS)*time.Millisecond, &configReader{instance: i}),
-		i.newSharedFollower(port.TopicUpstreams, time.Duration(s.LeaveMS)*time.Millisecond, &upstreamReader{instance: i}),
+		i.newSharedFollower(port.TopicUpstreams, time.Duration(s.LeaveMS)*time.Millisecond, newUpstreamReader(i)),
 	}
 	exchange, err := fleet.Listen(self, i, log)
 	if err != nil {
--- a/settings/routed.go
+++ b/settings/routed.go
@@ -40,12 +40,13 @@
 	QuotaOver    float64 `json:"quota_over" doc:"fraction by which a quota may be exceeded in a window" unit:"fraction" default:"0"`
 	QuotaSlack   float64 `json:"quota_slack" doc:"tokens by which a quota may additionally be exceeded in a window" unit:"tokens" default:"0"`
 	LeaseMS      int     `json:"lease_ms" doc:"time within which at most one instance may give orders to an engine" unit:"ms" default:"3000"`
+	RenewMS      int     `json:"renew_ms" doc:"interval at which upstreams renew their entries in the store" unit:"ms" default:"1200"`
 	LogLevel     string  `json:"log_level" doc:"lowest severity that is logged" unit:"debug, info, warn or error" default:"info"`
 }
 
 // DefaultRouted returns the default values of the settings.
 func DefaultRouted() Routed {
-	return Routed{RevokeMS: 5000, ApplyMS: 2000, LeaveMS: 2000, GraceS: 8, RetryRatio: 0.1, RetryWindowS: 10, RetrySlack: 20, QuotaWindowS: 8, LeaseMS: 3000, LogLevel: "info"}
+	return Routed{RevokeMS: 5000, ApplyMS: 2000, LeaveMS: 2000, GraceS: 8, RetryRatio: 0.1, RetryWindowS: 10, RetrySlack: 20, QuotaWindowS: 8, LeaseMS: 3000, RenewMS: 1200, LogLevel: "info"}
 }
 
 // LoadRouted reads and validates a settings file. The returned error joins a FieldError for every
@@ -106,7 +107,7 @@
 		field string
 		value float64
 	}{
-		{"revoke_ms", float64(s.RevokeMS)}, {"apply_ms", float64(s.ApplyMS)}, {"lease_ms", float64(s.LeaseMS)}, {"leave_ms", float64(s.LeaveMS)}, {"grace_s", s.GraceS}, {"retry_window_s", s.RetryWindowS}, {"quota_window_s", s.QuotaWindowS},
+		{"revoke_ms", float64(s.RevokeMS)}, {"apply_ms", float64(s.ApplyMS)}, {"lease_ms", float64(s.LeaseMS)}, {"renew_ms", float64(s.RenewMS)}, {"leave_ms", float64(s.LeaveMS)}, {"grace_s", s.GraceS}, {"retry_window_s", s.RetryWindowS}, {"quota_window_s", s.QuotaWindowS},
 	} {
 		if n.value <= 0 {
 			v.reject(n.field, fmt.Sprint(n.value), "above 0")
