Gateway: upstreams that name the requests a second that they take get no more from all instances

What callers saw: requests failed or were late at upstreams in need, which got three times what they had named (LIMIT). Cause: the header that names the limit was not read, so the decision had no notion of what an upstream takes. The class: a statement of the other side that is passed through and not acted on. Every send of a request (plain, repeated, prompt, decode) first takes one from a bucket that all instances share, the mechanism of the quotas: the home fills it with the named rate, a burst of one request and half a second. Beyond it requests go to another upstream, or are refused at once as upstream_limited, not run, with the time until there is room. A malformed value says nothing; an answer without the header ends the limit; a limit of zero leaves one trial in four seconds over all instances, so that its end is seen. Why it works: parts of the rate add up to one rate whoever is cut off from whom, so the sum over the instances in any 4 s is at most 4.6 times the rate and the burst, below the bound of 6 times the rate and 5.

--- a/decision/escrow/home.go
+++ b/decision/escrow/home.go
@@ -73,16 +73,24 @@
 		}
 	}
 	for org, limit := range limits {
-		b, known := h.buckets[org]
-		if !known {
-			b = &bucket{}
-			h.buckets[org] = b
-		}
-		b.limit = limit
-		b.level = min(b.level, limit.Burst)
+		h.SetLimit(org, limit)
+	}
+}
+
+// SetLimit sets the limit of one bucket, which is empty at first.
+func (h *Home) SetLimit(key uint64, limit Limit) {
+	b, known := h.buckets[key]
+	if !known {
+		b = &bucket{}
+		h.buckets[key] = b
 	}
+	b.limit = limit
+	b.level = min(b.level, limit.Burst)
 }
 
+// DropLimit removes a bucket.
+func (h *Home) DropLimit(key uint64) { delete(h.buckets, key) }
+
 // Receive adds the credit that a run has transferred, given as cumulative totals by shard.
 func (h *Home) Receive(now time.Duration, from Run, totals map[int]time.Duration) {
 	received, known := h.received[from]
--- a/fleet/codec.go
+++ b/fleet/codec.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -50,11 +51,17 @@
 	for _, organisation := range r.Short {
 		m.Short = append(m.Short, uint64(organisation))
 	}
+	for _, l := range r.Limits {
+		m.Limits = append(m.Limits, marshalLimit(l))
+	}
 	for _, h := range r.Hubs {
 		m.Hubs = append(m.Hubs, &fleetv1.Peer{Instance: h.Name, Incarnation: h.Incarnation, Address: h.Address, Machine: marshalMachine(h.Machine)})
 	}
 	if a := r.Ask; a != nil {
 		m.Ask = &fleetv1.Ask{Id: a.ID, Organisation: uint64(a.Organisation), Tokens: a.Tokens}
+		if a.Upstream {
+			m.Ask.PerSecond = &a.PerSecond
+		}
 	}
 	if g := r.Grant; g != nil {
 		m.Grant = &fleetv1.Grant{
@@ -141,6 +148,9 @@
 		r.Works[Hash(w.Service)] = unmarshalWork(w)
 	}
 	r.unmarshalQuotas(&m)
+	for _, l := range m.Limits {
+		r.Limits = append(r.Limits, unmarshalLimit(l))
+	}
 	for _, h := range m.Hubs {
 		r.Hubs = append(r.Hubs, Member{Name: h.Instance, Incarnation: h.Incarnation, Address: h.Address, Machine: unmarshalMachine(h.Machine)})
 	}
@@ -156,7 +166,7 @@
 		r.Short = append(r.Short, Hash(organisation))
 	}
 	if a := m.Ask; a != nil {
-		r.Ask = &Ask{ID: a.Id, Organisation: Hash(a.Organisation), Tokens: a.Tokens}
+		r.Ask = &Ask{ID: a.Id, Organisation: Hash(a.Organisation), Tokens: a.Tokens, Upstream: a.PerSecond != nil, PerSecond: finiteRate(a.GetPerSecond())}
 	}
 	if g := m.Grant; g != nil {
 		r.Grant = &Grant{
@@ -183,6 +193,28 @@
 	return shares
 }
 
+func marshalLimit(l UpstreamLimit) *fleetv1.UpstreamLimit {
+	m := &fleetv1.UpstreamLimit{Upstream: uint64(l.Upstream), AgeMs: milliseconds(l.Age + time.Millisecond - 1)}
+	if l.Limited {
+		m.PerSecond = &l.PerSecond
+	}
+	return m
+}
+
+func unmarshalLimit(m *fleetv1.UpstreamLimit) UpstreamLimit {
+	return UpstreamLimit{
+		Upstream: Hash(m.Upstream), Limited: m.PerSecond != nil, PerSecond: finiteRate(m.GetPerSecond()), Age: time.Duration(m.AgeMs) * time.Millisecond,
+	}
+}
+
+// finiteRate returns a received rate, or 0 if it is not a valid one.
+func finiteRate(perSecond float64) float64 {
+	if perSecond >= 0 && perSecond <= math.MaxFloat32 {
+		return perSecond
+	}
+	return 0
+}
+
 func marshalWork(service Hash, w Work) *fleetv1.Work {
 	v, l := w.Split, w.Lengths
 	return &fleetv1.Work{
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -66,11 +66,25 @@
 	Tokens       int64
 }
 
-// Ask requests tokens from an organisation's bucket.
+// Ask requests tokens from a bucket.
 type Ask struct {
-	ID           uint64
+	ID uint64
+	// Organisation is the hash of the organisation, or of the run of an upstream.
 	Organisation Hash
 	Tokens       int64
+	// Upstream is set if the bucket is that of an upstream, which takes PerSecond requests per second.
+	Upstream  bool
+	PerSecond float64
+}
+
+// UpstreamLimit is the newest statement of an upstream about the requests that it takes.
+type UpstreamLimit struct {
+	// Upstream is the hash of the run of the upstream.
+	Upstream Hash
+	// Limited is set if it named PerSecond requests per second; Age is the time since.
+	Limited   bool
+	PerSecond float64
+	Age       time.Duration
 }
 
 // Grant is the answer to an ask.
@@ -130,6 +144,8 @@
 	Bills  []Bill
 	// Short lists the organisations whose buckets at the sender are empty.
 	Short []Hash
+	// Limits are the limits of upstreams that name one or have ended one.
+	Limits []UpstreamLimit
 	// Hubs lists the instances that the sender would select as hubs.
 	Hubs []Member
 	// Fleet is the sender's fleet identity. Most reports omit the name. It is empty in reports of
--- a/gateway/claims.go
+++ b/gateway/claims.go
@@ -96,7 +96,8 @@
 
 // prefill assigns a prefill engine immediately or refuses.
 func (r *remoteClaim) prefill(c fleet.Claim) {
-	except, avoid := r.pool.idsOf(c.Except), r.pool.idsOf(c.Avoid)
+	except := union(r.pool.idsOf(c.Except), r.dispatcher.gateway.spentUpstreams(r.dispatcher.service))
+	avoid := r.pool.idsOf(c.Avoid)
 	entries := r.dispatcher.gateway.state.Directory.Service(r.dispatcher.service)
 	avoid = union(avoid, r.dispatcher.gateway.outliers.ejected(entries))
 	entry, ok := r.pool.claimFor(r.instance, room.Demand{Tokens: c.Tokens}, union(except, avoid))
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -166,7 +166,7 @@
 	d.sync()
 	d.dropExpired()
 	entries := d.gateway.state.Directory.Service(d.service)
-	ejected := d.gateway.outliers.ejected(entries)
+	ejected := union(d.gateway.outliers.ejected(entries), d.gateway.spentUpstreams(d.service))
 	now := time.Now()
 	d.queue.Dispatch(now, func(item *waiting.Item) bool {
 		queued := d.requests[item]
--- a/gateway/helpers_test.go
+++ b/gateway/helpers_test.go
@@ -33,6 +33,8 @@
 	sends    []string
 	options  []RunOptions
 	released []string
+	// recordLimit is called by tests with the limits of answers.
+	recordLimit func(from upstream.Entry, limit upstream.RequestLimit)
 }
 
 func (f *fakeUpstreams) Decode(r *http.Request) (*Call, string, error) {
@@ -52,6 +54,10 @@
 	return f.run(ctx, to, c, o)
 }
 
+func (f *fakeUpstreams) OnLimit(record func(from upstream.Entry, limit upstream.RequestLimit)) {
+	f.recordLimit = record
+}
+
 func (f *fakeUpstreams) Prefill(_ context.Context, to upstream.Entry, _ *Call) (string, error) {
 	if f.prefill == nil {
 		return "handle", nil
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -219,11 +219,21 @@
 		Objective: time.Duration(r.admitted.route.ObjectiveMS) * time.Millisecond, Deadline: c.Deadline, RetrySeed: hashPoint(c.ID),
 	}
 	for {
+		if v := r.gateway.refuseIfAllSpent(r.admitted.service.Name, upstream.Decode); v != nil {
+			return placement{}, v
+		}
 		entry, v := r.dispatcher.place(ctx, placementRequest{item: item, except: r.except, full: r.full})
 		if v != nil {
 			return placement{}, v
 		}
 		clear(r.full)
+		if _, ok := r.gateway.limits.take(ctx, entry); !ok {
+			r.dispatcher.release(entry, r.claimedTokens)
+			if ctx.Err() != nil {
+				return placement{}, contextRefusal(ctx)
+			}
+			continue
+		}
 		if r.dispatcher.settings().ReservationMS <= 0 {
 			return placement{entry: entry}, nil
 		}
@@ -302,7 +312,7 @@
 		if v := g.checkStillAllowed(r.admitted); v != nil {
 			return KVSource{}, upstream.Entry{}, v
 		}
-		entry, ok := r.dispatcher.claimPrefill(ctx, r.admitted.call.PromptTokens, tried)
+		entry, ok := r.claimPrefillWithinLimit(ctx, tried)
 		if !ok {
 			break
 		}
@@ -332,6 +342,23 @@
 	return KVSource{}, upstream.Entry{}, nil
 }
 
+// claimPrefillWithinLimit claims capacity at a prefill engine whose limit leaves room for the request.
+func (r *modelRun) claimPrefillWithinLimit(ctx context.Context, tried map[string]bool) (upstream.Entry, bool) {
+	tokens := r.admitted.call.PromptTokens
+	for ctx.Err() == nil {
+		entry, ok := r.dispatcher.claimPrefill(ctx, tokens, tried)
+		if !ok {
+			return upstream.Entry{}, false
+		}
+		if _, ok := r.gateway.limits.take(ctx, entry); ok {
+			return entry, true
+		}
+		r.dispatcher.prefill.release(entry.ID, tokens)
+		r.dispatcher.reportLoad(r.dispatcher.prefill, entry.ID)
+	}
+	return upstream.Entry{}, false
+}
+
 func (r *modelRun) prefillAt(ctx context.Context, entry upstream.Entry) (string, *verdict.Verdict) {
 	tokens := r.admitted.call.PromptTokens
 	alone := r.dispatcher.prefill.engineRequests(entry.ID) == 1
--- a/gateway/placement.go
+++ b/gateway/placement.go
@@ -72,7 +72,7 @@
 	place, ok := d.claimFromHome(ctx, home, fleet.Claim{
 		Organisation: fleet.HashOf(item.Organisation), Priority: item.Priority, Tokens: item.Tokens, Output: item.Output,
 		Waited: time.Since(item.Arrived), Objective: item.Objective, Left: time.Until(item.Deadline), Point: item.RetrySeed,
-		Except: shortHashes(request.except), Avoid: shortHashes(ejected), Full: shortHashes(request.full),
+		Except: shortHashes(union(request.except, d.gateway.spentUpstreams(d.service))), Avoid: shortHashes(ejected), Full: shortHashes(request.full),
 	})
 	if ctx.Err() != nil {
 		return upstream.Entry{}, contextRefusal(ctx), true
@@ -101,6 +101,7 @@
 // claimPrefill claims capacity at a prefill engine that is not in tried.
 func (d *dispatcher) claimPrefill(ctx context.Context, tokens int, tried map[string]bool) (upstream.Entry, bool) {
 	ejected := d.gateway.outliers.ejected(d.gateway.state.Directory.Service(d.service))
+	tried = union(tried, d.gateway.spentUpstreams(d.service))
 	if home, isLocal := d.gateway.homeOf(d.service); !isLocal {
 		place, ok := d.claimFromHome(ctx, home, fleet.Claim{Prefill: true, Tokens: tokens, Except: shortHashes(tried), Avoid: shortHashes(ejected)})
 		if ok && place.State == fleet.PlaceRefused {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -211,7 +211,7 @@
 	g, a := r.gateway, r.admitted
 	r.pool.sync(g.state.Directory, a.service.Name, upstream.Plain, poolShape{near: g.DataCentre}, g.plainEngine)
 	r.pool.setSampling(g.reportsViaHubs())
-	entry, v := r.claim()
+	entry, v := r.claimWithinLimit(ctx)
 	if v != nil {
 		return nil, v
 	}
@@ -302,23 +302,39 @@
 		zap.Stringer("role", entry.Role), zap.String("reason", string(v.Reason)), zap.Stringer("ran", v.Ran), zap.Error(v.Cause))
 }
 
+// claimWithinLimit claims capacity at an upstream whose limit leaves room for the request.
+func (r *plainRun) claimWithinLimit(ctx context.Context) (upstream.Entry, *verdict.Verdict) {
+	for {
+		entry, v := r.claim()
+		if v != nil {
+			return upstream.Entry{}, v
+		}
+		if _, ok := r.gateway.limits.take(ctx, entry); ok {
+			return entry, nil
+		}
+		r.pool.release(entry.ID, 0)
+		if ctx.Err() != nil {
+			return upstream.Entry{}, contextRefusal(ctx)
+		}
+	}
+}
+
 // claim claims capacity at an upstream.
 func (r *plainRun) claim() (upstream.Entry, *verdict.Verdict) {
 	entries := r.gateway.state.Directory.Service(r.admitted.service.Name)
-	except := r.gateway.outliers.ejected(entries)
-	if except == nil {
-		except = make(map[string]bool)
-	}
-	for id := range r.tried {
-		except[id] = true
-	}
-	if entry, ok := r.pool.claim(room.Demand{}, except); ok {
+	spent, retry := r.gateway.limits.spent(entries)
+	except := union(r.tried, spent)
+	if entry, ok := r.pool.claim(room.Demand{}, union(except, r.gateway.outliers.ejected(entries))); ok {
 		return entry, nil
 	}
 	// An ejected upstream is better than none.
-	if entry, ok := r.pool.claim(room.Demand{}, r.tried); ok {
+	if entry, ok := r.pool.claim(room.Demand{}, except); ok {
 		return entry, nil
 	}
+	if len(spent) > 0 {
+		retry = max(retry, plainRetryAfter(r.admitted.call.ID))
+		return upstream.Entry{}, verdict.Refuse(verdict.ReasonUpstreamLimited, retry, "upstreams of %s have reached the rates that they take", r.admitted.service.Name)
+	}
 	return upstream.Entry{}, verdict.Refuse(verdict.ReasonNoUpstream, 0, "no upstream of %s has capacity", r.admitted.service.Name)
 }
 
--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -84,6 +84,8 @@
 	homes  [escrow.Shards]fleet.Hub
 	hubs   []fleet.Hub
 	limits map[fleet.Hash]escrow.Limit
+	// upstreams holds the buckets of upstreams that name the rate that they take.
+	upstreams map[fleet.Hash]upstreamBucket
 	// bills holds the tokens this instance has charged to the homes' buckets without asking.
 	bills map[fleet.Run]map[fleet.Hash]*bill
 	// emptyUntil holds the organisations with empty buckets and until when the buckets are assumed
@@ -110,7 +112,8 @@
 	return &Quotas{
 		now: now, bound: bound, self: fleet.Hub{Name: self.Name, Run: fleet.RunOf(self.Name, self.Incarnation)},
 		distributor: escrow.NewCreditSource(now()), home: escrow.NewHome(now()), limits: make(map[fleet.Hash]escrow.Limit),
-		bills: make(map[fleet.Run]map[fleet.Hash]*bill), emptyUntil: make(map[fleet.Hash]time.Duration), recentGrants: make(map[uint64]recentGrant),
+		upstreams: make(map[fleet.Hash]upstreamBucket),
+		bills:     make(map[fleet.Run]map[fleet.Hash]*bill), emptyUntil: make(map[fleet.Hash]time.Duration), recentGrants: make(map[uint64]recentGrant),
 	}
 }
 
@@ -133,6 +136,9 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.limits = limits
+	for key, b := range q.upstreams {
+		byHash[uint64(key)] = b.limit
+	}
 	q.home.SetLimits(byHash)
 }
 
@@ -169,7 +175,7 @@
 	}
 	started := q.now()
 	for {
-		d := q.askHome(ctx, org, tokens)
+		d := q.askHome(ctx, fleet.Ask{Organisation: org, Tokens: tokens})
 		d.Waited = q.now() - started
 		if d.Admitted || ctx.Err() != nil || d.Waited+d.Retry > maxWait {
 			return d
@@ -246,21 +252,21 @@
 	}
 }
 
-// askHome asks the organisation's home for tokens.
-func (q *Quotas) askHome(ctx context.Context, org fleet.Hash, tokens int64) QuotaDecision {
+// askHome asks the home of a bucket for tokens.
+func (q *Quotas) askHome(ctx context.Context, a fleet.Ask) QuotaDecision {
 	q.mu.Lock()
-	home, known := q.homeOf(org)
+	home, known := q.homeOf(a.Organisation)
 	if !known {
 		q.mu.Unlock()
 		return QuotaDecision{Unanswered: true, Retry: unansweredQuotaRetry}
 	}
 	if home == q.self {
-		d := q.takeLocal(q.now(), org, tokens)
+		d := q.takeLocal(q.now(), a.Organisation, a.Tokens)
 		q.mu.Unlock()
 		return QuotaDecision{Admitted: d.Granted, Retry: d.Retry, Home: home.Name, Level: d.Level, Part: d.Share}
 	}
 	q.mu.Unlock()
-	g, err := q.network.RequestTokens(ctx, home.Name, fleet.Ask{Organisation: org, Tokens: tokens})
+	g, err := q.network.RequestTokens(ctx, home.Name, a)
 	if err != nil {
 		if ctx.Err() == nil {
 			q.network.MarkSuspect(home.Name)
@@ -392,6 +398,9 @@
 	if kept, answered := q.recentGrants[a.ID]; answered {
 		return kept.grant
 	}
+	if a.Upstream {
+		q.setUpstreamBucket(now, a.Organisation, a.PerSecond)
+	}
 	d := q.takeLocal(now, a.Organisation, a.Tokens)
 	g := fleet.Grant{ID: a.ID, Granted: d.Granted, Unknown: d.Unknown, Retry: d.Retry, Level: d.Level, Part: d.Share}
 	q.recentGrants[a.ID] = recentGrant{g, now}
@@ -408,6 +417,7 @@
 			delete(q.recentGrants, id)
 		}
 	}
+	q.dropUnusedUpstreams(now)
 	for org, until := range q.emptyUntil {
 		if now > until {
 			delete(q.emptyUntil, org)
--- a/upstream/directory.go
+++ b/upstream/directory.go
@@ -57,6 +57,14 @@
 	return e
 }
 
+// RequestLimit is what an answer of an upstream says about the requests that it takes.
+type RequestLimit struct {
+	// Named is set if the answer names a limit; PerSecond is the number of requests per second from
+	// all instances together.
+	Named     bool
+	PerSecond float64
+}
+
 // Directory holds the newest entry of each upstream. It is safe for concurrent use.
 type Directory struct {
 	mu      sync.RWMutex
@@ -207,6 +215,13 @@
 	return d.byService[name]
 }
 
+// All lists the entries of all upstreams in no particular order.
+func (d *Directory) All() []Entry {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return slices.Collect(maps.Values(d.entries))
+}
+
 // Current returns the entry of an upstream that may be sent requests.
 func (d *Directory) Current(id string) (Entry, bool) {
 	d.mu.RLock()
--- a/verdict/reason.go
+++ b/verdict/reason.go
@@ -23,11 +23,13 @@
 
 // Reasons of admission, queueing and placement.
 const (
-	ReasonRateLimited          Reason = "rate_limited"
-	ReasonRateHomeUnavailable  Reason = "rate_home_unavailable"
-	ReasonDeadlineUnmeetable   Reason = "deadline_unmeetable"
-	ReasonQueueTimeout         Reason = "queue_timeout"
-	ReasonNoUpstream           Reason = "no_upstream"
+	ReasonRateLimited         Reason = "rate_limited"
+	ReasonRateHomeUnavailable Reason = "rate_home_unavailable"
+	ReasonDeadlineUnmeetable  Reason = "deadline_unmeetable"
+	ReasonQueueTimeout        Reason = "queue_timeout"
+	ReasonNoUpstream          Reason = "no_upstream"
+	// ReasonUpstreamLimited means that all upstreams have reached the rates that they take.
+	ReasonUpstreamLimited      Reason = "upstream_limited"
 	ReasonSchedulerUnavailable Reason = "scheduler_unavailable"
 	ReasonQuarantined          Reason = "quarantined"
 	ReasonRetryBudgetSpent     Reason = "retry_budget_spent"
