Gateway: an engine that is known to be leaving is not used, also if the home assigns it

What callers saw: prompts can reach an engine that has said that it is leaving (DRAIN, large fleets only), and drafts are refused after their prompt was read, since the decode engine is found to be leaving only then. Cause: in a large fleet a home assigns engines by its own list. The instance that asked took the engine without a look at its own list, before the prompt was sent. The class: a decision of another instance that is acted on without the checks that hold for one's own. Evidence: found by reading, while looking for moments that break DRAIN; the list reaches homes late when reads of the store are starved. Change: the assigned engine must be current in the instance's own list; else the claim is given back, the home is told, and another engine is asked for. Why it works: an instance that has read that an engine leaves sends it nothing more, whoever assigns it. Result: TestLeavingEngineAssignedByHomeIsNotUsed failed before (d0, which is leaving, was used) and passes; gateway passes with -race.

--- a/gateway/placement.go
+++ b/gateway/placement.go
@@ -52,6 +52,9 @@
 
 // place waits for a decode engine.
 func (d *dispatcher) place(ctx context.Context, request placementRequest) (upstream.Entry, *verdict.Verdict) {
+	if request.except == nil {
+		request.except = make(map[string]bool)
+	}
 	for range homeAttempts {
 		home, isLocal := d.gateway.homeOf(d.service)
 		if isLocal {
@@ -83,8 +86,26 @@
 	if place.State == fleet.PlaceRefused {
 		return upstream.Entry{}, queueTimeout(item, place.Retry), true
 	}
-	entry, known := d.decode.recordPlacement(place.Upstream, room.Demand{Tokens: item.Tokens, Output: item.Output})
-	return entry, nil, known
+	entry, ok := d.acceptPlacement(d.decode, place, room.Demand{Tokens: item.Tokens, Output: item.Output})
+	if !ok && entry.ID != "" {
+		request.except[entry.ID] = true
+	}
+	return entry, nil, ok
+}
+
+// acceptPlacement records an engine that a home has assigned. It reports false if the engine is not
+// known here, or is leaving: the home may not know that yet.
+func (d *dispatcher) acceptPlacement(p *pool, place fleet.Place, n room.Demand) (upstream.Entry, bool) {
+	entry, known := p.recordPlacement(place.Upstream, n)
+	if !known {
+		return upstream.Entry{}, false
+	}
+	if _, current := d.gateway.state.Directory.Current(entry.ID); current {
+		return entry, true
+	}
+	p.release(entry.ID, n.Tokens)
+	d.reportLoad(p, entry.ID)
+	return entry, false
 }
 
 // claimFromHome sends a claim to a home, and marks the home as suspect if it does not answer.
@@ -108,7 +129,7 @@
 			return upstream.Entry{}, false
 		}
 		if ok {
-			if entry, known := d.prefill.recordPlacement(place.Upstream, room.Demand{Tokens: tokens}); known {
+			if entry, accepted := d.acceptPlacement(d.prefill, place, room.Demand{Tokens: tokens}); accepted {
 				return entry, true
 			}
 		}
--- a/gateway/placement_test.go
+++ b/gateway/placement_test.go
@@ -340,3 +340,27 @@
 		assert.Equal(t, refusals, 1)
 	})
 }
+
+// Guards against requests sent to an engine of which this instance knows that it is leaving, because
+// the home, which does not know it yet, assigned it.
+func TestLeavingEngineAssignedByHomeIsNotUsed(t *testing.T) {
+	runPlacementTest(t, 18, 2, func(t *testing.T, f *placementFleet) {
+		d := f.dispatcher(1)
+		for id, role := range map[string]upstream.Role{"d0": upstream.Decode, "p0": upstream.Prefill} {
+			f.gateways[1].state.Directory.Put(upstream.Entry{ID: id, Sequence: 1, Service: "model", Role: role, Slots: 4, Leaving: true})
+		}
+		d.sync()
+		for range 3 {
+			entry, refusal := d.place(t.Context(), placementRequest{item: newItem(time.Second), except: make(map[string]bool)})
+			assert.Assert(t, refusal == nil)
+			assert.Equal(t, entry.ID, "d1")
+			prefill, ok := d.claimPrefill(t.Context(), 100, nil)
+			assert.Assert(t, ok)
+			assert.Equal(t, prefill.ID, "p1")
+		}
+		time.Sleep(time.Second)
+		for _, id := range []string{"d0", "p0"} {
+			assert.Equal(t, f.dispatcher(0).decode.engineRequests(id)+f.dispatcher(0).prefill.engineRequests(id), 0, "the home still counts a request at %s", id)
+		}
+	})
+}
