Soak: engines name limits, and configurations become too large for reports

Cause: neither the limit of an engine nor a large configuration was part of the soak, so that faults of both passed it. Change: two kinds of faults, drawn apart so that the others of a seed stay; the relays between instances forward the connections for records too, and cut them like reports; a check that an engine that names a limit gets at most 1.5 times that and 5 in any 4 s, from instances that nothing disturbed.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -131,6 +131,38 @@
 	}},
 }
 
+// needKinds let engines name the requests that they take, and let configurations become too large for
+// reports. They are drawn separately, like delayKinds.
+var needKinds = []faultKind{
+	{"engine in need", 2, func(r *run, f fault) {
+		e := r.targetEngine(f).engine
+		start := time.Now()
+		id, ok := e.NameLimit(fmt.Sprint(namedLimit))
+		if !ok {
+			return
+		}
+		time.Sleep(f.Duration)
+		r.ledger.addLimit(engineLimit{engine: id, perSecond: namedLimit, start: start, end: time.Now()})
+		e.EndLimit(id)
+	}},
+	{"configuration large", 1, func(r *run, f fault) {
+		r.store.SetIdleRoutes(largeRoutes)
+		r.rotateKey()
+		time.Sleep(f.Duration)
+		r.rotateKey()
+		r.store.SetIdleRoutes(0)
+	}},
+}
+
+const (
+	// namedLimit is the limit that engines in need name, in requests per second.
+	namedLimit = 2.5
+	// largeRoutes is the number of routes of a large configuration that no caller uses.
+	largeRoutes = 1500
+	// meanNeedGap is the mean time between two faults of needKinds.
+	meanNeedGap = 4 * time.Second
+)
+
 // reportLossKinds drop reports between instances. They are drawn separately, like delayKinds.
 var reportLossKinds = []faultKind{
 	{"reports lost", 2, func(r *run, f fault) { r.dropReports(f, fullLossPercent/2, fullLossPercent/2) }},
@@ -195,6 +227,7 @@
 		drawFaults(rand.New(rand.NewPCG(seed, 2)), delayKinds, meanDelayGap, length, targets),
 		drawFaults(rand.New(rand.NewPCG(seed, 3)), reportLossKinds, meanReportLossGap, length, targets),
 		drawFaults(rand.New(rand.NewPCG(seed, 4)), fleetWideKinds, meanFleetWideGap, length, targets),
+		drawFaults(rand.New(rand.NewPCG(seed, 5)), needKinds, meanNeedGap, length, targets),
 	)
 }
 
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -38,10 +38,27 @@
 	leavingSince map[string]time.Time
 	faultPeriods []faultPeriod
 	orders       []standin.Order
+	limits       []engineLimit
 	// probeStart is the time from which the fleet must serve callers again.
 	probeStart time.Time
 }
 
+// engineLimit is the limit that an engine named for some time.
+type engineLimit struct {
+	engine     string
+	perSecond  float64
+	start, end time.Time
+}
+
+// Bound on the requests at an engine that names a limit: from limitDelay on, in any limitWindow,
+// limitOver times what the limit allows, and limitSlack.
+const (
+	limitDelay  = 3 * time.Second
+	limitWindow = 4 * time.Second
+	limitOver   = 1.5
+	limitSlack  = 5
+)
+
 // faultPeriod is the period of a fault at one instance, or at all with allInstances.
 type faultPeriod struct {
 	instance   string
@@ -64,6 +81,12 @@
 	l.faultPeriods = append(l.faultPeriods, faultPeriod{instance, start, end})
 }
 
+func (l *ledger) addLimit(limit engineLimit) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.limits = append(l.limits, limit)
+}
+
 func (l *ledger) addOrder(o standin.Order) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -117,6 +140,9 @@
 	}
 	out = append(out, l.checkQuota()...)
 	out = append(out, l.checkOrders()...)
+	for _, limit := range l.limits {
+		out = append(out, l.checkLimit(limit)...)
+	}
 	sort.Slice(out, func(i, j int) bool { return out[i].At.Before(out[j].At) })
 	return out
 }
@@ -200,6 +226,33 @@
 	return fmt.Sprintf("sent by %s to engine %s %v after the engine announced that it leaves", s.instance, r.Engine, r.At.Sub(at)), true
 }
 
+// checkLimit checks the number of requests at an engine that named a limit, from instances that must
+// have received it.
+func (l *ledger) checkLimit(limit engineLimit) []Finding {
+	var at []time.Time
+	from := limit.start.Add(limitDelay)
+	for id, runs := range l.runs {
+		s, known := l.requests[id]
+		for _, r := range runs {
+			if known && r.Engine == limit.engine && r.At.After(from) && r.At.Before(limit.end) && l.undisturbed(s.instance, limit.start, r.At) {
+				at = append(at, r.At)
+			}
+		}
+	}
+	sort.Slice(at, func(i, j int) bool { return at[i].Before(at[j]) })
+	allowed := int(limit.perSecond*limitWindow.Seconds()*limitOver) + limitSlack
+	first := 0
+	for n, t := range at {
+		for t.Sub(at[first]) > limitWindow {
+			first++
+		}
+		if n-first+1 > allowed {
+			return []Finding{{"limits of engines", "", fmt.Sprintf("%d requests in %v at engine %s, allowed %d", n-first+1, limitWindow, limit.engine, allowed), t}}
+		}
+	}
+	return nil
+}
+
 // checkOrders checks that each fencing token was used by one holder only.
 func (l *ledger) checkOrders() []Finding {
 	var out []Finding
--- a/soak/relay.go
+++ b/soak/relay.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"bytes"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -20,15 +22,17 @@
 
 // relayEndpoint is the state of one instance for all its relays.
 type relayEndpoint struct {
+	name    string
 	address netip.AddrPort
 	// sendLossPercent and receiveLossPercent are the percentages of the datagrams from and to the
 	// instance that are dropped.
 	sendLossPercent, receiveLossPercent atomic.Int32
 }
 
-// relay forwards UDP datagrams between two instances.
+// relay forwards UDP datagrams, and TCP connections for records, between two instances.
 type relay struct {
 	conn      *net.UDPConn
+	records   net.Listener
 	endpoints [2]*relayEndpoint
 }
 
@@ -47,7 +51,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.endpoints[instance] = &relayEndpoint{address: parsed}
+	r.endpoints[instance] = &relayEndpoint{name: instance, address: parsed}
 	return nil
 }
 
@@ -82,6 +86,7 @@
 	defer r.mu.Unlock()
 	for _, relay := range r.byPair {
 		_ = relay.conn.Close()
+		_ = relay.records.Close()
 	}
 }
 
@@ -90,11 +95,65 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &relay{conn: conn, endpoints: [2]*relayEndpoint{a, b}}
+	records, err := net.Listen("tcp4", conn.LocalAddr().String())
+	if err != nil {
+		return nil, err
+	}
+	r := &relay{conn: conn, records: records, endpoints: [2]*relayEndpoint{a, b}}
 	go r.forward()
+	go r.acceptRecords()
 	return r, nil
 }
 
+// acceptRecords forwards connections until the relay is closed.
+func (r *relay) acceptRecords() {
+	for {
+		client, err := r.records.Accept()
+		if err != nil {
+			return // The relay was closed.
+		}
+		go r.forwardRecords(client)
+	}
+}
+
+// forwardRecords forwards a connection to the instance that did not open it. A request names the
+// instance that sends it. Connections over a link that drops everything are left open.
+func (r *relay) forwardRecords(client net.Conn) {
+	defer func() { _ = client.Close() }()
+	request := make([]byte, 0, 4<<10)
+	from, to := r.endpoints[0], r.endpoints[1]
+	for !namesInstance(request, from.name) && !namesInstance(request, to.name) {
+		n, err := client.Read(request[len(request):cap(request)])
+		if err != nil || len(request) == cap(request) {
+			return
+		}
+		request = request[:len(request)+n]
+	}
+	if namesInstance(request, to.name) {
+		from, to = to, from
+	}
+	if drawLoss(from.sendLossPercent.Load()) || drawLoss(to.receiveLossPercent.Load()) {
+		_, _ = io.Copy(io.Discard, client) // Ends when the client gives up.
+		return
+	}
+	server, err := net.Dial("tcp4", to.address.String())
+	if err != nil {
+		return
+	}
+	defer func() { _ = server.Close() }()
+	if _, err := server.Write(request); err != nil {
+		return
+	}
+	go func() { _, _ = io.Copy(server, client) }() // Ends when the connections are closed.
+	_, _ = io.Copy(client, server)                 // A failed copy ends the fetch, which the client notices.
+}
+
+// namesInstance reports whether an encoded request for records contains an instance's name as its third
+// field.
+func namesInstance(request []byte, name string) bool {
+	return bytes.Contains(request, append([]byte{3<<3 | 2, byte(len(name))}, name...))
+}
+
 // forward forwards datagrams until the relay is closed.
 func (r *relay) forward() {
 	buffer := make([]byte, 64<<10)
--- a/soak/run.go
+++ b/soak/run.go
@@ -260,7 +260,7 @@
 				return
 			case <-time.After(time.Until(r.startedAt.Add(f.At))):
 			}
-			for _, k := range slices.Concat(baseKinds, delayKinds, reportLossKinds, fleetWideKinds) {
+			for _, k := range slices.Concat(baseKinds, delayKinds, reportLossKinds, fleetWideKinds, needKinds) {
 				if k.name == f.Kind {
 					start := time.Now()
 					k.apply(r, f)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -134,6 +134,27 @@
 	assert.Equal(t, len(l.checkQuota()), 1)
 }
 
+func TestCheckFindsExceededLimit(t *testing.T) {
+	start := time.Unix(100, 0)
+	atEngine := func(n int, limit engineLimit) *ledger {
+		l := newLedger()
+		l.addLimit(limit)
+		for i := range n {
+			id := strconv.Itoa(i)
+			l.addRequest(id, &request{kind: standin.Read, instance: "i0"})
+			l.addRun(standin.Run{ID: id, Engine: "e", At: start.Add(limitDelay + time.Duration(i+1)*time.Millisecond)})
+		}
+		return l
+	}
+	limit := engineLimit{engine: "e", perSecond: 2, start: start, end: start.Add(time.Minute)}
+	allowed := int(2*limitOver*limitWindow.Seconds()) + limitSlack
+	assert.Equal(t, len(atEngine(allowed, limit).checkLimit(limit)), 0)
+	over := atEngine(allowed+1, limit)
+	assert.Equal(t, len(over.checkLimit(limit)), 1)
+	over.addFaultPeriod("i0", start, start.Add(time.Second))
+	assert.Equal(t, len(over.checkLimit(limit)), 0, "from an instance that was disturbed meanwhile")
+}
+
 // Faults of a proxy must apply to connections that are already open, and must end when cleared.
 func TestProxyFaultsAffectOpenConnections(t *testing.T) {
 	server, err := net.Listen("tcp4", "127.0.0.1:0")
