--- a/gateway/upstreamlimits.go
+++ b/gateway/upstreamlimits.go
@@ -37,6 +37,9 @@
 
 // record records what an answer of an upstream says about the requests that it takes.
 func (l *upstreamLimits) record(from upstream.Entry, limit upstream.RequestLimit) {
+	if !limit.Named && l.isEmpty() {
+		return
+	}
 	s := advertised.Statement{Limited: limit.Named, PerSecond: limit.PerSecond, At: l.now()}
 	l.mu.Lock()
 	changed := l.table.Record(limitKey(from), s)
@@ -46,9 +49,19 @@
 	}
 }
 
+// isEmpty reports whether no upstream has named a limit, which is the usual case.
+func (l *upstreamLimits) isEmpty() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.table.Len() == 0
+}
+
 // take takes one request from an upstream's limit. If there is none left, it returns the time after
 // which there is, and the upstream counts as spent until then.
 func (l *upstreamLimits) take(ctx context.Context, to upstream.Entry) (retry time.Duration, ok bool) {
+	if l.isEmpty() {
+		return 0, true
+	}
 	key := limitKey(to)
 	l.mu.Lock()
 	s, limited := l.table.Limit(key)
@@ -73,11 +86,11 @@
 // spent returns which of the entries get no requests because their limits are reached, and the
 // shortest time after which one of them does.
 func (l *upstreamLimits) spent(entries []upstream.Entry) (ids map[string]bool, retry time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.table.Len() == 0 {
+	if l.isEmpty() {
 		return nil, 0
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	now := l.now()
 	for _, e := range entries {
 		left, isSpent := l.table.Spent(now, limitKey(e))
@@ -141,11 +154,11 @@
 
 // sweep drops the limits of upstreams that are not in the directory.
 func (l *upstreamLimits) sweep(directory *upstream.Directory) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.table.Len() == 0 {
+	if l.isEmpty() {
 		return
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	listed := make(map[advertised.Key]bool)
 	for _, e := range directory.All() {
 		listed[limitKey(e)] = true
