Follow: only a single large record is fetched from another instance, not thousands of small ones

Upstreams that start together register thousands of entries in seconds; together they were too large for a report, and every instance fetched all of them, uncompressed, from the one that read them. Change: a note says that a record is to be fetched only if it is above the limit of a report by itself. Many small ones are read from the store, as on the code before. At most 64 fetches are served at once. Result: TestManySmallRecordsAreNotFetched failed before (the note said Large) and passes; follow and fleet pass with -race.

--- a/fleet/records.go
+++ b/fleet/records.go
@@ -25,7 +25,7 @@
 // Limits of the service that serves records.
 const (
 	// maxFetches is the number of fetches that are served concurrently. Further instances ask others.
-	maxFetches = 128
+	maxFetches = 64
 	// maxFetchRequestBytes and maxFetchBytes limit the size of a request and of a response.
 	maxFetchRequestBytes = 4 << 10
 	maxFetchBytes        = 9 << 20
--- a/follow/fetch.go
+++ b/follow/fetch.go
@@ -35,7 +35,7 @@
 func (f *Follower) Serve(now time.Duration, from uint64) (Note, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	records, _, ok := f.history.since(from)
+	records, ok := f.history.since(from)
 	if f.Rank == nil || !f.known || !f.markKnown || !ok {
 		return Note{}, ErrUnknownRecords
 	}
--- a/follow/history.go
+++ b/follow/history.go
@@ -40,19 +40,24 @@
 	h.records = append(h.records[:n:n], h.records[n+1:]...)
 }
 
-// since returns the records from an offset on, and their size in bytes. ok is false if some are
-// unknown.
-func (h *history) since(offset uint64) (records []port.KeyedRecord, size int, ok bool) {
+// since returns the records from an offset on. ok is false if some are unknown.
+func (h *history) since(offset uint64) (records []port.KeyedRecord, ok bool) {
 	if offset < h.from {
-		return nil, 0, false
+		return nil, false
 	}
 	for n, record := range h.records {
 		if record.Offset >= offset {
-			if records == nil {
-				records = h.records[n:len(h.records):len(h.records)]
-			}
-			size += record.Size()
+			return h.records[n:len(h.records):len(h.records)], true
 		}
 	}
-	return records, size, true
+	return nil, true
+}
+
+// sizes returns the size in bytes of all records together and of the largest one.
+func sizes(records []port.KeyedRecord) (total, largest int) {
+	for _, record := range records {
+		total += record.Size()
+		largest = max(largest, record.Size())
+	}
+	return total, largest
 }
--- a/follow/large_test.go
+++ b/follow/large_test.go
@@ -97,19 +97,40 @@
 	h.reset(10)
 	h.add(port.KeyedRecord{Key: "a", Value: []byte("1"), Offset: 10})
 	h.add(port.KeyedRecord{Key: "b", Value: []byte("2"), Offset: 11})
-	before, _, _ := h.since(10)
+	before, _ := h.since(10)
 	h.add(port.KeyedRecord{Key: "a", Offset: 12})
 	assert.Equal(t, before[0].Key, "a", "what was handed out does not change")
-	_, _, ok := h.since(9)
+	_, ok := h.since(9)
 	assert.Assert(t, !ok)
-	records, size, ok := h.since(10)
+	records, ok := h.since(10)
 	assert.Assert(t, ok)
 	assert.Equal(t, len(records), 2)
-	assert.Equal(t, size, 3)
+	total, largest := sizes(records)
+	assert.Equal(t, total, 3)
+	assert.Equal(t, largest, 2)
 	assert.Assert(t, records[1].Key == "a" && records[1].Value == nil)
 	h.add(port.KeyedRecord{Key: "c", Value: make([]byte, maxHistoryBytes), Offset: 13})
-	_, _, ok = h.since(13)
+	_, ok = h.since(13)
 	assert.Assert(t, !ok, "a record above the limit is not kept")
-	records, _, ok = h.since(14)
+	records, ok = h.since(14)
 	assert.Assert(t, ok && len(records) == 0)
 }
+
+// Guards against an instance that sends all entries of thousands of upstreams to each other instance
+// when they start together.
+func TestManySmallRecordsAreNotFetched(t *testing.T) {
+	f := NewFollower(port.TopicUpstreams, testTiming, &instance{})
+	f.Rank = func() int { return 0 }
+	f.known, f.markKnown = true, true
+	var records []port.KeyedRecord
+	for n := range 1000 {
+		records = append(records, port.KeyedRecord{Key: fmt.Sprint("u", n), Value: make([]byte, 300), Offset: uint64(n)})
+	}
+	f.applyRecords(records, 1000, 0)
+	for _, known := range []uint64{0, 500} {
+		n, ok := f.NoteFor(0, known)
+		assert.Assert(t, ok && !n.Large && len(n.Records) == 0)
+	}
+	n, ok := f.NoteFor(0, 990)
+	assert.Assert(t, ok && len(n.Records) == 10, "few missing records are relayed")
+}
--- a/follow/share.go
+++ b/follow/share.go
@@ -22,7 +22,9 @@
 	// lost on a bad link; an instance that misses both reads the store.
 	relayReports = 2
 	// maxRelayBytes limits the records that a report carries, before compression to about a
-	// fifth. The report goes to every instance; larger records are fetched from its sender.
+	// fifth. The report goes to every instance. A single record above the limit is fetched from the
+	// report's sender. Many small ones, such as the entries of upstreams that start together, are read
+	// from the store: they do not compress one by one, and would fill the sender's link and memory.
 	maxRelayBytes = 24 << 10
 	// relayTimeout is how long an instance that learns of a record waits for the report that
 	// carries it: the time a 10 Mbit/s link takes to send 4 KB to eighty instances. Instances
@@ -51,8 +53,8 @@
 	// Mark.
 	From    uint64
 	Records []port.KeyedRecord
-	// Large reports that the records between From and Mark are too large for a report. The sender
-	// serves them.
+	// Large reports that one of the records between From and Mark is too large for a report. The
+	// sender serves them.
 	Large bool
 	// Sender is the address at which the sender serves records. It is set by the receiver.
 	Sender string
@@ -63,7 +65,7 @@
 	// from is the mark before the new records.
 	from        uint64
 	reportsLeft int
-	// large is set if the records are too large for a report.
+	// large is set if a record is too large for a report.
 	large bool
 }
 
@@ -82,15 +84,16 @@
 	return n, true
 }
 
-// addRecords adds the records from an offset on to a note, or the statement that they are too large for
+// addRecords adds the records from an offset on to a note, or the statement that one is too large for
 // it. f.mu must be held.
 func (f *Follower) addRecords(n *Note, from uint64) {
-	records, size, ok := f.history.since(from)
+	records, ok := f.history.since(from)
+	total, largest := sizes(records)
 	switch {
 	case !ok || len(records) == 0:
-	case size > maxRelayBytes:
+	case largest > maxRelayBytes:
 		n.From, n.Large = f.history.from, true
-	default:
+	case total <= maxRelayBytes:
 		n.From, n.Records = from, records
 	}
 }
@@ -215,10 +218,11 @@
 	f.mark = max(f.mark, changedUpTo)
 }
 
-// isLarge reports whether the records from an offset on are too large for a report. f.mu must be held.
+// isLarge reports whether a record from an offset on is too large for a report. f.mu must be held.
 func (f *Follower) isLarge(from uint64) bool {
-	_, size, ok := f.history.since(from)
-	return ok && size > maxRelayBytes
+	records, ok := f.history.since(from)
+	_, largest := sizes(records)
+	return ok && largest > maxRelayBytes
 }
 
 // readDelay returns how long this instance may wait before it reads the topic itself.
