Tests: TestConfigurationIsFollowed logs the metric that it waits for

Cause: it failed once, and its output does not say which metric was missing, so that it could not be traced. Change: a log line, printed if the test fails; no check or bound changes.

--- a/instance/routed/routed_test.go
+++ b/instance/routed/routed_test.go
@@ -216,6 +216,7 @@
 		`cairnworks_store_calls{call="since",result="ok",topic="configuration"}`, "cairnworks_store_seconds_bucket",
 		"cairnworks_configuration_age_seconds", "cairnworks_ready 1", "cairnworks_upstreams 1", "cairnworks_instances 1", "cairnworks_hubs 1", "cairnworks_hub 1",
 	} {
+		t.Log("waiting for metric", name)
 		f.eventually(t, func() bool { return strings.Contains(f.metrics(t), name) })
 	}
 }
