--- a/soak/faults.go
+++ b/soak/faults.go
@@ -54,25 +54,25 @@
 	}},
 	{"store slow", 2, func(r *run, f fault) {
 		p := r.targetInstance(f).storeProxy
-		p.delay.Store(int64(200 * time.Millisecond))
+		p.SetDelay(200 * time.Millisecond)
 		time.Sleep(f.Duration)
-		p.clearFaults()
+		p.ClearFaults()
 	}},
 	{"store silent", 2, func(r *run, f fault) {
 		p := r.targetInstance(f).storeProxy
-		p.dropAll.Store(true)
+		p.Drop()
 		time.Sleep(f.Duration)
-		p.clearFaults()
-		p.reset()
+		p.ClearFaults()
+		p.Reset()
 	}},
 	{"store unanswered", 2, func(r *run, f fault) {
 		p := r.targetInstance(f).storeProxy
-		p.dropResponses.Store(true)
+		p.DropResponses()
 		time.Sleep(f.Duration)
-		p.clearFaults()
-		p.reset()
+		p.ClearFaults()
+		p.Reset()
 	}},
-	{"store reset", 2, func(r *run, f fault) { r.targetInstance(f).storeProxy.reset() }},
+	{"store reset", 2, func(r *run, f fault) { r.targetInstance(f).storeProxy.Reset() }},
 	{"store down", 2, func(r *run, f fault) {
 		r.store.SetDown(true)
 		time.Sleep(f.Duration)
@@ -80,35 +80,35 @@
 	}},
 	{"engine slow", 2, func(r *run, f fault) {
 		p := r.targetEngine(f).proxy
-		p.delay.Store(int64(150 * time.Millisecond))
+		p.SetDelay(150 * time.Millisecond)
 		time.Sleep(f.Duration)
-		p.clearFaults()
+		p.ClearFaults()
 	}},
 	{"engine silent", 2, func(r *run, f fault) {
 		p := r.targetEngine(f).proxy
-		p.dropAll.Store(true)
+		p.Drop()
 		time.Sleep(f.Duration)
-		p.clearFaults()
-		p.reset()
+		p.ClearFaults()
+		p.Reset()
 	}},
 	{"engine unanswered", 2, func(r *run, f fault) {
 		p := r.targetEngine(f).proxy
-		p.dropResponses.Store(true)
+		p.DropResponses()
 		time.Sleep(f.Duration)
-		p.clearFaults()
-		p.reset()
+		p.ClearFaults()
+		p.Reset()
 	}},
-	{"engine reset", 3, func(r *run, f fault) { r.targetEngine(f).proxy.reset() }},
+	{"engine reset", 3, func(r *run, f fault) { r.targetEngine(f).proxy.Reset() }},
 	{"engine crash", 2, func(r *run, f fault) {
 		e := r.targetEngine(f)
-		e.proxy.reset()
+		e.proxy.Reset()
 		e.engine.Replace()
 	}},
 	{"engine leaves", 2, func(r *run, f fault) {
 		e := r.targetEngine(f)
 		r.ledger.addLeavingEngine(e.engine.Leave())
 		time.Sleep(max(f.Duration, engineDrainTime))
-		e.proxy.reset()
+		e.proxy.Reset()
 		e.engine.Replace()
 	}},
 	{"key withdrawn", 2, func(r *run, _ fault) { r.rotateKey() }},
@@ -181,12 +181,12 @@
 	}},
 	{"all killed, store slow", 1, func(r *run, f fault) {
 		for n := range r.instances {
-			r.instances[n].storeProxy.delay.Store(int64(200 * time.Millisecond))
+			r.instances[n].storeProxy.SetDelay(200 * time.Millisecond)
 		}
 		r.killAll()
 		time.Sleep(f.Duration)
 		for n := range r.instances {
-			r.instances[n].storeProxy.clearFaults()
+			r.instances[n].storeProxy.ClearFaults()
 		}
 	}},
 }
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -21,7 +21,7 @@
 	name     string
 	settings settings.Routed
 	// storeProxy is the instance's own proxy for connections to the store.
-	storeProxy *proxy
+	storeProxy *standin.Link
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
@@ -39,7 +39,7 @@
 // newInstance prepares an instance without starting its process. Instances with first set have the
 // setting FirstStart until their first restart.
 func newInstance(name, store string, first bool) (*instance, error) {
-	p, err := newProxy(store)
+	p, err := standin.NewLink(store)
 	if err != nil {
 		return nil, err
 	}
@@ -47,7 +47,7 @@
 	s.Instance, s.DataCentre, s.FirstStart = name, "z", first
 	// Each instance has its own address for the store, so the address cannot identify the fleet.
 	s.Fleet = fleetName()
-	s.Store, s.MemoryMB = p.address(), memoryMB
+	s.Store, s.MemoryMB = p.Address(), memoryMB
 	s.RevokeMS = int(maxRevokeDelay / time.Millisecond)
 	s.QuotaWindowS, s.QuotaOver, s.QuotaSlack = quotaWindow.Seconds(), quotaOver, quotaSlack
 	for _, address := range []*string{&s.Callers, &s.Readiness, &s.Reports} {
--- a/soak/foreign.go
+++ b/soak/foreign.go
@@ -44,7 +44,7 @@
 }
 
 func (f *foreignFleet) close() {
-	f.instance.storeProxy.close()
+	f.instance.storeProxy.Close()
 	f.server.Close()
 }
 
--- a/soak/run.go
+++ b/soak/run.go
@@ -74,7 +74,7 @@
 // proxiedEngine is an engine and the proxy in front of it.
 type proxiedEngine struct {
 	engine *standin.Engine
-	proxy  *proxy
+	proxy  *standin.Link
 }
 
 type run struct {
@@ -151,7 +151,7 @@
 	if err != nil {
 		return err
 	}
-	r.cleanups = append(r.cleanups, i.storeProxy.close)
+	r.cleanups = append(r.cleanups, i.storeProxy.Close)
 	r.instances = append(r.instances, i)
 	return r.relays.add(name, i.settings.Reports)
 }
@@ -168,14 +168,14 @@
 	all.OnOrder = r.ledger.addOrder
 	start := func(n int, service, stage string) error {
 		for range n {
-			var p *proxy
+			var p *standin.Link
 			e, err := all.Start(service, stage, func(address string) (string, error) {
-				made, err := newProxy(address)
+				made, err := standin.NewLink(address)
 				if err != nil {
 					return "", err
 				}
 				p = made
-				return p.address(), nil
+				return p.Address(), nil
 			})
 			if err != nil {
 				return err
@@ -196,7 +196,7 @@
 func (r *run) stopEngines() {
 	for _, e := range r.engines {
 		e.engine.Stop()
-		e.proxy.close()
+		e.proxy.Close()
 	}
 }
 
@@ -284,7 +284,7 @@
 // serve callers.
 func (r *run) probeRecovery() {
 	for _, e := range r.engines {
-		e.proxy.clearFaults()
+		e.proxy.ClearFaults()
 	}
 	r.waitUntil(recoveryTimeout, r.allReady)
 	time.Sleep(recoveryTimeout / 2)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -151,8 +151,8 @@
 	assert.Equal(t, len(atEngine(allowed+1, limit).checkLimit(limit)), 1)
 }
 
-// Faults of a proxy must apply to connections that are already open, and must end when cleared.
-func TestProxyFaultsAffectOpenConnections(t *testing.T) {
+// Faults of a link must apply to connections that are already open, and must end when cleared.
+func TestLinkFaultsAffectOpenConnections(t *testing.T) {
 	server, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer server.Close()
@@ -165,10 +165,10 @@
 			go func() { _, _ = io.Copy(c, c) }()
 		}
 	}()
-	p, err := newProxy(server.Addr().String())
+	p, err := standin.NewLink(server.Addr().String())
 	assert.NilError(t, err)
-	defer p.close()
-	c, err := net.Dial("tcp4", p.address())
+	defer p.Close()
+	c, err := net.Dial("tcp4", p.Address())
 	assert.NilError(t, err)
 	defer c.Close()
 	echo := func(what string) {
@@ -180,15 +180,15 @@
 		assert.Equal(t, string(buffer), what)
 	}
 	echo("one")
-	p.dropResponses.Store(true)
+	p.DropResponses()
 	_, err = c.Write([]byte("lost"))
 	assert.NilError(t, err)
-	for p.droppedBytes.Load() < int64(len("lost")) {
+	for p.DroppedBytes() < int64(len("lost")) {
 		time.Sleep(time.Millisecond)
 	}
-	p.clearFaults()
+	p.ClearFaults()
 	echo("two")
-	p.reset()
+	p.Reset()
 	_, err = c.Read(make([]byte, 1))
 	assert.Assert(t, err != nil)
 }
@@ -198,6 +198,6 @@
 func TestFleetNamesAreUniquePerProcess(t *testing.T) {
 	i, err := newInstance("i0", "127.0.0.1:1", true)
 	assert.NilError(t, err)
-	defer i.storeProxy.close()
+	defer i.storeProxy.Close()
 	assert.Assert(t, strings.Contains(i.settings.FleetName(), strconv.Itoa(os.Getpid())), i.settings.FleetName())
 }
