--- /dev/null
+++ b/instance/routed/partition_test.go
@@ -0,0 +1,241 @@
+package routed_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/cairnworks/cairnworks/instance/routed"
+	"github.com/cairnworks/cairnworks/platform"
+	"github.com/cairnworks/cairnworks/platform/standin"
+	"github.com/cairnworks/cairnworks/settings"
+)
+
+// partitionFleet is a fleet of instances, each with its own links to the engines.
+type partitionFleet struct {
+	store     *standin.Store
+	engines   *standin.Engines
+	running   []*standin.Engine
+	instances []*linkedInstance
+
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+// linkedInstance is an instance with its links to the engines, by the address of the engine.
+type linkedInstance struct {
+	settings settings.Routed
+	client   *http.Client
+
+	mu    sync.Mutex
+	links map[string]*standin.Link
+}
+
+func newPartitionFleet(t *testing.T, size int) *partitionFleet {
+	t.Helper()
+	f := &partitionFleet{store: standin.NewStore(), runs: make(map[string]int)}
+	f.store.Publish(1, []standin.Organisation{{Name: "o", Keys: []string{"k"}}})
+	f.engines = standin.NewEngines(f.store, func(r standin.Run) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.runs[r.ID]++
+	})
+	for service, stages := range map[string][]string{
+		standin.PlainService: {"", ""}, standin.ModelService: {standin.StagePrefill, standin.StageDecode, standin.StageDecode},
+	} {
+		for _, stage := range stages {
+			e, err := f.engines.Start(service, stage, func(address string) (string, error) { return address, nil })
+			assert.NilError(t, err)
+			t.Cleanup(e.Stop)
+			f.running = append(f.running, e)
+		}
+	}
+	for n := range size {
+		f.addInstance(t, fmt.Sprintf("i%d", n))
+	}
+	for _, i := range f.instances {
+		waitFor(t, func() bool {
+			resp, err := http.Get("http://" + i.settings.Readiness + standin.PathReady)
+			if err != nil {
+				return false
+			}
+			_ = resp.Body.Close()
+			return resp.StatusCode == http.StatusOK
+		})
+	}
+	return f
+}
+
+func (f *partitionFleet) addInstance(t *testing.T, name string) {
+	t.Helper()
+	i := &linkedInstance{links: make(map[string]*standin.Link), client: &http.Client{Transport: &http.Transport{}}}
+	view := httptest.NewServer(standin.View{Store: f.store, EngineAddress: i.linkTo})
+	t.Cleanup(view.Close)
+	i.settings = settings.DefaultRouted()
+	i.settings.Instance, i.settings.DataCentre, i.settings.FirstStart = name, "z", true
+	i.settings.Callers, i.settings.Readiness, i.settings.Reports = freePort(t), freePort(t), freePort(t)
+	i.settings.Store, i.settings.GraceS, i.settings.Fleet = view.Listener.Addr().String(), 2, t.Name()
+	f.instances = append(f.instances, i)
+	run, err := routed.New(i.settings, platform.NewDependencies(i.settings), zap.NewNop())
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = run.Run(ctx) // The test notices an instance that does not serve.
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		for _, link := range i.links {
+			link.Close()
+		}
+	})
+}
+
+// linkTo returns the address of the instance's link to an engine.
+func (i *linkedInstance) linkTo(_, address string) string {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	link, known := i.links[address]
+	if !known {
+		var err error
+		if link, err = standin.NewLink(address); err != nil {
+			panic(err) // No free port on loopback.
+		}
+		i.links[address] = link
+	}
+	return link.Address()
+}
+
+// onLinks applies a fault to the instance's links to all engines.
+func (i *linkedInstance) onLinks(t *testing.T, apply func(*standin.Link) error) {
+	t.Helper()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, link := range i.links {
+		assert.NilError(t, apply(link))
+	}
+}
+
+func waitFor(t *testing.T, condition func() bool) {
+	t.Helper()
+	for range 1000 {
+		if condition() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("the condition was not met within 10 s")
+}
+
+// send sends one request to an instance and returns the status and what is wrong with the answer.
+func (i *linkedInstance) send(id string, kind standin.Kind) (status int, err error) {
+	req, err := standin.Request(i.settings.Callers, id, "k", kind)
+	if err != nil {
+		return 0, err
+	}
+	resp, err := i.client.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return resp.StatusCode, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return resp.StatusCode, fmt.Errorf("status %d: %s", resp.StatusCode, body)
+	}
+	if string(body) != standin.Answer(id, kind == standin.Draft) || resp.Header.Get("X-Response-Signature") != standin.Signature(id) {
+		return resp.StatusCode, fmt.Errorf("wrong answer to %s: %q", id, body)
+	}
+	return resp.StatusCode, nil
+}
+
+var allKinds = []standin.Kind{standin.Read, standin.Book, standin.Draft}
+
+// sendAll sends requests of all kinds to an instance and returns the failures.
+func (i *linkedInstance) sendAll(prefix string, rounds int) (failures []error) {
+	for n := range rounds {
+		for _, kind := range allKinds {
+			id := fmt.Sprintf("%s-%s-%s-%d", prefix, i.settings.Instance, kind, n)
+			if _, err := i.send(id, kind); err != nil {
+				failures = append(failures, fmt.Errorf("%s: %w", id, err))
+			}
+		}
+	}
+	return failures
+}
+
+// partitions are the ways in which an instance can lose its links to engines.
+var partitions = map[string]func(*standin.Link) error{
+	"silent": (*standin.Link).Partition,
+	"reset": func(l *standin.Link) error {
+		l.RefuseConnections()
+		l.Reset()
+		return nil
+	},
+	"new connections refused": func(l *standin.Link) error {
+		l.RefuseConnections()
+		return nil
+	},
+}
+
+// partitionGrace is the time after the start of a partition from which callers must be served.
+const partitionGrace = 3 * time.Second
+
+// Guards against an instance that is partitioned from all engines, fails its callers and blames the
+// engines, while other instances reach them.
+func TestPartitionedInstanceServesItsCallers(t *testing.T) {
+	for name, partition := range partitions {
+		for _, cut := range []int{1, 2} {
+			t.Run(fmt.Sprintf("%s at %d of 3", name, cut), func(t *testing.T) {
+				t.Parallel()
+				f := newPartitionFleet(t, 3)
+				for _, i := range f.instances {
+					assert.Equal(t, len(i.sendAll("before", 2)), 0)
+				}
+				for _, i := range f.instances[:cut] {
+					i.onLinks(t, partition)
+				}
+				var early sync.WaitGroup
+				for _, i := range f.instances {
+					// Callers whose requests fail at the start of the partition return later.
+					early.Go(func() { i.sendAll("early", 2) })
+				}
+				time.Sleep(partitionGrace)
+				early.Wait()
+				for _, i := range f.instances {
+					for _, failure := range i.sendAll("during", 5) {
+						t.Error(failure)
+					}
+				}
+				for _, i := range f.instances[:cut] {
+					i.onLinks(t, (*standin.Link).Heal)
+				}
+				for _, i := range f.instances {
+					for _, failure := range i.sendAll("after", 2) {
+						t.Error(failure)
+					}
+				}
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				for id, runs := range f.runs {
+					assert.Assert(t, runs == 1 || strings.Contains(id, standin.Read.String()), "%s ran %d times", id, runs)
+				}
+			})
+		}
+	}
+}
