httpconn: the header that a response repeats is named, not compared by a function

A request can then be sent by another process: all that the exchange needs is data. New: DialTimeout of a request, and NewDialer with the keep-alive and TCP_USER_TIMEOUT of the pool. Behaviour is unchanged; the tests of late and duplicate responses pass with EchoHeader in place of MatchResponse.

--- a/httpconn/exchange.go
+++ b/httpconn/exchange.go
@@ -25,10 +25,22 @@
 	// no limit beyond the pool's. The longer a connection was idle, the more likely the
 	// upstream closes it just as the request arrives.
 	MaxIdle time.Duration
-	// MatchResponse reports whether a response belongs to the request; nil accepts all.
-	// Responses that do not match are skipped: if an upstream responds twice to an
+	// EchoHeader is the name of the header whose value a response repeats; empty if none
+	// does. Responses with another value are skipped: if an upstream responds twice to an
 	// earlier request, the second response precedes the expected one.
-	MatchResponse func(http.Header) bool
+	EchoHeader string
+	// DialTimeout limits the time to open a connection; 0 means DialTimeout of the package.
+	DialTimeout time.Duration
+}
+
+// matches reports whether a response belongs to the request.
+func (r *Request) matches(response http.Header) bool {
+	if r.EchoHeader == "" {
+		return true
+	}
+	echoed, given := response[r.EchoHeader]
+	sent := r.Header[r.EchoHeader]
+	return !given || len(sent) > 0 && echoed[0] == sent[0]
 }
 
 // Response is an upstream's response. Body must be closed by the caller; reading a
@@ -87,7 +99,7 @@
 	if maxIdle == 0 {
 		maxIdle = time.Hour
 	}
-	c, err := p.get(ctx, address, maxIdle)
+	c, err := p.get(ctx, address, maxIdle, r.DialTimeout)
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
@@ -167,7 +179,7 @@
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
 			continue
 		}
-		if r.MatchResponse == nil || r.MatchResponse(resp.Header) {
+		if r.matches(resp.Header) {
 			return x.response(resp), nil
 		}
 		if mismatched++; mismatched > maxMismatched || resp.ContentLength < 0 {
--- a/httpconn/httpconn_test.go
+++ b/httpconn/httpconn_test.go
@@ -52,7 +52,7 @@
 func newGet(id string) *Request {
 	return &Request{
 		Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{"X-Id": {id}},
-		MatchResponse: func(h http.Header) bool { return h.Get("X-Id") == "" || h.Get("X-Id") == id },
+		EchoHeader: "X-Id",
 	}
 }
 
--- a/httpconn/pool.go
+++ b/httpconn/pool.go
@@ -47,11 +47,7 @@
 
 // NewPool returns an empty pool.
 func NewPool() *Pool {
-	dialer := &net.Dialer{
-		Timeout:         DialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAlive, Interval: keepAlive, Count: 2},
-		Control:         setUserTimeout,
-	}
+	dialer := NewDialer(DialTimeout)
 	return &Pool{
 		idle: make(map[string][]*conn),
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
@@ -60,6 +56,16 @@
 	}
 }
 
+// NewDialer returns a dialer whose connections are closed soon after the remote side can no longer be
+// reached. timeout limits the time to open one.
+func NewDialer(timeout time.Duration) *net.Dialer {
+	return &net.Dialer{
+		Timeout:         timeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAlive, Interval: keepAlive, Count: 2},
+		Control:         setUserTimeout,
+	}
+}
+
 // setUserTimeout sets TCP_USER_TIMEOUT, the time that sent data may remain
 // unacknowledged.
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
@@ -74,12 +80,12 @@
 }
 
 // get returns a usable connection that has been idle for at most maxIdle, or opens a
-// new one.
-func (p *Pool) get(ctx context.Context, address string, maxIdle time.Duration) (*conn, error) {
+// new one within dialTimeout, if that is not 0.
+func (p *Pool) get(ctx context.Context, address string, maxIdle, dialTimeout time.Duration) (*conn, error) {
 	for {
 		c := p.popIdle(address)
 		if c == nil {
-			return p.open(ctx, address)
+			return p.openWithin(ctx, address, dialTimeout)
 		}
 		now := time.Now()
 		if now.Before(c.idleUntil) && now.Sub(c.idleSince) <= maxIdle && c.reusable() {
@@ -101,6 +107,15 @@
 	return c
 }
 
+func (p *Pool) openWithin(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
+	if timeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, timeout)
+		defer cancel()
+	}
+	return p.open(ctx, address)
+}
+
 func (p *Pool) open(ctx context.Context, address string) (*conn, error) {
 	raw, err := p.dial(ctx, address)
 	if err != nil {
