Relay: an instance whose links to upstreams are cut lets another one send its requests

Cause: an instance had only its own way to an upstream, and took the failure of its links for the failure of each upstream, one after the other and again with each request. The logs of all instances side by side show it: at edge-waco-south-3 228 refused connections from 26 to 38 s, while edge-waco-south-1 and edge-bryan-1 got 105 and 75 answers from the same upstreams.

Now a connection that fails or is not open within 100 ms is checked by other instances. If one of them connects, the link counts as cut: the request, and those after it, are sent by an instance that reaches the upstream (relay, connect on the TCP port of the reports), one hop at most, since a relaying instance uses only its own links. A response that is missing for 150 ms (60 ms for calls around a request) causes the check too, unless the upstream has responded to others meanwhile, so that connections that have gone silent are left; requests that may be repeated leave them at once. A cut link is probed four times a second while it is needed.

Why it holds: only the connection is another instance's. Key, route, quota, retry budget, attempts, deadline and resumption stay where they were. A request is sent by another instance only if nothing was sent before, and is not sent again once an instance may have sent it. The end of an answer is a message of its own, so that one that breaks off on the way is an error. The end of the caller's request closes the way to the upstream. Orders are sent directly only. An instance relays up to 256 requests, for upstreams that its own list does not call leaving, and none while it drains.

The tests of relay guard what a hop could break.

--- a/fleet/ask.go
+++ b/fleet/ask.go
@@ -59,7 +59,7 @@
 // sendSingle sends a report that has a datagram to itself. Errors are only logged: the instance that
 // waits for the datagram retries or asks another instance.
 func (x *Exchange) sendSingle(to string, address netip.AddrPort, r *Report) {
-	r.Instance, r.Incarnation, r.Fleet = x.self.Name, x.self.Incarnation, x.identity()
+	r.Instance, r.Incarnation, r.Fleet = x.self.Name, x.self.Incarnation, x.Identity()
 	data, err := r.marshal()
 	if err != nil {
 		x.logger.Error("cannot send datagram", zap.String("peer", to), zap.Error(err))
--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"net/netip"
 	"slices"
 	"sync"
@@ -71,8 +72,10 @@
 type Exchange struct {
 	self Member
 	conn *net.UDPConn
-	// records accepts connections on the TCP port with the same number.
+	// records accepts connections on the TCP port with the same number. handlers serves further calls
+	// there, by path.
 	records  net.Listener
+	handlers map[string]http.Handler
 	handler  Handler
 	logger   *zap.Logger
 	trigger  chan struct{}
@@ -153,7 +156,8 @@
 		return nil, err
 	}
 	return &Exchange{
-		self: self, conn: conn, records: records, handler: handler, logger: logger, trigger: make(chan struct{}, 1), announce: make(chan struct{}, 1),
+		handlers: make(map[string]http.Handler),
+		self:     self, conn: conn, records: records, handler: handler, logger: logger, trigger: make(chan struct{}, 1), announce: make(chan struct{}, 1),
 		peers: make(map[string]*peer), last: make(map[Run]lastReport), lastWake: boottime.Now(),
 		pollIndex: rand.IntN(hub.Hubs), reportedSizes: make(map[string]reportedSize), pendingAsks: make(map[uint64]chan Grant), pendingClaims: make(map[uint64]chan Place),
 	}, nil
@@ -212,6 +216,9 @@
 	x.Announce()
 }
 
+// Handle registers a handler of calls from other instances. It must be called before Run.
+func (x *Exchange) Handle(path string, handler http.Handler) { x.handlers[path] = handler }
+
 // OnReport sets the function that is called with the sender of every report. It must be called
 // before Run.
 func (x *Exchange) OnReport(handle func(Member)) { x.onReport = handle }
@@ -348,7 +355,7 @@
 	x.sequence++
 	r := &Report{
 		Instance: x.self.Name, Incarnation: x.self.Incarnation, Sequence: x.sequence, Made: now, Leaving: x.leaving,
-		Fleet: x.identity(),
+		Fleet: x.Identity(),
 	}
 	if x.synced() {
 		r.Instances = len(x.peers) + 1
--- a/fleet/hubs.go
+++ b/fleet/hubs.go
@@ -255,6 +255,20 @@
 	return out
 }
 
+// Working returns the other known instances that accept work and are not silent.
+func (x *Exchange) Working() []Member {
+	now := boottime.Now()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	out := make([]Member, 0, len(x.peers))
+	for _, p := range x.peers {
+		if !p.leaving && !x.isSilent(now, p) {
+			out = append(out, p.Member)
+		}
+	}
+	return out
+}
+
 // peersAmong returns the peers of hubs, which excludes this instance.
 func (x *Exchange) peersAmong(hubs []Member) []*peer {
 	x.mu.Lock()
--- a/fleet/records.go
+++ b/fleet/records.go
@@ -57,6 +57,9 @@
 // serve serves until ctx ends.
 func (s *recordService) serve(ctx context.Context, listener net.Listener) {
 	mux := http.NewServeMux()
+	for path, handler := range s.exchange.handlers {
+		mux.Handle(path, handler)
+	}
 	mux.Handle(fleetv1connect.NewRecordServiceHandler(s, connect.WithReadMaxBytes(maxFetchRequestBytes), transport.HandlerOptions()))
 	server := &http.Server{Handler: mux, ReadTimeout: fetchServeTimeout, WriteTimeout: fetchServeTimeout}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
@@ -75,21 +78,21 @@
 		return nil, connect.NewError(connect.CodeResourceExhausted, errTooManyFetches)
 	}
 	m, x := request.Msg, s.exchange
-	if !x.isSameFleet(fleetid.Identity{ID: fleetid.ID(m.FleetId), Name: m.FleetName}, m.Instance, request.Peer().Addr) {
+	if !x.IsSameFleet(fleetid.Identity{ID: fleetid.ID(m.FleetId), Name: m.FleetName}, m.Instance, request.Peer().Addr) {
 		return nil, connect.NewError(connect.CodePermissionDenied, errOtherFleet)
 	}
 	note, err := x.handler.ServeRecords(boottime.Now(), port.Topic(m.Topic), m.From)
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
-	own := x.identity()
+	own := x.Identity()
 	return connect.NewResponse(&fleetv1.FetchResponse{
 		FleetId: uint64(own.ID), FleetName: own.Name, Instance: x.self.Name, Note: marshalNote(note, s.encoded.marshal),
 	}), nil
 }
 
-// isSameFleet reports whether a fetch, or the response to one, is of an instance of this fleet.
-func (x *Exchange) isSameFleet(other fleetid.Identity, instance, address string) bool {
+// IsSameFleet reports whether a call, or the response to one, is of an instance of this fleet.
+func (x *Exchange) IsSameFleet(other fleetid.Identity, instance, address string) bool {
 	return x.verifier == nil || x.verifier.Check(other, instance, address) == fleetid.SameFleet
 }
 
@@ -135,7 +138,7 @@
 		return follow.Note{}, err
 	}
 	client := fleetv1connect.NewRecordServiceClient(recordClient, "http://"+address, connect.WithReadMaxBytes(maxFetchBytes), transport.ClientOptions())
-	own := x.identity()
+	own := x.Identity()
 	response, err := client.Fetch(ctx, connect.NewRequest(&fleetv1.FetchRequest{
 		FleetId: uint64(own.ID), FleetName: own.Name, Instance: x.self.Name, Topic: uint32(topic), From: from,
 	}))
@@ -143,7 +146,7 @@
 		return follow.Note{}, err
 	}
 	m := response.Msg
-	if !x.isSameFleet(fleetid.Identity{ID: fleetid.ID(m.FleetId), Name: m.FleetName}, m.Instance, address) {
+	if !x.IsSameFleet(fleetid.Identity{ID: fleetid.ID(m.FleetId), Name: m.FleetName}, m.Instance, address) {
 		return follow.Note{}, errOtherFleet
 	}
 	return unmarshalNote(m.GetNote())
--- a/fleet/sender.go
+++ b/fleet/sender.go
@@ -10,8 +10,8 @@
 // Without it, the sender of any valid datagram counts as an instance.
 func (x *Exchange) SetFleet(fleet *fleetid.Verifier) { x.verifier = fleet }
 
-// identity returns this instance's fleet identity, which is empty without a verifier.
-func (x *Exchange) identity() fleetid.Identity {
+// Identity returns this instance's fleet identity, which is empty without a verifier.
+func (x *Exchange) Identity() fleetid.Identity {
 	if x.verifier == nil {
 		return fleetid.Identity{}
 	}
--- a/fleet/sender_test.go
+++ b/fleet/sender_test.go
@@ -24,7 +24,7 @@
 // contain the fleet name.
 func roundTrip(t *testing.T, from *Exchange, nameless bool) *Report {
 	t.Helper()
-	r := &Report{Instance: from.self.Name, Incarnation: from.self.Incarnation, Sequence: 1, Fleet: from.identity()}
+	r := &Report{Instance: from.self.Name, Incarnation: from.self.Incarnation, Sequence: 1, Fleet: from.Identity()}
 	if nameless {
 		r.Fleet.Name = ""
 	}
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -59,7 +59,7 @@
 		return nil, g.refusePermanently(verdict.ReasonUnknownService, "no route for this host and path")
 	}
 	a := &admittedCall{call: c, route: route, index: index}
-	c.priority = route.Priority
+	c.priority, c.Repeatable = route.Priority, route.MayRepeat()
 	if !route.Public {
 		if v := g.authenticate(a, key); v != nil {
 			return nil, v
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -47,6 +47,8 @@
 	Deadline time.Time
 	// Organisation is the organisation the request is charged to; empty on public routes.
 	Organisation string
+	// Repeatable is set if the route allows the request to run more than once.
+	Repeatable bool
 	// keyHash and priority are set during admission.
 	keyHash  string
 	priority int
@@ -100,8 +102,12 @@
 	FreeHandle(ctx context.Context, to upstream.Entry, handle string) error
 	// Reserve reserves engine memory for a request that follows within ttl.
 	Reserve(ctx context.Context, to upstream.Entry, tokens int, ttl time.Duration) (reservation string, err error)
-	// CheckReachable returns an error if nothing listens at the upstream's address.
-	CheckReachable(ctx context.Context, to upstream.Entry) error
+	// CheckReachable reports whether something listens at the upstream's address, as far as this instance
+	// and others can tell. The error is that of this instance's own connection.
+	CheckReachable(ctx context.Context, to upstream.Entry) (upstream.Reach, error)
+	// OnLinkCut sets the function that is called with each upstream that only other instances reach, so
+	// that its last failures were not its own. It must be called before any other method.
+	OnLinkCut(handle func(upstream.Entry))
 	// DropReservation frees reserved memory.
 	DropReservation(ctx context.Context, to upstream.Entry, reservation string) error
 }
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -35,7 +35,7 @@
 // crashes reported by other instances. It is safe for concurrent use.
 type crashTracker struct {
 	log            *zap.Logger
-	checkReachable func(ctx context.Context, to upstream.Entry) error
+	checkReachable func(ctx context.Context, to upstream.Entry) (upstream.Reach, error)
 
 	mu         sync.Mutex
 	quarantine *quarantine.Tracker
@@ -53,7 +53,7 @@
 	upstream    fleet.Hash
 }
 
-func newCrashTracker(log *zap.Logger, checkReachable func(context.Context, upstream.Entry) error) *crashTracker {
+func newCrashTracker(log *zap.Logger, checkReachable func(context.Context, upstream.Entry) (upstream.Reach, error)) *crashTracker {
 	return &crashTracker{log: log, checkReachable: checkReachable, quarantine: quarantine.New(quarantine.DefaultConfig()), known: make(map[crashKey]bool)}
 }
 
@@ -89,7 +89,7 @@
 	time.AfterFunc(crashProbeDelay, func() {
 		ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
 		defer cancel()
-		if err := t.checkReachable(ctx, entry); err == nil {
+		if reach, _ := t.checkReachable(ctx, entry); reach == upstream.ReachedDirectly {
 			return
 		}
 		t.recordCrash(boottime.Now(), fleet.Crash{Fingerprint: hash, Upstream: fleet.HashOf(fmt.Sprintf("%s/%d", entry.ID, entry.Started))}, true)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -204,7 +203,7 @@
 	for _, crashed := range []bool{false, true} {
 		gw, other := newTestGateway(t), newTestGateway(t)
 		if crashed {
-			gw.reachErr = errors.New("nothing listens at the address")
+			gw.reach = upstream.Unreachable
 		}
 		gw.failWith(crashedError())
 		other.failWith(crashedError())
--- a/gateway/helpers_test.go
+++ b/gateway/helpers_test.go
@@ -25,11 +25,13 @@
 
 // fakeUpstreams implements Codec and Upstreams; run answers each request.
 type fakeUpstreams struct {
-	mu       sync.Mutex
-	run      func(ctx context.Context, to upstream.Entry, c *Call, o RunOptions) (*Answer, error)
-	prefill  func(to upstream.Entry) (string, error)
-	reserve  func(to upstream.Entry) (string, error)
-	reachErr error
+	mu      sync.Mutex
+	run     func(ctx context.Context, to upstream.Entry, c *Call, o RunOptions) (*Answer, error)
+	prefill func(to upstream.Entry) (string, error)
+	reserve func(to upstream.Entry) (string, error)
+	// reach is the outcome of checks. cutLink is called by tests with an upstream that only others reach.
+	reach    upstream.Reach
+	cutLink  func(upstream.Entry)
 	sends    []string
 	options  []RunOptions
 	released []string
@@ -83,7 +85,19 @@
 	return f.reserve(to)
 }
 
-func (f *fakeUpstreams) CheckReachable(context.Context, upstream.Entry) error { return f.reachErr }
+func (f *fakeUpstreams) CheckReachable(context.Context, upstream.Entry) (upstream.Reach, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reach, nil
+}
+
+func (f *fakeUpstreams) setReach(reach upstream.Reach) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reach = reach
+}
+
+func (f *fakeUpstreams) OnLinkCut(handle func(upstream.Entry)) { f.cutLink = handle }
 
 func (f *fakeUpstreams) DropReservation(_ context.Context, _ upstream.Entry, reservation string) error {
 	f.recordRelease(reservation)
@@ -147,7 +161,7 @@
 
 func newTestGateway(t *testing.T) *testGateway {
 	t.Helper()
-	gw := &testGateway{fakeUpstreams: &fakeUpstreams{}}
+	gw := &testGateway{fakeUpstreams: &fakeUpstreams{reach: upstream.ReachedDirectly}}
 	gw.state = NewState(gw.now, 4*time.Second)
 	gw.state.UpstreamsRead()
 	gw.state.InstancesRead()
--- a/gateway/placement_test.go
+++ b/gateway/placement_test.go
@@ -112,7 +112,7 @@
 			state.Directory.Put(upstream.Entry{ID: fmt.Sprint("d", e), Service: "model", Role: upstream.Decode, Slots: 4})
 			state.Directory.Put(upstream.Entry{ID: fmt.Sprint("p", e), Service: "model", Role: upstream.Prefill, Slots: 4})
 		}
-		f.upstreams = append(f.upstreams, &fakeUpstreams{})
+		f.upstreams = append(f.upstreams, &fakeUpstreams{reach: upstream.ReachedDirectly})
 		g := New(Options{Upstreams: f.upstreams[i], State: state, Log: zap.NewNop(), Metrics: observe.NewMetrics(), FleetSize: func() fleet.Size { return fleet.SizeOf(instances) }})
 		g.Connect(fakeHomes{f, i})
 		// Ejections do not expire during a test.
@@ -257,7 +257,7 @@
 		first, v := f.dispatcher(1).place(t.Context(), placementRequest{item: newItem(time.Second)})
 		assert.Assert(t, v == nil)
 		f.dispatcher(1).release(first, 250)
-		f.upstreams[0].reachErr = unreachableError()
+		f.upstreams[0].reach = upstream.Unreachable
 		f.gateways[1].outliers.recordFailure(first)
 		for range 3 {
 			entry, v := f.dispatcher(1).place(t.Context(), placementRequest{item: newItem(time.Second)})
--- a/gateway/reachcheck.go
+++ b/gateway/reachcheck.go
@@ -9,6 +9,7 @@
 
 	"github.com/cairnworks/cairnworks/boottime"
 	"github.com/cairnworks/cairnworks/fleet"
+	"github.com/cairnworks/cairnworks/upstream"
 )
 
 // Limits and timings of reachability checks.
@@ -64,7 +65,7 @@
 	if known {
 		ctx, cancel := context.WithTimeout(context.Background(), reachCheckTimeout)
 		defer cancel()
-		if err := d.gateway.Upstreams.CheckReachable(ctx, entry); err != nil {
+		if reach, err := d.gateway.Upstreams.CheckReachable(ctx, entry); reach != upstream.ReachedDirectly {
 			d.gateway.outliers.recordUnreachable(entry, err)
 			d.gateway.log.Info("upstream failed reachability check", zap.String("upstream", id), zap.Error(err))
 		}
--- a/httpconn/exchange.go
+++ b/httpconn/exchange.go
@@ -31,6 +31,11 @@
 	EchoHeader string
 	// DialTimeout limits the time to open a connection; 0 means DialTimeout of the package.
 	DialTimeout time.Duration
+	// Repeatable is set if the request may run more than once.
+	Repeatable bool
+	// ExpectWithin is the time after which a missing response makes the link suspect; 0 means
+	// that a response may take any time.
+	ExpectWithin time.Duration
 }
 
 // matches reports whether a response belongs to the request.
--- a/instance/routed/events_test.go
+++ b/instance/routed/events_test.go
@@ -29,7 +29,7 @@
 	}
 	written := map[string]bool{}
 	call := regexp.MustCompile(`(?:\.(?:Info|Warn|Error)|\blogChange)\("([^"]+)"`)
-	for _, folder := range []string{"../../gateway", "../../fleet", "../../follow", "../../fleetid", ".", "../../cmd/cairnworksd"} {
+	for _, folder := range []string{"../../gateway", "../../fleet", "../../follow", "../../fleetid", "../../relay", ".", "../../cmd/cairnworksd"} {
 		files, err := filepath.Glob(filepath.Join(folder, "*.go"))
 		assert.NilError(t, err)
 		for _, file := range files {
@@ -45,7 +45,7 @@
 	}
 	assert.Assert(t, len(written) > 20, "%d events found", len(written))
 	metric := regexp.MustCompile(`\.(?:Counter|Gauge|Histogram)\("([^"]+)"`)
-	for _, file := range []string{"../../observe/metrics.go", "../../fleetid/verifier.go"} {
+	for _, file := range []string{"../../observe/metrics.go", "../../fleetid/verifier.go", "../../relay/transport.go", "../../relay/server.go"} {
 		text, err := os.ReadFile(file)
 		assert.NilError(t, err)
 		for _, match := range metric.FindAllStringSubmatch(string(text), -1) {
--- a/instance/routed/routed.go
+++ b/instance/routed/routed.go
@@ -25,6 +25,7 @@
 	"github.com/cairnworks/cairnworks/object"
 	"github.com/cairnworks/cairnworks/observe"
 	"github.com/cairnworks/cairnworks/port"
+	"github.com/cairnworks/cairnworks/relay"
 	"github.com/cairnworks/cairnworks/settings"
 	"github.com/cairnworks/cairnworks/upstream"
 )
@@ -36,6 +37,7 @@
 	Upstreams gateway.Upstreams
 	Engines   gateway.EngineController
 	Pool      *httpconn.Pool
+	Transport *relay.Transport
 	// Configuration decodes a record. ok is false if the record contains no configuration.
 	Configuration func(port.KeyedRecord) (c Configuration, ok bool, err error)
 	// Evacuation decodes a record of the same topic that starts or ends the evacuation of a data
@@ -158,6 +160,7 @@
 		Store: fleetid.NewKeyedStore(adapters.Log), Spread: idReadSpread(s.FirstStart), Name: s.FleetName(), Logger: log, Metrics: metrics.Scope,
 	})
 	exchange.SetFleet(i.fleetID)
+	i.connectRelay()
 	return i, nil
 }
 
@@ -303,6 +306,7 @@
 			return nil
 		case <-ticker.C:
 			i.adapters.Pool.CloseExpired()
+			i.adapters.Transport.Sweep()
 			i.quotas.Sweep(i.exchange.Knows)
 			i.gateway.Sweep()
 			i.logHubChange()
@@ -327,6 +331,7 @@
 	instances, _ := i.fleetSize().Instances()
 	b := observe.InstanceState{
 		Ready: i.notReadyReason() == "", Upstreams: i.state.Directory.Len(), Instances: instances, Hubs: len(i.exchange.Hubs()), IsHub: i.exchange.IsHub(),
+		CutLinks: i.adapters.Transport.CutLinks(),
 	}
 	if index := i.state.Index(); index != nil {
 		b.ConfigurationVersion, b.ConfigurationAge = index.Version(), i.state.Age()
@@ -406,6 +411,7 @@
 	i.log.Info("draining", zap.Duration("grace", grace))
 	i.gateway.Drain()
 	i.exchange.Leave()
+	i.adapters.Transport.Drain()
 	linger := time.Duration(float64(grace) * lingerFraction)
 	time.Sleep(linger)
 	ctx, cancel := context.WithTimeout(context.Background(), grace-linger-exitMargin)
@@ -413,6 +419,7 @@
 	if err := server.Shutdown(ctx); err != nil {
 		i.log.Warn("requests cut off at the end of the grace period", zap.Error(err))
 	}
+	i.adapters.Transport.Wait(ctx)
 	leave, done := context.WithTimeout(context.Background(), exitMargin/2)
 	defer done()
 	i.members.Leave(leave)
--- a/observe/metrics.go
+++ b/observe/metrics.go
@@ -138,6 +138,7 @@
 	m.Scope.Gauge("instances").Update(float64(s.Instances))
 	m.Scope.Gauge("hubs").Update(float64(s.Hubs))
 	m.Scope.Gauge("hub").Update(boolValue(s.IsHub))
+	m.Scope.Gauge("cut_links").Update(float64(s.CutLinks))
 }
 
 // InstanceState is an instance's current view of the system.
@@ -153,6 +154,8 @@
 	// Hubs is the number of hubs that this instance reports to. IsHub reports whether it is a hub.
 	Hubs  int
 	IsHub bool
+	// CutLinks is the number of upstreams that this instance cannot reach and another one can.
+	CutLinks int
 }
 
 // CountRetry counts a retry by the reason of the failed attempt.
--- a/verdict/reason.go
+++ b/verdict/reason.go
@@ -41,10 +41,13 @@
 const (
 	ReasonUpstreamUnreachable Reason = "upstream_unreachable"
 	ReasonUpstreamCrashed     Reason = "upstream_crashed"
-	ReasonUpstreamRefused     Reason = "upstream_refused"
-	ReasonTransferExpired     Reason = "transfer_expired"
-	ReasonTruncated           Reason = "truncated"
-	ReasonTimeout             Reason = "timeout"
+	// ReasonLinkFailed means that a link between this system and the upstream failed, which says nothing
+	// about the upstream.
+	ReasonLinkFailed      Reason = "link_failed"
+	ReasonUpstreamRefused Reason = "upstream_refused"
+	ReasonTransferExpired Reason = "transfer_expired"
+	ReasonTruncated       Reason = "truncated"
+	ReasonTimeout         Reason = "timeout"
 	// ReasonWrongUpstream means that a different upstream responds at the address.
 	ReasonWrongUpstream Reason = "wrong_upstream"
 	// ReasonForeignAnswer means that the response does not belong to a request on this
