Gateway: an instance whose own links fail does not blame upstreams

Cause: a check of whether an upstream has ended was a connection over this instance's own link. An instance that was cut recorded each request that broke off as a crash and reported it to all, and a home found every engine gone.

Now a check says who reached the upstream. If only others reach it, its ejection here ends. A failed link or relaying instance (link_failed) counts against no upstream.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -82,14 +82,15 @@
 }
 
 // recordBrokenOff handles a request whose upstream closed the connection without a complete answer. A
-// lost answer looks the same, so the upstream is probed: it counts as crashed only if its process
-// is gone.
+// lost answer looks the same, and so does a link of this instance that is cut, so the upstream is probed:
+// it counts as crashed only if its process is gone.
 func (t *crashTracker) recordBrokenOff(c *Call, entry upstream.Entry, onCrash func()) {
 	hash := fingerprint(c)
 	time.AfterFunc(crashProbeDelay, func() {
 		ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
 		defer cancel()
-		if reach, _ := t.checkReachable(ctx, entry); reach == upstream.ReachedDirectly {
+		if reach, _ := t.checkReachable(ctx, entry); reach != upstream.Unreachable {
+			t.log.Info("request broken off without a crash", zap.String("request", c.ID), zap.String("upstream", entry.ID), zap.Stringer("reached", reach))
 			return
 		}
 		t.recordCrash(boottime.Now(), fleet.Crash{Fingerprint: hash, Upstream: fleet.HashOf(fmt.Sprintf("%s/%d", entry.ID, entry.Started))}, true)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -63,6 +63,7 @@
 	g.outliers = newOutlierDetector(boottime.Now)
 	g.limits = newUpstreamLimits(boottime.Now, o.Quotas, o.Log)
 	g.Upstreams.OnLimit(g.limits.record)
+	g.Upstreams.OnLinkCut(g.outliers.recordSuccess)
 	g.plainPools = newPlainPools()
 	g.dispatchers = newDispatcherSet(g)
 	g.crashes = newCrashTracker(g.log, g.Upstreams.CheckReachable)
--- a/gateway/placement_test.go
+++ b/gateway/placement_test.go
@@ -294,6 +294,30 @@
 	})
 }
 
+// Guards against a home that is itself cut off from engines and makes them unavailable to all instances
+// because its own checks fail.
+func TestHomeThatIsCutEjectsNoEngines(t *testing.T) {
+	for _, reach := range []upstream.Reach{upstream.ReachUnknown, upstream.ReachedByPeer} {
+		runPlacementTest(t, 20, 2, func(t *testing.T, f *placementFleet) {
+			home := f.gateways[0]
+			f.upstreams[0].reach = reach
+			all := home.state.Directory.Service("model")
+			for _, e := range all {
+				f.gateways[1].outliers.recordFailure(e)
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+			defer cancel()
+			_, v := f.dispatcher(1).place(ctx, placementRequest{item: newItem(time.Minute)})
+			assert.Assert(t, v != nil, "it can reach no engine")
+			for range 8 {
+				_, v := f.dispatcher(2).place(t.Context(), placementRequest{item: newItem(time.Second)})
+				assert.Assert(t, v == nil, "other instances can use all engines")
+			}
+			assert.Equal(t, len(home.outliers.ejected(all)), 0)
+		})
+	}
+}
+
 // Guards against a new home that counts all loads twice and assigns no engines for a second.
 func TestNewHubCountsNoLoadTwice(t *testing.T) {
 	runPlacementTest(t, 20, 1, func(t *testing.T, f *placementFleet) {
--- a/gateway/reachcheck.go
+++ b/gateway/reachcheck.go
@@ -65,7 +65,7 @@
 	if known {
 		ctx, cancel := context.WithTimeout(context.Background(), reachCheckTimeout)
 		defer cancel()
-		if reach, err := d.gateway.Upstreams.CheckReachable(ctx, entry); reach != upstream.ReachedDirectly {
+		if reach, err := d.gateway.Upstreams.CheckReachable(ctx, entry); reach == upstream.Unreachable {
 			d.gateway.outliers.recordUnreachable(entry, err)
 			d.gateway.log.Info("upstream failed reachability check", zap.String("upstream", id), zap.Error(err))
 		}
