Gateway: a service that no instance reaches is refused at once

What callers saw: while nobody reached a service, each request tried up to four upstreams, 0.4 s each when they were silent, and model requests waited for a place until their objective had passed, to be refused in the end.

Cause: ejected upstreams are used if there are no others, and each request learnt anew that none could be reached.

Now a failure to connect, which has been checked by other instances, marks the upstream; while all upstreams of a role are so marked, requests are refused at once as upstream_unreachable, with a time to come back that is spread. The upstreams are checked four times a second in the background while requests arrive, so that no caller waits for it, and the first that is reached ends the refusals. A request tries further upstreams for 0.6 s at most.

TestServiceThatNobodyReachesIsRefused: three instances, all cut silently or by resets: 503, not run, and served again after the links are healed.

--- a/gateway/model.go
+++ b/gateway/model.go
@@ -222,6 +222,9 @@
 		if v := r.gateway.refuseIfAllSpent(r.admitted.service.Name, upstream.Decode); v != nil {
 			return placement{}, v
 		}
+		if v := r.gateway.refuseIfUnreachable(r.admitted, upstream.Decode); v != nil {
+			return placement{}, v
+		}
 		entry, v := r.dispatcher.place(ctx, placementRequest{item: item, except: r.except, full: r.full})
 		if v != nil {
 			return placement{}, v
--- a/gateway/outliers.go
+++ b/gateway/outliers.go
@@ -23,6 +23,10 @@
 	restartedEjection = 2 * time.Second
 	// failureRetention is how long failures count against an upstream.
 	failureRetention = 10 * time.Second
+	// unreachableCheckInterval is how often upstreams of a service are checked while none of them can be
+	// reached and requests arrive; maxUnreachableChecks is the number of upstreams that are checked.
+	unreachableCheckInterval = 250 * time.Millisecond
+	maxUnreachableChecks     = 8
 )
 
 // outlierDetector ejects upstreams that were unreachable or broke off answers. It is safe for
@@ -32,6 +36,13 @@
 	mu  sync.Mutex
 	// ejections are keyed by ID and start time of the run.
 	ejections map[upstreamRun]ejection
+	// checked is when the upstreams of a service were last checked, if none could be reached.
+	checked map[serviceRole]time.Duration
+}
+
+type serviceRole struct {
+	service string
+	role    upstream.Role
 }
 
 type upstreamRun struct {
@@ -43,10 +54,12 @@
 	failures    int
 	lastFailure time.Duration
 	until       time.Duration
+	// unreachable is set if no instance could connect at the last failure.
+	unreachable bool
 }
 
 func newOutlierDetector(now boottime.Clock) *outlierDetector {
-	return &outlierDetector{now: now, ejections: make(map[upstreamRun]ejection)}
+	return &outlierDetector{now: now, ejections: make(map[upstreamRun]ejection), checked: make(map[serviceRole]time.Duration)}
 }
 
 // recordUnreachable ejects an upstream that could not be reached.
@@ -55,21 +68,23 @@
 	if e.Role != upstream.Plain && errors.Is(cause, syscall.ECONNREFUSED) {
 		minimum = restartedEjection
 	}
-	o.eject(e, minimum)
+	o.eject(e, minimum, true)
 }
 
 // recordFailure ejects an upstream that failed a request.
-func (o *outlierDetector) recordFailure(e upstream.Entry) { o.eject(e, baseEjection) }
+func (o *outlierDetector) recordFailure(e upstream.Entry) { o.eject(e, baseEjection, false) }
 
 // eject ejects an upstream for a time that grows with each failure.
-func (o *outlierDetector) eject(e upstream.Entry, minimum time.Duration) {
+func (o *outlierDetector) eject(e upstream.Entry, minimum time.Duration, unreachable bool) {
 	now := o.now()
 	key := upstreamRun{e.ID, e.Started}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	entry := o.ejections[key]
+	entry.unreachable = unreachable
 	if entry.until > now {
 		// Concurrent failures count as one.
+		o.ejections[key] = entry
 		return
 	}
 	if now-entry.lastFailure > failureRetention {
@@ -81,6 +96,36 @@
 	o.ejections[key] = entry
 }
 
+// unreachable reports whether none of the entries with the role can be reached, so that requests are refused
+// at once. If a check is due, it returns the entries that the caller must check.
+func (o *outlierDetector) unreachable(service string, entries []upstream.Entry, role upstream.Role) (all bool, check []upstream.Entry) {
+	now := o.now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.ejections) == 0 {
+		return false, nil
+	}
+	for _, e := range entries {
+		if e.Role != role || e.Leaving {
+			continue
+		}
+		f := o.ejections[upstreamRun{e.ID, e.Started}]
+		if !f.unreachable || f.until <= now {
+			return false, nil
+		}
+		check = append(check, e)
+	}
+	if len(check) == 0 {
+		return false, nil
+	}
+	key := serviceRole{service, role}
+	if last, checked := o.checked[key]; checked && now-last < unreachableCheckInterval {
+		return true, nil
+	}
+	o.checked[key] = now
+	return true, check[:min(len(check), maxUnreachableChecks)]
+}
+
 // recordSuccess clears the failures of an upstream.
 func (o *outlierDetector) recordSuccess(e upstream.Entry) {
 	o.mu.Lock()
--- a/gateway/outliers_test.go
+++ b/gateway/outliers_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"syscall"
@@ -8,6 +9,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/cairnworks/cairnworks/upstream"
 	"github.com/cairnworks/cairnworks/verdict"
@@ -58,3 +60,44 @@
 	assert.Equal(t, rec.Code, http.StatusBadGateway)
 	assert.Equal(t, len(gw.gateway.outliers.ejected(gw.state.Directory.Service("plain"))), 0)
 }
+
+// Guards against requests that wait for connections, one upstream after the other, while no instance
+// reaches any, and against a service that is refused for longer than that.
+func TestUnreachableServiceIsRefusedAtOnce(t *testing.T) {
+	for path, service := range map[string]string{"/book/x": "plain", "/read/x": "plain", "/draft/x": "model"} {
+		gw := newTestGateway(t)
+		now := time.Minute
+		gw.gateway.outliers.now = func() time.Duration { return now }
+		gw.failWith(unreachableError())
+		gw.setReach(upstream.ReachUnknown)
+		tries := 0
+		gw.reserve = func(upstream.Entry) (string, error) {
+			tries++
+			return "", unreachableError()
+		}
+		tokens := map[string]string{"Tokens": "100 100"}
+		count := func() int { return len(gw.sends) + tries }
+		gw.request(path, tokens)
+		first := count()
+		assert.Equal(t, first, 2, "each upstream of %s is tried once", service)
+		for range 5 {
+			rec, _ := gw.request(path, tokens)
+			assert.Equal(t, rec.Code, http.StatusServiceUnavailable)
+			assert.Assert(t, rec.Header().Get("Retry-After") != "")
+		}
+		assert.Equal(t, count(), first)
+		now += unreachableCheckInterval + time.Millisecond
+		gw.reserve = nil
+		gw.run = func(context.Context, upstream.Entry, *Call, RunOptions) (*Answer, error) {
+			return newAnswer(http.StatusOK, "ok")
+		}
+		gw.setReach(upstream.ReachedByPeer)
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			now += time.Millisecond
+			if rec, _ := gw.request(path, tokens); rec.Code == http.StatusOK {
+				return poll.Success()
+			}
+			return poll.Continue("the service is not served again")
+		}, poll.WithDelay(time.Millisecond), poll.WithTimeout(30*time.Second))
+	}
+}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -34,6 +34,9 @@
 	// maxUnreachable is the number of unreachable upstreams that are tried before a request is
 	// refused. Nothing was sent to them.
 	maxUnreachable = 4
+	// unreachableLimit is the time after which no further upstream is tried if the others could not be
+	// reached.
+	unreachableLimit = 600 * time.Millisecond
 	// attemptObjectives is the number of objectives after which an attempt's answer is considered
 	// lost.
 	attemptObjectives = 4
@@ -178,7 +181,7 @@
 	}
 	if v != nil && v.Reason == verdict.ReasonUpstreamUnreachable && v.Ran == verdict.NotRun {
 		r.unreachableCount++
-		return r.unreachableCount < maxUnreachable
+		return r.unreachableCount < maxUnreachable && time.Since(r.admitted.call.Arrived) < unreachableLimit
 	}
 	route := r.admitted.route
 	if r.sends == 0 || r.sends >= route.Attempts() {
@@ -322,6 +325,9 @@
 // claim claims capacity at an upstream.
 func (r *plainRun) claim() (upstream.Entry, *verdict.Verdict) {
 	entries := r.gateway.state.Directory.Service(r.admitted.service.Name)
+	if v := r.gateway.refuseIfUnreachable(r.admitted, upstream.Plain); v != nil {
+		return upstream.Entry{}, v
+	}
 	spent, retry := r.gateway.limits.spent(entries)
 	except := union(r.tried, spent)
 	if entry, ok := r.pool.claim(room.Demand{}, union(except, r.gateway.outliers.ejected(entries))); ok {
--- a/instance/routed/partition_test.go
+++ b/instance/routed/partition_test.go
@@ -239,3 +239,49 @@
 		}
 	}
 }
+
+// Guards against requests that circle among instances or wait for their deadlines while no instance reaches
+// the engines, against refusals that do not say when to come back, and against a fleet that does not recover.
+func TestServiceThatNobodyReachesIsRefused(t *testing.T) {
+	for name, partition := range partitions {
+		if name == "new connections refused" {
+			continue // Open connections serve.
+		}
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newPartitionFleet(t, 3)
+			for _, i := range f.instances {
+				assert.Equal(t, len(i.sendAll("before", 1)), 0)
+			}
+			for _, i := range f.instances {
+				i.onLinks(t, partition)
+			}
+			var early sync.WaitGroup
+			for _, i := range f.instances {
+				early.Go(func() { i.sendAll("early", 2) })
+			}
+			early.Wait()
+			time.Sleep(partitionGrace)
+			for _, i := range f.instances {
+				for n := range 4 {
+					for _, kind := range allKinds {
+						id := fmt.Sprintf("during-%s-%s-%d", i.settings.Instance, kind, n)
+						status, err := i.send(id, kind)
+						assert.Equal(t, status, http.StatusServiceUnavailable, "%s: %v", id, err)
+					}
+				}
+			}
+			f.mu.Lock()
+			for id := range f.runs {
+				assert.Assert(t, !strings.HasPrefix(id, "during"), "%s was refused and ran", id)
+			}
+			f.mu.Unlock()
+			for _, i := range f.instances {
+				i.onLinks(t, (*standin.Link).Heal)
+			}
+			for _, i := range f.instances {
+				waitFor(t, func() bool { return len(i.sendAll("after", 1)) == 0 })
+			}
+		})
+	}
+}
