Soak: instances are cut from all engines

A new fault: the links of one instance, or of all but one, to all engines hang, are reset or refuse new connections. A new check compares, from 3 s on, how often callers of such instances are served with those of others at the same time. Its own test shows what it finds.

--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -22,6 +22,8 @@
 	settings settings.Routed
 	// storeProxy is the instance's own proxy for connections to the store.
 	storeProxy *standin.Link
+	// engineLinks are the instance's own links to the engines.
+	engineLinks *engineLinks
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -39,6 +39,9 @@
 	faultPeriods []faultPeriod
 	orders       []standin.Order
 	limits       []engineLimit
+	// partitions are the periods in which instances reached no engine; instances is the number of all.
+	partitions []faultPeriod
+	instances  int
 	// probeStart is the time from which the fleet must serve callers again.
 	probeStart time.Time
 }
@@ -65,8 +68,8 @@
 	start, end time.Time
 }
 
-func newLedger() *ledger {
-	return &ledger{requests: make(map[string]*request), runs: make(map[string][]standin.Run), withdrawnAt: make(map[string]time.Time), leavingSince: make(map[string]time.Time)}
+func newLedger(instances int) *ledger {
+	return &ledger{instances: instances, requests: make(map[string]*request), runs: make(map[string][]standin.Run), withdrawnAt: make(map[string]time.Time), leavingSince: make(map[string]time.Time)}
 }
 
 func (l *ledger) addLeavingEngine(engine string) {
@@ -140,6 +143,7 @@
 	}
 	out = append(out, l.checkQuota()...)
 	out = append(out, l.checkOrders()...)
+	out = append(out, l.checkPartitions()...)
 	for _, limit := range l.limits {
 		out = append(out, l.checkLimit(limit)...)
 	}
--- /dev/null
+++ b/soak/partition.go
@@ -0,0 +1,188 @@
+package soak
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cairnworks/cairnworks/platform/standin"
+)
+
+// engineLinks are an instance's own links to the engines, by the address of the engine.
+type engineLinks struct {
+	mu    sync.Mutex
+	links map[string]*standin.Link
+	// faults is the number of partitions in progress; apply is what the last of them does to a link.
+	faults int
+	apply  func(*standin.Link) error
+}
+
+// address returns the address of the link to an engine.
+func (l *engineLinks) address(_, engine string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	link, known := l.links[engine]
+	if !known {
+		link = l.add(engine)
+	}
+	return link.Address()
+}
+
+// add adds the link to an engine. The caller must hold the lock.
+func (l *engineLinks) add(engine string) *standin.Link {
+	link, err := standin.NewLink(engine)
+	if err != nil {
+		panic(fmt.Sprintf("creating a link to %s: %v", engine, err)) // No free port on loopback.
+	}
+	if l.links == nil {
+		l.links = make(map[string]*standin.Link)
+	}
+	l.links[engine] = link
+	if l.faults > 0 {
+		l.applyTo(link)
+	}
+	return link
+}
+
+// applyTo applies the partition in progress to a link.
+func (l *engineLinks) applyTo(link *standin.Link) {
+	if err := l.apply(link); err != nil {
+		panic(fmt.Sprintf("partitioning %s: %v", link.Address(), err))
+	}
+}
+
+// partition cuts all links for some time.
+func (l *engineLinks) partition(apply func(*standin.Link) error, duration time.Duration) {
+	l.mu.Lock()
+	l.faults++
+	l.apply = apply
+	for _, link := range l.links {
+		l.applyTo(link)
+	}
+	l.mu.Unlock()
+	time.Sleep(duration)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.faults--; l.faults > 0 {
+		return
+	}
+	for _, link := range l.links {
+		if err := link.Heal(); err != nil {
+			panic(fmt.Sprintf("healing %s: %v", link.Address(), err))
+		}
+	}
+}
+
+func (l *engineLinks) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, link := range l.links {
+		link.Close()
+	}
+}
+
+// partitionKinds cut the links of instances to all engines. They are drawn separately, like delayKinds.
+var partitionKinds = []faultKind{
+	{"engines silent", 2, func(r *run, f fault) { r.partition(f, 1, (*standin.Link).Partition) }},
+	{"engines reset", 2, func(r *run, f fault) { r.partition(f, 1, resetLink) }},
+	{"engines refuse", 1, func(r *run, f fault) { r.partition(f, 1, refuseOnLink) }},
+	{"engines silent for most", 1, func(r *run, f fault) { r.partition(f, len(r.instances)-1, (*standin.Link).Partition) }},
+	{"engines reset for most", 1, func(r *run, f fault) { r.partition(f, len(r.instances)-1, resetLink) }},
+}
+
+func resetLink(l *standin.Link) error {
+	l.RefuseConnections()
+	l.Reset()
+	return nil
+}
+
+func refuseOnLink(l *standin.Link) error {
+	l.RefuseConnections()
+	return nil
+}
+
+const (
+	// meanPartitionGap is the mean time between two faults of partitionKinds.
+	meanPartitionGap = 4500 * time.Millisecond
+	// minPartition is added to the duration of a partition, so that callers are checked in most of them.
+	minPartition = 4 * time.Second
+)
+
+// partition cuts the links of some instances to all engines.
+func (r *run) partition(f fault, count int, apply func(*standin.Link) error) {
+	var cut sync.WaitGroup
+	for n := range max(count, 1) {
+		i := r.instances[(f.Target+n)%len(r.instances)]
+		cut.Go(func() {
+			start := time.Now()
+			i.engineLinks.partition(apply, minPartition+f.Duration)
+			r.ledger.addPartition(i.name, start, time.Now())
+		})
+	}
+	cut.Wait()
+}
+
+// Bounds on the requests at partitioned instances, from partitionGrace after the start of a partition on:
+// they must be served partitionShare times as often as those at other instances at the same time, unless at
+// most partitionSlack and one in partitionSlackShare of them are not served.
+const (
+	partitionGrace      = 3 * time.Second
+	partitionShare      = 2.0 / 3
+	partitionSlack      = 10
+	partitionSlackShare = 50
+)
+
+// tally counts requests and those that were served.
+type tally struct{ sent, served int }
+
+func (t tally) share() float64 { return float64(t.served) / float64(max(t.sent, 1)) }
+
+// checkPartitions compares how often partitioned instances served callers and how often others did.
+func (l *ledger) checkPartitions() []Finding {
+	var cut, others tally
+	for _, s := range l.requests {
+		if s.organisation != unlimitedOrganisation || s.status == 401 || !l.probeStart.IsZero() && s.sentAt.After(l.probeStart) || s.endedAt.IsZero() {
+			continue
+		}
+		partitioned, during := l.partitionState(s)
+		if !during || !l.undisturbed(s.instance, s.sentAt, s.endedAt) {
+			continue
+		}
+		counted := &others
+		if partitioned {
+			counted = &cut
+		}
+		counted.sent++
+		if s.status == 200 && !s.truncated {
+			counted.served++
+		}
+	}
+	failed := cut.sent - cut.served
+	if failed <= partitionSlack+cut.sent/partitionSlackShare || cut.share() >= partitionShare*others.share() {
+		return nil
+	}
+	return []Finding{{"served while partitioned", "", fmt.Sprintf("%d of %d requests at instances that reached no engine, %d of %d at others",
+		cut.served, cut.sent, others.served, others.sent), time.Time{}}}
+}
+
+// partitionState reports whether a request was sent to a partitioned instance, and whether it counts: at
+// least one instance was partitioned from partitionGrace before the request to its end, and at least one was
+// not.
+func (l *ledger) partitionState(s *request) (partitioned, during bool) {
+	partitionedInstances := make(map[string]bool)
+	for _, p := range l.partitions {
+		if p.start.Add(partitionGrace).Before(s.sentAt) && p.end.After(s.endedAt) {
+			partitionedInstances[p.instance] = true
+		}
+		if p.instance == s.instance && p.start.Before(s.endedAt) && !p.start.Add(partitionGrace).Before(s.sentAt) && p.end.After(s.sentAt) {
+			return false, false // The partition has just begun or ends.
+		}
+	}
+	return partitionedInstances[s.instance], len(partitionedInstances) > 0 && len(partitionedInstances) < l.instances
+}
+
+func (l *ledger) addPartition(instance string, start, end time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.partitions = append(l.partitions, faultPeriod{instance, start, end})
+}
--- a/soak/run.go
+++ b/soak/run.go
@@ -106,7 +106,7 @@
 	if err := os.MkdirAll(o.Dir, 0o755); err != nil {
 		return nil, err
 	}
-	r := &run{Options: o, store: standin.NewStore(), relays: newRelaySet(), ledger: newLedger(), key: "k0", staleKey: "none"}
+	r := &run{Options: o, store: standin.NewStore(), relays: newRelaySet(), ledger: newLedger(o.Instances), key: "k0", staleKey: "none"}
 	defer r.close()
 	if err := r.prepare(); err != nil {
 		return nil, err
@@ -143,14 +143,16 @@
 // addInstance prepares an instance with its own view of the store, which gives the addresses of
 // relays in place of those of other instances.
 func (r *run) addInstance(name string) error {
-	server := httptest.NewServer(standin.View{Store: r.store, Address: func(other, address string) string {
+	links := &engineLinks{}
+	server := httptest.NewServer(standin.View{Store: r.store, EngineAddress: links.address, Address: func(other, address string) string {
 		return r.relays.address(name, other, address)
 	}})
-	r.cleanups = append(r.cleanups, server.Close)
+	r.cleanups = append(r.cleanups, links.close, server.Close)
 	i, err := newInstance(name, server.Listener.Addr().String(), true)
 	if err != nil {
 		return err
 	}
+	i.engineLinks = links
 	r.cleanups = append(r.cleanups, i.storeProxy.Close)
 	r.instances = append(r.instances, i)
 	return r.relays.add(name, i.settings.Reports)
@@ -260,7 +262,7 @@
 				return
 			case <-time.After(time.Until(r.startedAt.Add(f.At))):
 			}
-			for _, k := range slices.Concat(baseKinds, delayKinds, reportLossKinds, fleetWideKinds, needKinds) {
+			for _, k := range slices.Concat(baseKinds, delayKinds, reportLossKinds, fleetWideKinds, needKinds, partitionKinds) {
 				if k.name == f.Kind {
 					start := time.Now()
 					k.apply(r, f)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -44,7 +45,7 @@
 
 // ledgerOf returns a ledger with one request and its runs.
 func ledgerOf(s request, runs ...standin.Run) *ledger {
-	l := newLedger()
+	l := newLedger(4)
 	s.organisation, s.sentAt = unlimitedOrganisation, time.Now()
 	l.addRequest("a", &s)
 	for _, r := range runs {
@@ -78,13 +79,13 @@
 	tooLate.addFaultPeriod("i1", time.Now(), time.Now().Add(time.Second))
 	disturbed.addFaultPeriod("i0", time.Now(), time.Now().Add(time.Second))
 	ordered := func(holders ...string) *ledger {
-		l := newLedger()
+		l := newLedger(4)
 		for _, holder := range holders {
 			l.addOrder(standin.Order{Engine: "e", Holder: holder, Token: 7})
 		}
 		return l
 	}
-	unasked := newLedger()
+	unasked := newLedger(4)
 	unasked.addRun(standin.Run{ID: "x"})
 	for _, c := range []struct {
 		name      string
@@ -119,7 +120,7 @@
 }
 
 func TestCheckFindsExceededQuota(t *testing.T) {
-	l := newLedger()
+	l := newLedger(4)
 	allowed := int(((quotaRate*quotaWindow.Seconds()+quotaBurst)*(1+quotaOver) + quotaSlack) / standin.DraftTokens)
 	add := func(n int) {
 		id := string(rune('a' + n))
@@ -137,7 +138,7 @@
 func TestCheckFindsExceededLimit(t *testing.T) {
 	start := time.Unix(100, 0)
 	atEngine := func(n int, limit engineLimit) *ledger {
-		l := newLedger()
+		l := newLedger(4)
 		l.addLimit(limit)
 		for i := range n {
 			id := strconv.Itoa(i)
@@ -201,3 +202,31 @@
 	defer i.storeProxy.Close()
 	assert.Assert(t, strings.Contains(i.settings.FleetName(), strconv.Itoa(os.Getpid())), i.settings.FleetName())
 }
+
+// Guards against a check that misses callers who are not served by instances that reach no engine.
+func TestCheckFindsCallersNotServedWhilePartitioned(t *testing.T) {
+	start := time.Now().Add(-time.Minute)
+	record := func(servedByCut, servedByOthers int) *ledger {
+		l := newLedger(2)
+		l.addPartition("cut", start, start.Add(20*time.Second))
+		const requests = 40
+		for n := range requests {
+			for instance, served := range map[string]int{"cut": servedByCut, "other": servedByOthers} {
+				s := &request{organisation: unlimitedOrganisation, instance: instance, sentAt: start.Add(partitionGrace + time.Second), status: 503}
+				if n < served {
+					s.status = 200
+				}
+				s.endedAt = s.sentAt.Add(time.Second)
+				l.addRequest(fmt.Sprint(instance, n), s)
+			}
+		}
+		return l
+	}
+	assert.Equal(t, len(record(0, 40).checkPartitions()), 1)
+	assert.Equal(t, len(record(20, 40).checkPartitions()), 1)
+	assert.Equal(t, len(record(30, 40).checkPartitions()), 0, "within the slack")
+	assert.Equal(t, len(record(10, 10).checkPartitions()), 0, "as often as others")
+	l := record(0, 40)
+	l.addFaultPeriod("cut", start.Add(partitionGrace), start.Add(partitionGrace+time.Second))
+	assert.Equal(t, len(l.checkPartitions()), 0, "the instance was disturbed otherwise")
+}
