Relay: a single connection that is late does not count as a cut link

A lost packet delays a new connection as a partition does. The request still goes by another instance, but the link counts as cut, with its idle connections closed and other links checked, only after a second connection has failed; a refused connection counts at once. The list of other instances is made only when it is needed, not for each request.

--- a/fleet/hubs.go
+++ b/fleet/hubs.go
@@ -255,6 +255,13 @@
 	return out
 }
 
+// KnowsOthers reports whether any other instance is known.
+func (x *Exchange) KnowsOthers() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return len(x.peers) > 0
+}
+
 // Working returns the other known instances that accept work and are not silent.
 func (x *Exchange) Working() []Member {
 	now := boottime.Now()
--- a/instance/routed/relay.go
+++ b/instance/routed/relay.go
@@ -18,6 +18,9 @@
 	return peers
 }
 
+// HasPeers implements relay.Network.
+func (n relayNetwork) HasPeers() bool { return n.KnowsOthers() }
+
 // relayBodyFraction is the fraction of the memory for request bodies that those of requests relayed for
 // others may use.
 const relayBodyFraction = 0.25
--- a/relay/link.go
+++ b/relay/link.go
@@ -182,21 +182,15 @@
 		t.recordContact(to)
 		return upstream.ReachedDirectly, nil
 	}
-	return t.confirmCut(ctx, to, started, err), err
-}
-
-// confirmCut finds out by other instances whether the failure of a connection that was started at a time is
-// one of this instance's link.
-func (t *Transport) confirmCut(ctx context.Context, to upstream.Entry, started time.Duration, cause error) upstream.Reach {
 	reached, conclusive := t.checkByPeers(ctx, to)
 	switch {
 	case reached:
-		t.recordCut(started, to, cause)
-		return upstream.ReachedByPeer
+		t.recordCut(started, to, err)
+		return upstream.ReachedByPeer, err
 	case conclusive || t.reachesOthers(ctx, to, started):
-		return upstream.Unreachable
+		return upstream.Unreachable, err
 	default:
-		return upstream.ReachUnknown
+		return upstream.ReachUnknown, err
 	}
 }
 
--- a/relay/transport.go
+++ b/relay/transport.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -50,8 +51,9 @@
 
 // Network provides the other instances.
 type Network interface {
-	// Peers returns the known instances that accept work.
+	// Peers returns the known instances that accept work. HasPeers reports whether there are others.
 	Peers() []Peer
+	HasPeers() bool
 	// Identity returns the identity of this instance's fleet, and IsSameFleet reports whether another
 	// instance belongs to it.
 	Identity() fleetid.Identity
@@ -137,7 +139,7 @@
 // type *httpconn.Error.
 func (t *Transport) Do(ctx context.Context, to upstream.Entry, r *httpconn.Request) (*httpconn.Response, error) {
 	cut := t.use(to)
-	if good, unknown := t.candidates(to); len(good)+len(unknown) == 0 {
+	if t.Network == nil || !t.Network.HasPeers() {
 		return t.sendDirectly(ctx, to, r, false)
 	}
 	if cut {
@@ -153,9 +155,15 @@
 	if err == nil || httpconn.Sent(err) || ctx.Err() != nil {
 		return resp, err
 	}
-	if reached := t.confirmCut(ctx, to, started, err); reached != upstream.ReachedByPeer || ctx.Err() != nil {
+	if reached, _ := t.checkByPeers(ctx, to); !reached || ctx.Err() != nil {
 		return nil, err
 	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		t.recordCut(started, to, err)
+	} else {
+		// A single lost packet delays a connection as well.
+		t.checkLater(to)
+	}
 	resp, relayErr := t.sendByPeers(ctx, to, r)
 	if relayErr != nil && !httpconn.Sent(relayErr) {
 		return nil, &httpconn.Error{Err: errors.Join(err, relayErr)}
