httpconn: a host that is silent for a second or so keeps its connections

What callers could see: a request or stream at a sound upstream that is silent for 1.1 s and more is broken off.

Cause: TCP_USER_TIMEOUT (2 s) also decides when keep-alive probes give up, whatever their count. The last packet may have arrived a second before the silence, as probes are a second apart, so that a silence of just over a second was enough.

Now 3 s and three probes: two seconds of silence are tolerated. A partition is noticed a second later on open connections; a cut link is found by its check, within half a second, and does not wait for this.

--- a/httpconn/httpconn_test.go
+++ b/httpconn/httpconn_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 )
 
@@ -49,6 +50,30 @@
 	return listener.Addr().String(), &requests
 }
 
+// Guards against connections to sound upstreams that are closed because the host is silent for a second or
+// so: TCP_USER_TIMEOUT also decides when keep-alive probes give up.
+func TestSilenceOfASecondOrSoIsTolerated(t *testing.T) {
+	const silence = 2 * time.Second
+	assert.Assert(t, toleratedSilence >= silence, "%v", toleratedSilence)
+	assert.Assert(t, keepAlive*keepAliveProbes >= silence)
+	pool := NewPool()
+	address, _ := serve(t, func(c net.Conn, _ *bufio.Reader, _ int32) { writeResponse(c, "1", "ok") })
+	conn, err := pool.open(t.Context(), address)
+	assert.NilError(t, err)
+	defer conn.Close()
+	raw, err := conn.Conn.(*net.TCPConn).SyscallConn()
+	assert.NilError(t, err)
+	for option, want := range map[int]int{
+		unix.TCP_USER_TIMEOUT: int(userTimeout.Milliseconds()), unix.TCP_KEEPIDLE: int(keepAlive.Seconds()), unix.TCP_KEEPCNT: keepAliveProbes,
+	} {
+		var got int
+		var failed error
+		assert.NilError(t, raw.Control(func(fd uintptr) { got, failed = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, option) }))
+		assert.NilError(t, failed)
+		assert.Equal(t, got, want)
+	}
+}
+
 func newGet(id string) *Request {
 	return &Request{
 		Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{"X-Id": {id}},
--- a/httpconn/pool.go
+++ b/httpconn/pool.go
@@ -19,11 +19,18 @@
 	DialTimeout = 400 * time.Millisecond
 	// userTimeout is the time after which a connection with unacknowledged data is
 	// closed. In a network partition, nothing else shows that the remote side is gone.
-	userTimeout = 2 * time.Second
+	// The system also closes a connection after a lost keep-alive probe if nothing has
+	// arrived for userTimeout, whatever the number of probes.
+	userTimeout = 3 * time.Second
 	// keepAlive is the interval of TCP keep-alive probes. A connection is closed after
-	// two lost probes; this distinguishes a partition from an upstream that is still
-	// processing the request.
-	keepAlive = time.Second
+	// keepAliveProbes lost ones; this distinguishes a partition from an upstream that is
+	// still processing the request.
+	keepAlive       = time.Second
+	keepAliveProbes = 3
+	// toleratedSilence is how long the host of an upstream may be silent in any case
+	// without a connection being closed. The last packet may have arrived up to keepAlive
+	// before.
+	toleratedSilence = userTimeout - keepAlive
 	// DefaultIdle is how long an idle connection is kept if the upstream does not
 	// specify a time, and the maximum if it does.
 	DefaultIdle = 4 * time.Second
@@ -61,7 +68,7 @@
 func NewDialer(timeout time.Duration) *net.Dialer {
 	return &net.Dialer{
 		Timeout:         timeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAlive, Interval: keepAlive, Count: 2},
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAlive, Interval: keepAlive, Count: keepAliveProbes},
 		Control:         setUserTimeout,
 	}
 }
