Relay: a request that waits too long on its way is not sent

A request that reached an instance while that was suspended stood in its socket and would have been sent when it woke, seconds after the key, the upstream's state and the deadline were checked at the other one; with a withdrawn key that breaks a promise, and a request that was given up would have run.

Each request now names the time by which it must be sent, 0.5 s after the check, on the clock that counts through suspensions. It is checked right before the bytes are written, also on direct connections after a slow connect. For another instance the time is converted to its clock by its own earlier response, so that delays only make it earlier.

TestRequestThatWaitsAtAnInstanceIsNotSent failed before: the request ran.

--- a/httpconn/exchange.go
+++ b/httpconn/exchange.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/cairnworks/cairnworks/boottime"
 )
 
 // Request is a request to an upstream. Its headers are sent unchanged; only Host and
@@ -31,6 +33,10 @@
 	EchoHeader string
 	// DialTimeout limits the time to open a connection; 0 means DialTimeout of the package.
 	DialTimeout time.Duration
+	// SendBefore is the time on the clock of package boottime by which the request must be
+	// sent; 0 means no limit. What was checked before a send may no longer hold after the
+	// process was suspended.
+	SendBefore time.Duration
 	// Repeatable is set if the request may run more than once.
 	Repeatable bool
 	// ExpectWithin is the time after which a missing response makes the link suspect; 0 means
@@ -95,6 +101,9 @@
 // both sides would then deadlock once their buffers are full.
 const largeBody = 32 << 10
 
+// errTooLate is the error of a request whose SendBefore has passed.
+var errTooLate = errors.New("the request waited too long to be sent")
+
 var errMismatched = errors.New("connection carries responses to other requests")
 
 // Do sends a request at most once and returns the response once its headers have
@@ -108,6 +117,10 @@
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
+	if r.SendBefore > 0 && boottime.Now() > r.SendBefore {
+		_ = c.Close()
+		return nil, &Error{Err: errTooLate}
+	}
 	x := &exchange{pool: p, conn: c, written: make(chan error, 1)}
 	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	head, err := encode(r)
--- a/httpconn/httpconn_test.go
+++ b/httpconn/httpconn_test.go
@@ -14,6 +14,8 @@
 
 	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
+
+	"github.com/cairnworks/cairnworks/boottime"
 )
 
 // serve starts a server that calls handle for each request with its number, counted
@@ -50,6 +52,21 @@
 	return listener.Addr().String(), &requests
 }
 
+// Guards against a request that is sent after the process was suspended since it was checked.
+func TestLateRequestIsNotSent(t *testing.T) {
+	address, requests := serve(t, func(c net.Conn, _ *bufio.Reader, _ int32) { writeResponse(c, "1", "ok") })
+	pool := NewPool()
+	r := newGet("1")
+	r.SendBefore = boottime.Now() - time.Millisecond
+	_, err := pool.Do(t.Context(), address, r)
+	assert.Assert(t, err != nil && !Sent(err), "%v", err)
+	r.SendBefore = boottime.Now() + time.Minute
+	resp, err := pool.Do(t.Context(), address, r)
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+	assert.Equal(t, requests.Load(), int32(1))
+}
+
 // Guards against connections to sound upstreams that are closed because the host is silent for a second or
 // so: TCP_USER_TIMEOUT also decides when keep-alive probes give up.
 func TestSilenceOfASecondOrSoIsTolerated(t *testing.T) {
--- a/relay/client.go
+++ b/relay/client.go
@@ -63,10 +63,16 @@
 	identity := c.transport.Network.Identity()
 	// The body of the response is read under this context.
 	ctx, cancel := context.WithCancel(ctx)
+	sendBefore, ok := c.transport.sendBefore(p, r.SendBefore)
+	if !ok {
+		cancel()
+		return nil, &httpconn.Error{Err: errNoClock}
+	}
 	call := connect.NewRequest(&relayv1.SendRequest{
 		FleetId: uint64(identity.ID), FleetName: identity.Name, Instance: c.transport.Instance,
 		Upstream: &relayv1.Upstream{Id: to.ID, Started: to.Started}, Method: r.Method, Target: r.Target, Host: r.Host, Headers: marshalHeader(r.Header),
 		EchoHeader: r.EchoHeader, Repeatable: r.Repeatable, ExpectWithinMs: uint32(r.ExpectWithin.Milliseconds()), Body: r.Body,
+		SendBeforeUs: sendBefore.Microseconds(),
 	})
 	call.Header().Set(bodyBytesHeader, strconv.Itoa(len(r.Body)))
 	stream, err := c.service(p).Send(ctx, call)
@@ -80,6 +86,7 @@
 		_ = stream.Close()
 		return nil, c.sendError(p, err)
 	}
+	c.transport.recordClock(p, stream.Msg().ClockUs)
 	switch part := stream.Msg().Part.(type) {
 	case *relayv1.SendResponse_Failure:
 		cancel()
@@ -97,7 +104,11 @@
 	}
 }
 
-var errMalformed = errors.New("malformed response of another instance")
+var (
+	errMalformed = errors.New("malformed response of another instance")
+	// errNoClock is the error of a request to an instance of which no response was received yet.
+	errNoClock = errors.New("the clock of the instance is not known")
+)
 
 // sendError converts the error of a call. Only an instance that could not be reached, or that refused the
 // call, has certainly not sent the request.
@@ -152,6 +163,7 @@
 		return checkResult{}
 	}
 	m := response.Msg
+	c.transport.recordClock(p, m.ClockUs)
 	var others []Peer
 	for _, other := range m.Others {
 		others = append(others, Peer{Name: other.Name, Address: other.Address})
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -18,6 +18,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/cairnworks/cairnworks/boottime"
 	"github.com/cairnworks/cairnworks/fleetid"
 	"github.com/cairnworks/cairnworks/httpconn"
 	"github.com/cairnworks/cairnworks/platform/standin"
@@ -461,3 +462,45 @@
 		assert.NilError(t, err)
 	}
 }
+
+// Guards against a request that an instance sends after it was suspended: the key or the upstream that were
+// checked before may have been withdrawn meanwhile.
+func TestRequestThatWaitsAtAnInstanceIsNotSent(t *testing.T) {
+	var runs atomic.Int32
+	nodes := newNodes(t, 2, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		echo(w, r)
+	}))
+	nodes[0].partition(t, false)
+	_, err := nodes[0].sendRequest(t.Context(), "before")
+	assert.NilError(t, err)
+	const limit = 20 * time.Millisecond
+	server := nodes[1].server.Config
+	handler := server.Handler
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(2 * limit)
+		handler.ServeHTTP(w, r)
+	})
+	r := newRequest("late")
+	r.SendBefore = boottime.Now() + limit
+	_, err = nodes[0].Do(t.Context(), nodes[0].entries[0], r)
+	assert.Assert(t, err != nil && !httpconn.Sent(err), "%v", err)
+	assert.Equal(t, runs.Load(), int32(1))
+}
+
+// Guards against a time by which a request must be sent that becomes later on another instance's clock.
+func TestTimeToSendIsNeverLaterAtAnotherInstance(t *testing.T) {
+	tr := NewTransport(httpconn.NewPool())
+	now := time.Hour
+	tr.now = func() time.Duration { return now }
+	p := Peer{Name: "peer"}
+	_, ok := tr.sendBefore(p, now+time.Second)
+	assert.Assert(t, !ok, "its clock is not known")
+	// The peer's clock is 50 minutes behind, and its response took 300 ms.
+	const offset, transit = 50 * time.Minute, 300 * time.Millisecond
+	tr.recordClock(p, (now - transit - offset).Microseconds())
+	now += 5 * time.Second
+	before, ok := tr.sendBefore(p, now+time.Second)
+	assert.Assert(t, ok)
+	assert.Equal(t, before, now+time.Second-offset-transit)
+}
--- a/relay/server.go
+++ b/relay/server.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"syscall"
@@ -29,6 +30,8 @@
 	// maxIdleForRelay is the longest time that a connection may have been idle if it is reused for a
 	// relayed request. Its link may be cut as well, and a new connection shows that it is not.
 	maxIdleForRelay = 500 * time.Millisecond
+	// maxSendDelay is the longest time in the future by which a request may have to be sent.
+	maxSendDelay = 10 * time.Second
 	// maxMessageBytes limits the size of a request.
 	maxMessageBytes = 16 << 20
 	// relayBufferBytes is the size of the buffer for a response.
@@ -145,13 +148,17 @@
 		return refusal(connect.CodeResourceExhausted, errBusy)
 	}
 	if entry.ID == "" {
-		return sendFailure(stream, &relayv1.Failure{Detail: "the upstream is not known or is leaving"})
+		return s.sendFailure(stream, &relayv1.Failure{Detail: "the upstream is not known or is leaving"})
 	}
 	if t.use(entry) {
-		return sendFailure(stream, &relayv1.Failure{Cut: true, Detail: "the link to the upstream is cut here as well"})
+		return s.sendFailure(stream, &relayv1.Failure{Cut: true, Detail: "the link to the upstream is cut here as well"})
+	}
+	if m.SendBeforeUs <= 0 || time.Duration(m.SendBeforeUs)*time.Microsecond > t.now()+maxSendDelay {
+		return s.sendFailure(stream, &relayv1.Failure{Detail: "the time by which the request must be sent is of another clock"})
 	}
 	r := &httpconn.Request{
-		Method: m.Method, Target: m.Target, Host: m.Host, Header: unmarshalHeader(m.Headers), Body: m.Body, EchoHeader: m.EchoHeader,
+		SendBefore: time.Duration(m.SendBeforeUs) * time.Microsecond,
+		Method:     m.Method, Target: m.Target, Host: m.Host, Header: unmarshalHeader(m.Headers), Body: m.Body, EchoHeader: m.EchoHeader,
 		Repeatable: m.Repeatable, ExpectWithin: time.Duration(m.ExpectWithinMs) * time.Millisecond, MaxIdle: maxIdleForRelay,
 	}
 	resp, err := t.sendDirectly(ctx, entry, r, true)
@@ -159,24 +166,24 @@
 		if !httpconn.Sent(err) {
 			t.checkLater(entry)
 		}
-		return sendFailure(stream, &relayv1.Failure{
+		return s.sendFailure(stream, &relayv1.Failure{
 			Sent: httpconn.Sent(err), Refused: errors.Is(err, syscall.ECONNREFUSED), Cut: errors.Is(err, ErrLink), Detail: err.Error(),
 		})
 	}
 	defer func() { _ = resp.Body.Close() }()
 	t.Scope.Counter("relayed_for_others").Inc(1)
 	t.Log.Info("request relayed for another instance", zap.String("request", requestID(r)), zap.String("upstream", entry.ID), zap.String("from", m.Instance))
-	return copyResponse(stream, resp)
+	return s.copyResponse(stream, resp)
 }
 
-func sendFailure(stream *connect.ServerStream[relayv1.SendResponse], f *relayv1.Failure) error {
-	return stream.Send(&relayv1.SendResponse{Part: &relayv1.SendResponse_Failure{Failure: f}})
+func (s *server) sendFailure(stream *connect.ServerStream[relayv1.SendResponse], f *relayv1.Failure) error {
+	return stream.Send(&relayv1.SendResponse{Part: &relayv1.SendResponse_Failure{Failure: f}, ClockUs: s.transport.now().Microseconds()})
 }
 
 // copyResponse sends a response as it arrives. A response that ends early ends the call with an error.
-func copyResponse(stream *connect.ServerStream[relayv1.SendResponse], resp *httpconn.Response) error {
+func (s *server) copyResponse(stream *connect.ServerStream[relayv1.SendResponse], resp *httpconn.Response) error {
 	head := &relayv1.Head{Status: uint32(resp.Status), Headers: marshalHeader(resp.Header), Length: resp.Length}
-	if err := stream.Send(&relayv1.SendResponse{Part: &relayv1.SendResponse_Head{Head: head}}); err != nil {
+	if err := stream.Send(&relayv1.SendResponse{Part: &relayv1.SendResponse_Head{Head: head}, ClockUs: s.transport.now().Microseconds()}); err != nil {
 		return err
 	}
 	buffer := make([]byte, relayBufferBytes)
@@ -203,7 +210,7 @@
 	if refused != nil {
 		return nil, refused
 	}
-	response := &relayv1.CheckResponse{Others: s.named()}
+	response := &relayv1.CheckResponse{Others: s.named(), ClockUs: t.now().Microseconds()}
 	if entry.ID == "" {
 		return connect.NewResponse(response), nil
 	}
@@ -221,7 +228,7 @@
 
 // named returns some other instances at random.
 func (s *server) named() []*relayv1.Instance {
-	peers := s.transport.Network.Peers()
+	peers := slices.Clone(s.transport.Network.Peers())
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	var out []*relayv1.Instance
 	for _, p := range peers[:min(len(peers), maxNamed)] {
--- a/relay/transport.go
+++ b/relay/transport.go
@@ -41,6 +41,8 @@
 	// by exploreInterval.
 	enoughPeers     = 4
 	exploreInterval = 100 * time.Millisecond
+	// defaultSendDelay limits the time until a relayed request that names no other limit is sent.
+	defaultSendDelay = 500 * time.Millisecond
 	// maxControlChecks is the number of other upstreams that are tried to find out whether a failure is
 	// one of this instance's links.
 	maxControlChecks = 3
@@ -89,6 +91,8 @@
 	upstreams map[string]upstream.Entry
 	waiting   map[string]map[*exchange]bool
 	checks    map[string]*linkCheck
+	// clocks holds the clocks of other instances, by name.
+	clocks map[string]peerClock
 	// learnt holds the instances that others have named, by name, with the time.
 	learnt map[string]learntPeer
 	// explored is when a further instance was last checked.
@@ -99,6 +103,29 @@
 	onCut func(upstream.Entry)
 }
 
+// peerClock is the time of another instance's clock in a response, and when that was received.
+type peerClock struct{ time, at time.Duration }
+
+// recordClock records the time of a peer's clock in a response.
+func (t *Transport) recordClock(p Peer, us int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.clocks[p.Name] = peerClock{time.Duration(us) * time.Microsecond, t.now()}
+}
+
+// sendBefore converts the time by which a request must be sent to a peer's clock. The result is never too
+// late: a response that was delayed makes the clock look slow. ok is false if the clock is not known.
+func (t *Transport) sendBefore(p Peer, limit time.Duration) (before time.Duration, ok bool) {
+	now := t.now()
+	if limit == 0 {
+		limit = now + defaultSendDelay
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	clock, ok := t.clocks[p.Name]
+	return clock.time + limit - clock.at, ok
+}
+
 type learntPeer struct {
 	Peer
 	at time.Duration
@@ -109,7 +136,7 @@
 	cfg := reach.DefaultConfig()
 	return &Transport{
 		pool: pool, now: boottime.Now, links: reach.NewLinks(cfg), peers: reach.NewPeers(cfg), upstreams: make(map[string]upstream.Entry),
-		waiting: make(map[string]map[*exchange]bool), checks: make(map[string]*linkCheck), learnt: make(map[string]learntPeer),
+		waiting: make(map[string]map[*exchange]bool), checks: make(map[string]*linkCheck), clocks: make(map[string]peerClock), learnt: make(map[string]learntPeer),
 		Options: Options{Log: zap.NewNop(), Scope: tally.NoopScope},
 	}
 }
@@ -321,8 +348,18 @@
 			delete(t.upstreams, address)
 		}
 	}
+	now := t.now()
+	for name, clock := range t.clocks {
+		if now-clock.at > clockRetention {
+			delete(t.clocks, name)
+		}
+	}
 }
 
+// clockRetention is how long the clock of an instance is remembered without a response. It is longer than
+// an instance counts as reaching upstreams without one.
+const clockRetention = time.Minute
+
 // CutLinks returns the number of upstreams to which this instance's links are cut.
 func (t *Transport) CutLinks() int {
 	t.mu.Lock()
