Relay: an instance that does not know an upstream is passed over for that one only

An instance whose list lags behind, or that knows the upstream to be leaving, answered a check as if its own links were cut, and was passed over for the service for 2 s. It says now that it does not know the upstream. TestInstanceThatDoesNotKnowAnUpstreamRelaysToOthers failed before.

--- a/relay/client.go
+++ b/relay/client.go
@@ -155,10 +155,10 @@
 	}))
 	if err != nil {
 		switch {
+		case connect.CodeOf(err) == connect.CodeNotFound || errors.Is(ctx.Err(), context.DeadlineExceeded):
+			c.transport.recordPeer(p, to.ID, false)
 		case ctx.Err() == nil:
 			c.transport.recordPeer(p, reach.Everything, false)
-		case errors.Is(ctx.Err(), context.DeadlineExceeded):
-			c.transport.recordPeer(p, to.ID, false)
 		}
 		return checkResult{}
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -52,7 +52,7 @@
 }
 
 // newNodes returns instances that know one another, each with its own link to each upstream.
-func newNodes(t *testing.T, count int, upstreams ...http.Handler) []*node {
+func newNodes(t testing.TB, count int, upstreams ...http.Handler) []*node {
 	t.Helper()
 	nodes := make([]*node, count)
 	targets := make([]string, len(upstreams))
@@ -74,7 +74,7 @@
 	return nodes
 }
 
-func newNode(t *testing.T, name string, targets []string) *node {
+func newNode(t testing.TB, name string, targets []string) *node {
 	t.Helper()
 	mux := http.NewServeMux()
 	n := &node{Transport: NewTransport(httpconn.NewPool()), network: &testNetwork{mux: mux, identity: fleetid.Identity{ID: 7}}}
@@ -99,7 +99,7 @@
 }
 
 // partition cuts all links, silently, or by refusing connections.
-func (n *node) partition(t *testing.T, silent bool) {
+func (n *node) partition(t testing.TB, silent bool) {
 	t.Helper()
 	for _, link := range n.links {
 		if silent {
@@ -504,3 +504,15 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, before, now+time.Second-offset-transit)
 }
+
+// Guards against an instance that is passed over for all upstreams because it does not know one of them yet.
+func TestInstanceThatDoesNotKnowAnUpstreamRelaysToOthers(t *testing.T) {
+	nodes := newNodes(t, 2, http.HandlerFunc(echo), http.HandlerFunc(echo))
+	nodes[0].partition(t, false)
+	nodes[1].Directory.Remove(nodes[1].entries[0].ID)
+	_, err := nodes[0].sendRequest(t.Context(), "1")
+	assert.Assert(t, err != nil && !httpconn.Sent(err), "%v", err)
+	resp, err := nodes[0].Do(t.Context(), nodes[0].entries[1], newRequest("2"))
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+}
--- a/relay/server.go
+++ b/relay/server.go
@@ -50,6 +50,7 @@
 	errOtherFleet = errors.New("the instance belongs to another fleet")
 	errBusy       = errors.New("the instance relays too many requests")
 	errDraining   = errors.New("the instance is draining")
+	errUnknown    = errors.New("the upstream is not known or is leaving")
 	errBodies     = errors.New("the instance holds too many request bodies")
 )
 
@@ -148,7 +149,7 @@
 		return refusal(connect.CodeResourceExhausted, errBusy)
 	}
 	if entry.ID == "" {
-		return s.sendFailure(stream, &relayv1.Failure{Detail: "the upstream is not known or is leaving"})
+		return s.sendFailure(stream, &relayv1.Failure{Detail: errUnknown.Error()})
 	}
 	if t.use(entry) {
 		return s.sendFailure(stream, &relayv1.Failure{Cut: true, Detail: "the link to the upstream is cut here as well"})
@@ -210,10 +211,10 @@
 	if refused != nil {
 		return nil, refused
 	}
-	response := &relayv1.CheckResponse{Others: s.named(), ClockUs: t.now().Microseconds()}
 	if entry.ID == "" {
-		return connect.NewResponse(response), nil
+		return nil, refusal(connect.CodeNotFound, errUnknown)
 	}
+	response := &relayv1.CheckResponse{Others: s.named(), ClockUs: t.now().Microseconds()}
 	started := t.now()
 	dial, cancel := context.WithTimeout(ctx, dialPatience)
 	defer cancel()
