Relay: an instance that failed once is asked again after half a second, and at once if there is no other

What callers could see: while most instances are cut, one failed call to the only one that reaches the upstreams left the others without any for 2 s, and after it healed they found it up to 2 s later.

TestFailedPeersAreBetterThanNone failed before (no instance was selected).

--- a/decision/reach/peers.go
+++ b/decision/reach/peers.go
@@ -37,21 +37,27 @@
 }
 
 // Select returns the peers that may reach an upstream of a service, in random order: those known to reach
-// the service, and those of which nothing is known. shuffle permutes n elements with swap.
+// the service, and those of which nothing is known. If there are neither, those that have failed count as
+// unknown: what made the last one fail may be over. shuffle permutes n elements with swap.
 func (p *Peers) Select(now time.Duration, peers []string, service, upstream string, shuffle func(n int, swap func(i, j int))) (good, unknown []string) {
 	p.expire(now)
 	peers = slices.Clone(peers)
 	shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	var failed []string
 	for _, peer := range peers {
 		state, known := p.state[peerKey{peer, service}]
 		switch {
 		case state.failed || p.state[peerKey{peer, upstream}].failed || p.state[peerKey{peer, Everything}].failed:
+			failed = append(failed, peer)
 		case known:
 			good = append(good, peer)
 		default:
 			unknown = append(unknown, peer)
 		}
 	}
+	if len(good)+len(unknown) == 0 {
+		return nil, failed
+	}
 	return good, unknown
 }
 
--- a/decision/reach/reach.go
+++ b/decision/reach/reach.go
@@ -32,7 +32,7 @@
 
 // DefaultConfig returns the default parameters.
 func DefaultConfig() Config {
-	return Config{ProbeInterval: 250 * time.Millisecond, Retention: 10 * time.Second, FailureRetention: 2 * time.Second}
+	return Config{ProbeInterval: 250 * time.Millisecond, Retention: 10 * time.Second, FailureRetention: 500 * time.Millisecond}
 }
 
 // Links holds the state of this instance's links, by the address of the upstream. It is not safe for
--- a/decision/reach/reach_test.go
+++ b/decision/reach/reach_test.go
@@ -64,6 +64,16 @@
 	assert.Assert(t, l.HasContactExcept(2*time.Second, "a"))
 }
 
+// Guards against an instance that asks nobody for a while because the only other one has failed once.
+func TestFailedPeersAreBetterThanNone(t *testing.T) {
+	p := NewPeers(DefaultConfig())
+	p.RecordFailure(time.Minute, "i1", "service")
+	p.RecordFailure(time.Minute, "i2", Everything)
+	good, unknown := p.Select(time.Minute, []string{"i1", "i2"}, "service", "upstream", noShuffle)
+	assert.Equal(t, len(good), 0)
+	assert.DeepEqual(t, unknown, []string{"i1", "i2"})
+}
+
 // Guards against peers that are asked again at once although they cannot reach an upstream, and against
 // peers that are given up for good or for other services.
 func TestFailedPeersAreNotSelectedForAWhile(t *testing.T) {
--- a/relay/client.go
+++ b/relay/client.go
@@ -23,7 +23,7 @@
 // Limits of connections to other instances.
 const (
 	// peerDialTimeout limits the time to open a connection to an instance.
-	peerDialTimeout = dialPatience
+	peerDialTimeout = 2 * dialPatience
 	// peerIdleTimeout is how long an idle connection is kept. It is shorter than the time after which
 	// the other instance closes it.
 	peerIdleTimeout = 2 * time.Second
