Soak: partitioned instances are compared only while another one can help them

A service that nobody reaches is refused, as asked. The check now requires an instance that neither a partition nor another fault touched from 3 s before the request on; its test covers the case.

--- a/soak/partition.go
+++ b/soak/partition.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -166,8 +167,8 @@
 }
 
 // partitionState reports whether a request was sent to a partitioned instance, and whether it counts: at
-// least one instance was partitioned from partitionGrace before the request to its end, and at least one was
-// not.
+// least one instance was partitioned from partitionGrace before the request to its end, and at least one
+// other was not partitioned at all, nor disturbed otherwise, from undisturbedTime before the request on.
 func (l *ledger) partitionState(s *request) (partitioned, during bool) {
 	partitionedInstances := make(map[string]bool)
 	for _, p := range l.partitions {
@@ -178,9 +179,27 @@
 			return false, false // The partition has just begun or ends.
 		}
 	}
-	return partitionedInstances[s.instance], len(partitionedInstances) > 0 && len(partitionedInstances) < l.instances
+	return partitionedInstances[s.instance], len(partitionedInstances) > 0 && l.someInstanceReaches(s)
 }
 
+// someInstanceReaches reports whether an instance was neither partitioned nor disturbed from undisturbedTime
+// before a request to its end.
+func (l *ledger) someInstanceReaches(s *request) bool {
+	for n := range l.instances {
+		name := instanceName(n)
+		partitioned := slices.ContainsFunc(l.partitions, func(p faultPeriod) bool {
+			return p.instance == name && p.start.Before(s.endedAt) && p.end.After(s.sentAt.Add(-undisturbedTime))
+		})
+		if !partitioned && l.undisturbed(name, s.sentAt, s.endedAt) {
+			return true
+		}
+	}
+	return false
+}
+
+// instanceName returns the name of the instance with a number.
+func instanceName(n int) string { return fmt.Sprint("i", n) }
+
 func (l *ledger) addPartition(instance string, start, end time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/soak/run.go
+++ b/soak/run.go
@@ -12,7 +12,6 @@
 	"net/http/httptest"
 	"os"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -133,7 +132,7 @@
 		return err
 	}
 	for n := range r.Instances {
-		if err := r.addInstance("i" + strconv.Itoa(n)); err != nil {
+		if err := r.addInstance(instanceName(n)); err != nil {
 			return err
 		}
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -216,10 +216,10 @@
 	start := time.Now().Add(-time.Minute)
 	record := func(servedByCut, servedByOthers int) *ledger {
 		l := newLedger(2)
-		l.addPartition("cut", start, start.Add(20*time.Second))
+		l.addPartition("i0", start, start.Add(20*time.Second))
 		const requests = 40
 		for n := range requests {
-			for instance, served := range map[string]int{"cut": servedByCut, "other": servedByOthers} {
+			for instance, served := range map[string]int{"i0": servedByCut, "i1": servedByOthers} {
 				s := &request{organisation: unlimitedOrganisation, instance: instance, sentAt: start.Add(partitionGrace + time.Second), status: 503}
 				if n < served {
 					s.status = 200
@@ -235,6 +235,9 @@
 	assert.Equal(t, len(record(30, 40).checkPartitions()), 0, "within the slack")
 	assert.Equal(t, len(record(10, 10).checkPartitions()), 0, "as often as others")
 	l := record(0, 40)
-	l.addFaultPeriod("cut", start.Add(partitionGrace), start.Add(partitionGrace+time.Second))
+	l.addFaultPeriod("i0", start.Add(partitionGrace), start.Add(partitionGrace+time.Second))
 	assert.Equal(t, len(l.checkPartitions()), 0, "the instance was disturbed otherwise")
+	l = record(0, 40)
+	l.addPartition("i1", start.Add(partitionGrace), start.Add(partitionGrace+time.Second))
+	assert.Equal(t, len(l.checkPartitions()), 0, "no instance reached the engines")
 }
