--- a/decision/reach/reach.go
+++ b/decision/reach/reach.go
@@ -137,9 +137,12 @@
 	return s
 }
 
+// sweepsPerRetention is the number of sweeps within Config.Retention.
+const sweepsPerRetention = 4
+
 // sweep forgets the links that are no longer used.
 func (l *Links) sweep(now time.Duration) {
-	if now-l.swept < l.cfg.Retention/4 {
+	if now-l.swept < l.cfg.Retention/sweepsPerRetention {
 		return
 	}
 	l.swept = now
--- a/relay/link.go
+++ b/relay/link.go
@@ -17,7 +17,7 @@
 	// linkCheckTimeout limits the check of a link.
 	linkCheckTimeout = dialPatience + peerCheckTimeout + dialPatience
 	// peerCheckTimeout limits the checks of an upstream by other instances.
-	peerCheckTimeout = 2*checkTimeout - dialPatience/2
+	peerCheckTimeout = 310 * time.Millisecond
 	// maxSpread is the number of other links that are checked when one is found to be cut or restored.
 	maxSpread = 32
 )
--- a/relay/transport.go
+++ b/relay/transport.go
@@ -29,7 +29,7 @@
 	// time within a region is 2 ms.
 	dialPatience = 100 * time.Millisecond
 	// checkTimeout limits a check by another instance, including its connection to the upstream.
-	checkTimeout = dialPatience + 80*time.Millisecond
+	checkTimeout = 180 * time.Millisecond
 	// maxRelayTries is the number of instances that are tried for one request. Nothing was sent by those
 	// that failed.
 	maxRelayTries = 3
