--- a/instance/routed/partition_test.go
+++ b/instance/routed/partition_test.go
@@ -31,13 +31,11 @@
 	runs map[string]int
 }
 
-// linkedInstance is an instance with its links to the engines, by the address of the engine.
+// linkedInstance is an instance with its links to the engines.
 type linkedInstance struct {
 	settings settings.Routed
 	client   *http.Client
-
-	mu    sync.Mutex
-	links map[string]*standin.Link
+	links    *standin.LinkSet
 }
 
 func newPartitionFleet(t *testing.T, size int) *partitionFleet {
@@ -77,8 +75,8 @@
 
 func (f *partitionFleet) addInstance(t *testing.T, name string) {
 	t.Helper()
-	i := &linkedInstance{links: make(map[string]*standin.Link), client: &http.Client{Transport: &http.Transport{}}}
-	view := httptest.NewServer(standin.View{Store: f.store, EngineAddress: i.linkTo})
+	i := &linkedInstance{links: standin.NewLinkSet(), client: &http.Client{Transport: &http.Transport{}}}
+	view := httptest.NewServer(standin.View{Store: f.store, EngineAddress: i.links.EngineAddress})
 	t.Cleanup(view.Close)
 	i.settings = settings.DefaultRouted()
 	i.settings.Instance, i.settings.DataCentre, i.settings.FirstStart = name, "z", true
@@ -96,39 +94,10 @@
 	t.Cleanup(func() {
 		cancel()
 		<-ended
-		i.mu.Lock()
-		defer i.mu.Unlock()
-		for _, link := range i.links {
-			link.Close()
-		}
+		i.links.Close()
 	})
 }
 
-// linkTo returns the address of the instance's link to an engine.
-func (i *linkedInstance) linkTo(_, address string) string {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	link, known := i.links[address]
-	if !known {
-		var err error
-		if link, err = standin.NewLink(address); err != nil {
-			panic(err) // No free port on loopback.
-		}
-		i.links[address] = link
-	}
-	return link.Address()
-}
-
-// onLinks applies a fault to the instance's links to all engines.
-func (i *linkedInstance) onLinks(t *testing.T, apply func(*standin.Link) error) {
-	t.Helper()
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	for _, link := range i.links {
-		assert.NilError(t, apply(link))
-	}
-}
-
 func waitFor(t *testing.T, condition func() bool) {
 	t.Helper()
 	for range 1000 {
@@ -181,16 +150,7 @@
 
 // partitions are the ways in which an instance can lose its links to engines.
 var partitions = map[string]func(*standin.Link) error{
-	"silent": (*standin.Link).Partition,
-	"reset": func(l *standin.Link) error {
-		l.RefuseConnections()
-		l.Reset()
-		return nil
-	},
-	"new connections refused": func(l *standin.Link) error {
-		l.RefuseConnections()
-		return nil
-	},
+	"silent": (*standin.Link).Partition, "reset": (*standin.Link).Sever, "new connections refused": (*standin.Link).RefuseConnections,
 }
 
 // partitionGrace is the time after the start of a partition from which callers must be served.
@@ -208,7 +168,7 @@
 					assert.Equal(t, len(i.sendAll("before", 2)), 0)
 				}
 				for _, i := range f.instances[:cut] {
-					i.onLinks(t, partition)
+					assert.NilError(t, i.links.Partition(partition))
 				}
 				var early sync.WaitGroup
 				for _, i := range f.instances {
@@ -223,7 +183,7 @@
 					}
 				}
 				for _, i := range f.instances[:cut] {
-					i.onLinks(t, (*standin.Link).Heal)
+					assert.NilError(t, i.links.Heal())
 				}
 				for _, i := range f.instances {
 					for _, failure := range i.sendAll("after", 2) {
@@ -254,7 +214,7 @@
 				assert.Equal(t, len(i.sendAll("before", 1)), 0)
 			}
 			for _, i := range f.instances {
-				i.onLinks(t, partition)
+				assert.NilError(t, i.links.Partition(partition))
 			}
 			var early sync.WaitGroup
 			for _, i := range f.instances {
@@ -277,7 +237,7 @@
 			}
 			f.mu.Unlock()
 			for _, i := range f.instances {
-				i.onLinks(t, (*standin.Link).Heal)
+				assert.NilError(t, i.links.Heal())
 			}
 			for _, i := range f.instances {
 				waitFor(t, func() bool { return len(i.sendAll("after", 1)) == 0 })
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -23,7 +23,7 @@
 	// storeProxy is the instance's own proxy for connections to the store.
 	storeProxy *standin.Link
 	// engineLinks are the instance's own links to the engines.
-	engineLinks *engineLinks
+	engineLinks *standin.LinkSet
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
--- a/soak/partition.go
+++ b/soak/partition.go
@@ -9,97 +9,13 @@
 	"github.com/cairnworks/cairnworks/platform/standin"
 )
 
-// engineLinks are an instance's own links to the engines, by the address of the engine.
-type engineLinks struct {
-	mu    sync.Mutex
-	links map[string]*standin.Link
-	// faults is the number of partitions in progress; apply is what the last of them does to a link.
-	faults int
-	apply  func(*standin.Link) error
-}
-
-// address returns the address of the link to an engine.
-func (l *engineLinks) address(_, engine string) string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	link, known := l.links[engine]
-	if !known {
-		link = l.add(engine)
-	}
-	return link.Address()
-}
-
-// add adds the link to an engine. The caller must hold the lock.
-func (l *engineLinks) add(engine string) *standin.Link {
-	link, err := standin.NewLink(engine)
-	if err != nil {
-		panic(fmt.Sprintf("creating a link to %s: %v", engine, err)) // No free port on loopback.
-	}
-	if l.links == nil {
-		l.links = make(map[string]*standin.Link)
-	}
-	l.links[engine] = link
-	if l.faults > 0 {
-		l.applyTo(link)
-	}
-	return link
-}
-
-// applyTo applies the partition in progress to a link.
-func (l *engineLinks) applyTo(link *standin.Link) {
-	if err := l.apply(link); err != nil {
-		panic(fmt.Sprintf("partitioning %s: %v", link.Address(), err))
-	}
-}
-
-// partition cuts all links for some time.
-func (l *engineLinks) partition(apply func(*standin.Link) error, duration time.Duration) {
-	l.mu.Lock()
-	l.faults++
-	l.apply = apply
-	for _, link := range l.links {
-		l.applyTo(link)
-	}
-	l.mu.Unlock()
-	time.Sleep(duration)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.faults--; l.faults > 0 {
-		return
-	}
-	for _, link := range l.links {
-		if err := link.Heal(); err != nil {
-			panic(fmt.Sprintf("healing %s: %v", link.Address(), err))
-		}
-	}
-}
-
-func (l *engineLinks) close() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, link := range l.links {
-		link.Close()
-	}
-}
-
 // partitionKinds cut the links of instances to all engines. They are drawn separately, like delayKinds.
 var partitionKinds = []faultKind{
 	{"engines silent", 2, func(r *run, f fault) { r.partition(f, 1, (*standin.Link).Partition) }},
-	{"engines reset", 2, func(r *run, f fault) { r.partition(f, 1, resetLink) }},
-	{"engines refuse", 1, func(r *run, f fault) { r.partition(f, 1, refuseOnLink) }},
+	{"engines reset", 2, func(r *run, f fault) { r.partition(f, 1, (*standin.Link).Sever) }},
+	{"engines refuse", 1, func(r *run, f fault) { r.partition(f, 1, (*standin.Link).RefuseConnections) }},
 	{"engines silent for most", 1, func(r *run, f fault) { r.partition(f, len(r.instances)-1, (*standin.Link).Partition) }},
-	{"engines reset for most", 1, func(r *run, f fault) { r.partition(f, len(r.instances)-1, resetLink) }},
-}
-
-func resetLink(l *standin.Link) error {
-	l.RefuseConnections()
-	l.Reset()
-	return nil
-}
-
-func refuseOnLink(l *standin.Link) error {
-	l.RefuseConnections()
-	return nil
+	{"engines reset for most", 1, func(r *run, f fault) { r.partition(f, len(r.instances)-1, (*standin.Link).Sever) }},
 }
 
 const (
@@ -110,19 +26,28 @@
 )
 
 // partition cuts the links of some instances to all engines.
-func (r *run) partition(f fault, count int, apply func(*standin.Link) error) {
+func (r *run) partition(f fault, count int, cutLink func(*standin.Link) error) {
 	var cut sync.WaitGroup
 	for n := range max(count, 1) {
 		i := r.instances[(f.Target+n)%len(r.instances)]
 		cut.Go(func() {
 			start := time.Now()
-			i.engineLinks.partition(apply, minPartition+f.Duration)
+			must(i.engineLinks.Partition(cutLink))
+			time.Sleep(minPartition + f.Duration)
+			must(i.engineLinks.Heal())
 			r.ledger.addPartition(i.name, start, time.Now())
 		})
 	}
 	cut.Wait()
 }
 
+// must panics if a link cannot be partitioned or healed, which ends the run.
+func must(err error) {
+	if err != nil {
+		panic(fmt.Sprintf("partitioning links: %v", err))
+	}
+}
+
 // Bounds on the requests at partitioned instances, from partitionGrace after the start of a partition on:
 // they must be served partitionShare times as often as those at other instances at the same time, unless at
 // most partitionSlack and one in partitionSlackShare of them are not served.
--- a/soak/run.go
+++ b/soak/run.go
@@ -142,11 +142,11 @@
 // addInstance prepares an instance with its own view of the store, which gives the addresses of
 // relays in place of those of other instances.
 func (r *run) addInstance(name string) error {
-	links := &engineLinks{}
-	server := httptest.NewServer(standin.View{Store: r.store, EngineAddress: links.address, Address: func(other, address string) string {
+	links := standin.NewLinkSet()
+	server := httptest.NewServer(standin.View{Store: r.store, EngineAddress: links.EngineAddress, Address: func(other, address string) string {
 		return r.relays.address(name, other, address)
 	}})
-	r.cleanups = append(r.cleanups, links.close, server.Close)
+	r.cleanups = append(r.cleanups, links.Close, server.Close)
 	i, err := newInstance(name, server.Listener.Addr().String(), true)
 	if err != nil {
 		return err
