Answers: carry whether the upstream states where its answer ends; log and count it

On-call could not tell an answer that the upstream had framed from one that merely ended with its connection: `answered` lines and the counter of answers looked the same for both, and the relay passed on the length only, which is -1 for chunks as for no frame at all.

`answered` and `answer broken off` have end_stated, and cairnworks_answer_ends counts ends by stated, not_stated and broken_off. A relaying instance of the earlier version does not send the field; its answers without a length then count as not stated. What is sent to callers does not change here.

--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -40,6 +40,8 @@
 	index   *object.Index
 	// upstream is the ID of the upstream the request was last sent to.
 	upstream string
+	// endStated is set if that upstream states where its answer ends.
+	endStated bool
 	// charge is the number of tokens charged to the organisation's quota.
 	charge int64
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -85,6 +85,9 @@
 	Body   io.ReadCloser
 	// Length is the content length, or -1 if unknown.
 	Length int64
+	// EndStated is set if the upstream states where the body ends. Otherwise the end of Body may be that of
+	// an answer that was broken off.
+	EndStated bool
 }
 
 // Upstreams sends requests to upstreams. Each method makes a single attempt at one upstream,
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -78,7 +78,7 @@
 		case 2:
 			return newAnswer(http.StatusOK, "ok")
 		case 3:
-			return &Answer{Status: http.StatusOK, Body: &truncatedBody{"ha"}, Length: 4}, nil
+			return &Answer{Status: http.StatusOK, Body: &truncatedBody{"ha"}, Length: 4, EndStated: true}, nil
 		case 4:
 			return newAnswer(http.StatusOK, "ok")
 		default:
--- a/gateway/helpers_test.go
+++ b/gateway/helpers_test.go
@@ -105,7 +105,7 @@
 }
 
 func newAnswer(status int, body string) (*Answer, error) {
-	return &Answer{Status: status, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(body)), Length: int64(len(body))}, nil
+	return &Answer{Status: status, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(body)), Length: int64(len(body)), EndStated: true}, nil
 }
 
 // truncatedBody is a body that ends early.
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -153,6 +153,7 @@
 		Source: source, Reservation: target.reservation, LastEventID: after, Priority: r.admitted.call.priority,
 	})
 	if err == nil {
+		r.admitted.endStated = answer.EndStated
 		g.Metrics.RecordStageDuration("transfer", r.admitted.service.Name, time.Since(started))
 		g.outliers.recordSuccess(target.entry)
 		return answer, nil
--- a/gateway/model_test.go
+++ b/gateway/model_test.go
@@ -48,7 +48,7 @@
 	gw := newTestGateway(t)
 	gw.run = func(_ context.Context, _ upstream.Entry, _ *Call, o RunOptions) (*Answer, error) {
 		if len(gw.sends)%2 == 1 {
-			return &Answer{Status: http.StatusOK, Body: &truncatedBody{events(1, 3) + "id: 4\nda"}, Length: -1}, nil
+			return &Answer{Status: http.StatusOK, Body: &truncatedBody{events(1, 3) + "id: 4\nda"}, Length: -1, EndStated: true}, nil
 		}
 		assert.Equal(t, o.LastEventID, "3")
 		return newAnswer(http.StatusOK, events(4, 6))
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -16,6 +16,7 @@
 	"github.com/cairnworks/cairnworks/boottime"
 	"github.com/cairnworks/cairnworks/decision/room"
 	"github.com/cairnworks/cairnworks/fleet"
+	"github.com/cairnworks/cairnworks/observe"
 	"github.com/cairnworks/cairnworks/upstream"
 	"github.com/cairnworks/cairnworks/verdict"
 )
@@ -244,6 +245,7 @@
 		r.recordFailure(ctx, entry, v)
 		return nil, v
 	}
+	a.endStated = answer.EndStated
 	buffered, err := bufferAnswer(answer)
 	if err != nil {
 		v := verdict.Fail(verdict.MayHaveRun, verdict.ReasonTruncated, err, "the upstream's answer was truncated")
@@ -392,10 +394,18 @@
 func (g *Gateway) recordEnd(a *admittedCall, status int, err error) {
 	took := time.Since(a.call.Arrived)
 	if err != nil && !errors.Is(err, context.Canceled) {
-		g.log.Info("answer broken off", zap.String("request", a.call.ID), zap.Int("status", status), zap.Duration("took", took), zap.Error(err))
+		g.Metrics.CountAnswerEnd(a.service.Name, observe.EndBrokenOff)
+		g.log.Info("answer broken off", zap.String("request", a.call.ID), zap.String("upstream", a.upstream), zap.Int("status", status),
+			zap.Bool("end_stated", a.endStated), zap.Duration("took", took), zap.Error(err))
 		return
 	}
+	end := observe.EndNotStated
+	if a.endStated {
+		end = observe.EndStated
+	}
+	g.Metrics.CountAnswerEnd(a.service.Name, end)
 	g.Metrics.RecordStageDuration("answer", a.service.Name, took)
 	g.Metrics.CountAnswer(a.service.Name, status)
-	g.log.Info("answered", zap.String("request", a.call.ID), zap.String("upstream", a.upstream), zap.Int("status", status), zap.Duration("took", took))
+	g.log.Info("answered", zap.String("request", a.call.ID), zap.String("upstream", a.upstream), zap.Int("status", status),
+		zap.Bool("end_stated", a.endStated), zap.Duration("took", took))
 }
--- a/httpconn/exchange.go
+++ b/httpconn/exchange.go
@@ -62,6 +62,9 @@
 	Body   io.ReadCloser
 	// Length is the length of the body, or -1 if it is not known in advance.
 	Length int64
+	// EndStated is set if the upstream states where the body ends, by a length or by chunks. Otherwise the
+	// body ends with the connection, also if the upstream ends early.
+	EndStated bool
 }
 
 // Error is a failed exchange.
@@ -213,10 +216,15 @@
 	idle := idleTime(resp)
 	return &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
-		Body: &body{exchange: x, src: resp.Body, idle: idle},
+		Body: &body{exchange: x, src: resp.Body, idle: idle}, EndStated: endStated(resp),
 	}
 }
 
+// endStated reports whether a response has a length, is chunked or cannot have a body.
+func endStated(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Body == http.NoBody
+}
+
 // idleTime returns how long the connection may be idle after the response; 0 means
 // that it must not be reused.
 func idleTime(resp *http.Response) time.Duration {
--- a/httpconn/httpconn_test.go
+++ b/httpconn/httpconn_test.go
@@ -226,6 +226,28 @@
 	assert.Assert(t, err != nil)
 }
 
+// Guards against an answer whose end was not stated and that nobody can tell from one whose end was.
+func TestStatedEndIsKnown(t *testing.T) {
+	for head, stated := range map[string]bool{
+		"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc":                            true,
+		"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n":                               true,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n": true,
+		"HTTP/1.1 204 No Content\r\n\r\n":                                            true,
+		"HTTP/1.1 200 OK\r\n\r\nabc":                                                 false,
+		"HTTP/1.0 200 OK\r\n\r\nabc":                                                 false,
+		"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n":                               false,
+	} {
+		address, _ := serve(t, func(c net.Conn, _ *bufio.Reader, _ int32) {
+			_, _ = io.WriteString(c, head)
+			_ = c.Close()
+		})
+		resp, err := NewPool().Do(t.Context(), address, newGet("1"))
+		assert.NilError(t, err)
+		assert.Equal(t, resp.EndStated, stated, head)
+		readBody(t, resp)
+	}
+}
+
 // Guards against reusing a connection whose upstream responded before reading the
 // whole body: it would read the next request as the rest of that body.
 func TestEarlyResponseClosesConnection(t *testing.T) {
--- a/observe/metrics.go
+++ b/observe/metrics.go
@@ -100,6 +100,19 @@
 	m.Scope.Tagged(map[string]string{"service": service, "status": strconv.Itoa(status)}).Counter("answers").Inc(1)
 }
 
+// Ends of answers for CountAnswerEnd.
+const (
+	EndStated    = "stated"
+	EndNotStated = "not_stated"
+	EndBrokenOff = "broken_off"
+)
+
+// CountAnswerEnd counts an upstream's answer that was forwarded, by whether the upstream stated where it
+// ends, or whether it was broken off.
+func (m *Metrics) CountAnswerEnd(service, end string) {
+	m.Scope.Tagged(map[string]string{"service": service, "end": end}).Counter("answer_ends").Inc(1)
+}
+
 // CountQuotaDecision counts a decision on an organisation's quota: "admitted", "refused", or
 // "unanswered" if no home of the quota answered.
 func (m *Metrics) CountQuotaDecision(decision string) {
--- a/relay/client.go
+++ b/relay/client.go
@@ -95,7 +95,7 @@
 	case *relayv1.SendResponse_Head:
 		return &httpconn.Response{
 			Status: int(part.Head.Status), Header: unmarshalHeader(part.Head.Headers), Length: part.Head.Length,
-			Body: &body{stream: stream, cancel: cancel},
+			Body: &body{stream: stream, cancel: cancel}, EndStated: part.Head.EndStated,
 		}, nil
 	default:
 		cancel()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -188,6 +188,27 @@
 	}
 }
 
+// Guards against an answer without a stated end that another instance passes on as one with such an end.
+func TestRelayedAnswerSaysWhetherItsEndIsStated(t *testing.T) {
+	for _, stated := range []bool{false, true} {
+		nodes := newNodes(t, 2, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if !stated {
+				w.Header().Set("Transfer-Encoding", "identity")
+			}
+			_, _ = io.WriteString(w, "part")
+			w.(http.Flusher).Flush()
+		}))
+		nodes[0].partition(t, false)
+		resp, err := nodes[0].Do(t.Context(), nodes[0].entries[0], newRequest("1"))
+		assert.NilError(t, err)
+		assert.Equal(t, resp.EndStated, stated)
+		body, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, string(body), "part")
+		assert.NilError(t, resp.Body.Close())
+	}
+}
+
 // Guards against upstreams that work on for a caller that has left, on the way over another instance.
 func TestEndOfRelayedRequestReachesTheUpstream(t *testing.T) {
 	for _, stage := range []string{"waiting", "reading"} {
--- a/relay/server.go
+++ b/relay/server.go
@@ -183,7 +183,7 @@
 
 // copyResponse sends a response as it arrives. A response that ends early ends the call with an error.
 func (s *server) copyResponse(stream *connect.ServerStream[relayv1.SendResponse], resp *httpconn.Response) error {
-	head := &relayv1.Head{Status: uint32(resp.Status), Headers: marshalHeader(resp.Header), Length: resp.Length}
+	head := &relayv1.Head{Status: uint32(resp.Status), Headers: marshalHeader(resp.Header), Length: resp.Length, EndStated: resp.EndStated}
 	if err := stream.Send(&relayv1.SendResponse{Part: &relayv1.SendResponse_Head{Head: head}, ClockUs: s.transport.now().Microseconds()}); err != nil {
 		return err
 	}
