--- a/instance/routed/partition_test.go
+++ b/instance/routed/partition_test.go
@@ -127,7 +127,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return resp.StatusCode, fmt.Errorf("status %d: %s", resp.StatusCode, body)
 	}
-	if string(body) != standin.Answer(id, kind == standin.Draft) || resp.Header.Get("X-Response-Signature") != standin.Signature(id) {
+	if string(body) != standin.Answer(id, kind.Streamed()) || resp.Header.Get("X-Response-Signature") != standin.Signature(id) {
 		return resp.StatusCode, fmt.Errorf("wrong answer to %s: %q", id, body)
 	}
 	return resp.StatusCode, nil
