Streams: one that ends inside an event is broken off, also without a frame

Cause: an answer without a length or chunks ends with its connection, and EOF was taken as the statement that it had ended. On the way to the caller we added the statement that the engine had not made: the end of the chunks for a stream, a Content-Length for a plain answer. The class is a belief that the end of a transport is the end of a message.

Change: decision/eventstream finds the ends of events, with LF, CR and CRLF. A stream of events that ends inside one, or without a stated end before the first, is truncated: it is resumed where the route allows that, or the caller's connection is aborted inside the chunks; the crash check runs, no length is learnt, and the engine's ejection and the request's crashes are forgotten only after a whole answer, no longer at its headers. The status and headers are sent with the first bytes, so an answer that broke off before them can be replaced. CRLF streams on resumable routes were collected to their end; they are forwarded by event. A plain answer that was read to an end nobody stated is handed on without a length: the caller's connection ends with it. A stream stays in chunks, since only these show a break of ours or of the engine.

Why it works: EOF ends an answer only if its end is stated by the frame or, for a stream, by its events.

--- a/gateway/model.go
+++ b/gateway/model.go
@@ -132,6 +132,9 @@
 	started := time.Now()
 	v = out.copy(answer)
 	g.Metrics.RecordStageDuration("decode", r.admitted.service.Name, time.Since(started))
+	if v == nil {
+		g.outliers.recordSuccess(target.entry)
+	}
 	if v == nil && answer.Status == http.StatusOK {
 		g.crashes.recordSuccess(r.admitted.call)
 		r.dispatcher.recordCompletion(r.admitted.call, out.events*r.dispatcher.settings().EventTokens, r.claimedTokens, time.Since(placed))
@@ -155,7 +158,6 @@
 	if err == nil {
 		r.admitted.endStated = answer.EndStated
 		g.Metrics.RecordStageDuration("transfer", r.admitted.service.Name, time.Since(started))
-		g.outliers.recordSuccess(target.entry)
 		return answer, nil
 	}
 	v := verdict.From(err)
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -144,6 +144,8 @@
 	rest io.ReadCloser
 	// length is the content length stated by the upstream, or -1.
 	length int64
+	// endStated is set if the upstream stated where the body ends.
+	endStated bool
 }
 
 // execute makes attempts until there is an answer to forward.
@@ -348,7 +350,7 @@
 
 // bufferAnswer reads an answer up to maxBufferedAnswer bytes.
 func bufferAnswer(answer *Answer) (*bufferedAnswer, error) {
-	buffered := &bufferedAnswer{status: answer.Status, header: answer.Header, length: answer.Length}
+	buffered := &bufferedAnswer{status: answer.Status, header: answer.Header, length: answer.Length, endStated: answer.EndStated}
 	var buffer bytes.Buffer
 	n, err := io.Copy(&buffer, io.LimitReader(answer.Body, maxBufferedAnswer))
 	if err != nil {
@@ -370,9 +372,14 @@
 // writeAnswer forwards an answer to the caller.
 func (g *Gateway) writeAnswer(w http.ResponseWriter, a *admittedCall, buffered *bufferedAnswer) {
 	copyHeader(w.Header(), &Answer{Header: buffered.header})
-	if buffered.rest == nil {
+	switch {
+	case buffered.rest == nil && buffered.endStated:
 		w.Header().Set("Content-Length", strconv.Itoa(len(buffered.body)))
-	} else if buffered.length >= 0 {
+	case buffered.rest == nil:
+		// The upstream did not state where the body ends, so the caller is not told either: the body
+		// ends with the connection. net/http then sends neither a length nor chunks.
+		w.Header().Set("Transfer-Encoding", "identity")
+	case buffered.length >= 0:
 		w.Header().Set("Content-Length", strconv.FormatInt(buffered.length, 10))
 	}
 	w.WriteHeader(buffered.status)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -1,15 +1,16 @@
 package gateway
 
 import (
-	"bytes"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/cairnworks/cairnworks/decision/eventstream"
 	"github.com/cairnworks/cairnworks/verdict"
 )
 
@@ -35,29 +36,26 @@
 	status  int
 	// lastID is the ID of the last forwarded event.
 	lastID string
+	// answer is the engine's answer that is being forwarded, and scanner its events so far.
+	answer  *Answer
+	scanner eventstream.Scanner
 	// partial holds the bytes of an incomplete event.
 	partial []byte
-	// events is the number of forwarded events; onEvents, if set, is called when it grows.
+	// events is the number of events of all engines' answers; onEvents, if set, is called when it grows.
 	events   int
 	onEvents func(events int)
-	// afterNewline is set if the last byte was a newline.
-	afterNewline bool
 }
 
-// count counts the events that end within data.
-func (s *stream) count(data []byte) {
-	before := s.events
-	for _, b := range data {
-		ends := b == '\n'
-		if ends && s.afterNewline {
-			s.events++
-			ends = false
-		}
-		s.afterNewline = ends
-	}
-	if s.events > before && s.onEvents != nil {
+// scan follows the events in data. It returns the number of bytes up to the end of the last one.
+func (s *stream) scan(data []byte) int {
+	before := s.scanner.Events()
+	end := s.scanner.Scan(data)
+	ended := s.scanner.Events() - before
+	s.events += ended
+	if ended > 0 && s.onEvents != nil {
 		s.onEvents(s.events)
 	}
+	return end
 }
 
 // resumable reports whether another engine can continue the stream.
@@ -74,19 +72,17 @@
 	if s.started && answer.Status != http.StatusOK {
 		return verdict.Fail(verdict.HasRun, verdict.ReasonUpstreamRefused, nil, "the engine that was to resume the stream answered %d", answer.Status)
 	}
-	s.writeHeader(answer)
-	s.partial = s.partial[:0]
+	s.answer, s.scanner, s.partial = answer, eventstream.Scanner{}, s.partial[:0]
 	buffer := make([]byte, streamBufferBytes)
 	for {
 		n, err := answer.Body.Read(buffer)
 		if n > 0 {
-			s.count(buffer[:n])
 			if failed := s.write(buffer[:n]); failed != nil {
 				return verdict.Fail(verdict.HasRun, verdict.ReasonCancelled, failed, "the caller disconnected")
 			}
 		}
 		if err == io.EOF {
-			return s.flushRest()
+			return s.finish()
 		}
 		if err != nil {
 			return verdict.Fail(verdict.HasRun, verdict.ReasonTruncated, err, "the engine's stream was cut off")
@@ -94,6 +90,36 @@
 	}
 }
 
+// errInsideEvent is the error of a stream that ended inside an event or before the first one.
+var errInsideEvent = errors.New("the stream ended inside an event")
+
+// finish ends an answer whose body has ended. A connection that an engine closes within a stream without a
+// length or chunks looks like the end of the stream, but a stream ends after an event.
+func (s *stream) finish() *verdict.Verdict {
+	if s.isEventStream() && (s.scanner.InEvent() || !s.answer.EndStated && s.scanner.Events() == 0) {
+		return verdict.Fail(verdict.HasRun, verdict.ReasonTruncated, errInsideEvent, "the engine's stream was cut off")
+	}
+	rest := s.partial
+	s.partial = nil
+	if s.started && len(rest) == 0 {
+		return nil
+	}
+	if err := s.flush(rest); err != nil {
+		return verdict.Fail(verdict.HasRun, verdict.ReasonCancelled, err, "the caller disconnected")
+	}
+	return nil
+}
+
+// isEventStream reports whether the answer consists of events. Without a type, that is assumed if its end is
+// not stated.
+func (s *stream) isEventStream() bool {
+	mediaType, _, err := mime.ParseMediaType(s.answer.Header.Get("Content-Type"))
+	if err != nil {
+		return !s.answer.EndStated
+	}
+	return mediaType == "text/event-stream"
+}
+
 // copyErrorAnswer forwards an engine's error response as a whole.
 func (s *stream) copyErrorAnswer(answer *Answer) *verdict.Verdict {
 	buffered, err := bufferAnswer(answer)
@@ -105,67 +131,42 @@
 	return nil
 }
 
-// writeHeader sends the status and headers of the first engine's answer.
-func (s *stream) writeHeader(answer *Answer) {
+// writeHeader sends the status and headers of the first engine's answer. They are sent with the first
+// bytes of the body: until then, another engine's answer can take the place of one that is broken off.
+func (s *stream) writeHeader() {
 	if s.started {
 		return
 	}
-	s.started, s.status = true, answer.Status
+	s.started, s.status = true, s.answer.Status
 	s.gateway.Metrics.RecordStageDuration("first_byte", s.admitted.service.Name, time.Since(s.admitted.call.Arrived))
-	copyHeader(s.w.Header(), answer)
-	if answer.Length >= 0 && !s.admitted.route.Resumable {
-		s.w.Header().Set("Content-Length", strconv.FormatInt(answer.Length, 10))
+	copyHeader(s.w.Header(), s.answer)
+	if s.answer.Length >= 0 && !s.admitted.route.Resumable {
+		s.w.Header().Set("Content-Length", strconv.FormatInt(s.answer.Length, 10))
 	}
-	s.w.WriteHeader(answer.Status)
+	s.w.WriteHeader(s.answer.Status)
 }
 
-var eventEnd = []byte("\n\n")
-
 // write forwards data immediately, or by complete events on resumable routes.
 func (s *stream) write(data []byte) error {
+	end := s.scan(data)
 	if !s.admitted.route.Resumable {
 		return s.flush(data)
 	}
-	s.partial = append(s.partial, data...)
-	at := bytes.LastIndex(s.partial, eventEnd)
-	if at < 0 {
+	if end == 0 {
+		s.partial = append(s.partial, data...)
 		if len(s.partial) > maxEventBytes {
 			return errors.New("event too large")
 		}
 		return nil
 	}
-	complete := s.partial[:at+len(eventEnd)]
+	complete := append(s.partial, data[:end]...)
 	if err := s.flush(complete); err != nil {
 		return err
 	}
-	s.rememberLastID(complete)
-	s.partial = append(s.partial[:0], s.partial[at+len(eventEnd):]...)
-	return nil
-}
-
-// rememberLastID stores the ID of the last event in events.
-func (s *stream) rememberLastID(events []byte) {
-	at := bytes.LastIndex(events, []byte("id:"))
-	for at > 0 && events[at-1] != '\n' {
-		at = bytes.LastIndex(events[:at], []byte("id:"))
-	}
-	if at < 0 {
-		return
-	}
-	line, _, _ := bytes.Cut(events[at+len("id:"):], []byte("\n"))
-	s.lastID = string(bytes.TrimSpace(line))
-}
-
-// flushRest forwards the bytes after the last complete event when the stream has ended.
-func (s *stream) flushRest() *verdict.Verdict {
-	if len(s.partial) == 0 {
-		return nil
-	}
-	rest := s.partial
-	s.partial = nil
-	if err := s.flush(rest); err != nil {
-		return verdict.Fail(verdict.HasRun, verdict.ReasonCancelled, err, "the caller disconnected")
+	if id, ok := eventstream.LastID(complete); ok {
+		s.lastID = id
 	}
+	s.partial = append(s.partial[:0], data[end:]...)
 	return nil
 }
 
@@ -179,7 +180,9 @@
 	}
 }
 
+// flush sends data to the caller, after the status and headers.
 func (s *stream) flush(data []byte) error {
+	s.writeHeader()
 	control := http.NewResponseController(s.w)
 	if err := control.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return err
