Plain answers: those larger than the buffer are forwarded whole

What callers saw: none reported it; found while looking for other places where an answer's end is taken for granted. Every plain answer over 256 kB was broken off at the buffer or some megabytes later (5 of 5 answers of 5 MB against a running instance): 200, its length, and an aborted connection.

Cause: the context of an attempt ended when the attempt returned, with the rest of the answer unread, and the connection with it. The success was recorded before the rest was read, so a rest that broke off counted as one.

Change: the rest of an answer owns the attempt: its context, its claim at the upstream and its outcome end when the rest is closed. A failure that is not forwarded is closed. plain.go is split by job.

--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -1,13 +1,10 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"math"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -16,7 +13,6 @@
 	"github.com/cairnworks/cairnworks/boottime"
 	"github.com/cairnworks/cairnworks/decision/room"
 	"github.com/cairnworks/cairnworks/fleet"
-	"github.com/cairnworks/cairnworks/observe"
 	"github.com/cairnworks/cairnworks/upstream"
 	"github.com/cairnworks/cairnworks/verdict"
 )
@@ -41,10 +37,6 @@
 	// attemptObjectives is the number of objectives after which an attempt's answer is considered
 	// lost.
 	attemptObjectives = 4
-	// maxBufferedAnswer is the number of bytes of an answer that are buffered before any are
-	// forwarded. An answer that is cut off within them can still be replaced by an error response
-	// or retried.
-	maxBufferedAnswer = 256 << 10
 )
 
 // plainPools holds the upstream pools of plain services, by service.
@@ -135,27 +127,15 @@
 	lastFailure *bufferedAnswer
 }
 
-// bufferedAnswer is an answer that was read completely or up to maxBufferedAnswer.
-type bufferedAnswer struct {
-	status int
-	header http.Header
-	body   []byte
-	// rest is the unread remainder of an answer larger than maxBufferedAnswer.
-	rest io.ReadCloser
-	// length is the content length stated by the upstream, or -1.
-	length int64
-	// endStated is set if the upstream stated where the body ends.
-	endStated bool
-}
-
 // execute makes attempts until there is an answer to forward.
 func (r *plainRun) execute(ctx context.Context) (*bufferedAnswer, *verdict.Verdict) {
 	for {
 		buffered, v := r.attempt(ctx)
-		if v == nil && !r.isRetryableFailure(buffered) {
-			return buffered, nil
-		}
 		if v == nil {
+			r.lastFailure.discard()
+			if !r.isRetryableFailure(buffered) {
+				return buffered, nil
+			}
 			r.lastFailure = buffered
 		}
 		retry := r.mayRetry(ctx, v)
@@ -222,15 +202,43 @@
 		return nil, v
 	}
 	g.triggerReport()
-	defer r.pool.release(entry.ID, 0)
 	r.tried[entry.ID] = true
 	a.upstream = entry.ID
 	if v := g.checkStillAllowed(a); v != nil {
+		r.pool.release(entry.ID, 0)
 		return nil, v
 	}
 	r.sends++
 	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
+	end := func() {
+		cancel(nil)
+		r.pool.release(entry.ID, 0)
+	}
+	buffered, v := r.send(ctx, cancel, entry)
+	if v != nil {
+		r.recordFailure(ctx, entry, v)
+		end()
+		return nil, v
+	}
+	if buffered.rest == nil {
+		r.recordSuccess(entry)
+		end()
+		return buffered, nil
+	}
+	buffered.rest.end = func(whole bool, err error) {
+		if whole {
+			r.recordSuccess(entry)
+		} else if err != nil {
+			r.recordFailure(ctx, entry, truncated(err))
+		}
+		end()
+	}
+	return buffered, nil
+}
+
+// send sends the request to an upstream and reads its answer up to maxBufferedAnswer bytes. cancel must end ctx.
+func (r *plainRun) send(ctx context.Context, cancel context.CancelCauseFunc, entry upstream.Entry) (*bufferedAnswer, *verdict.Verdict) {
+	g, a := r.gateway, r.admitted
 	timer := time.AfterFunc(r.attemptTimeout(time.Now()), func() {
 		if r.attemptsLeft() && g.retryBudgets.tryRetry(a.service.Name) {
 			r.budgetTaken = true
@@ -244,21 +252,27 @@
 		if context.Cause(ctx) == errAttemptTimeout {
 			v.Reason = verdict.ReasonTimeout
 		}
-		r.recordFailure(ctx, entry, v)
 		return nil, v
 	}
 	a.endStated = answer.EndStated
 	buffered, err := bufferAnswer(answer)
 	if err != nil {
-		v := verdict.Fail(verdict.MayHaveRun, verdict.ReasonTruncated, err, "the upstream's answer was truncated")
-		r.recordFailure(ctx, entry, v)
-		return nil, v
+		return nil, truncated(err)
 	}
-	g.outliers.recordSuccess(entry)
-	g.crashes.recordSuccess(a.call)
 	return buffered, nil
 }
 
+// truncated returns the verdict of an answer that ended early.
+func truncated(cause error) *verdict.Verdict {
+	return verdict.Fail(verdict.MayHaveRun, verdict.ReasonTruncated, cause, "the upstream's answer was truncated")
+}
+
+// recordSuccess records an answer that was read to its end.
+func (r *plainRun) recordSuccess(entry upstream.Entry) {
+	r.gateway.outliers.recordSuccess(entry)
+	r.gateway.crashes.recordSuccess(r.admitted.call)
+}
+
 // errAttemptTimeout cancels an attempt so that the request can be sent to another upstream.
 var errAttemptTimeout = errors.New("attempt timed out; another upstream is tried")
 
@@ -347,72 +361,3 @@
 	}
 	return upstream.Entry{}, verdict.Refuse(verdict.ReasonNoUpstream, 0, "no upstream of %s has capacity", r.admitted.service.Name)
 }
-
-// bufferAnswer reads an answer up to maxBufferedAnswer bytes.
-func bufferAnswer(answer *Answer) (*bufferedAnswer, error) {
-	buffered := &bufferedAnswer{status: answer.Status, header: answer.Header, length: answer.Length, endStated: answer.EndStated}
-	var buffer bytes.Buffer
-	n, err := io.Copy(&buffer, io.LimitReader(answer.Body, maxBufferedAnswer))
-	if err != nil {
-		_ = answer.Body.Close()
-		return nil, err
-	}
-	buffered.body = buffer.Bytes()
-	if n == maxBufferedAnswer {
-		buffered.rest = answer.Body
-		return buffered, nil
-	}
-	// Reading to EOF lets the connection be reused.
-	if _, err := io.Copy(io.Discard, answer.Body); err != nil {
-		return nil, err
-	}
-	return buffered, answer.Body.Close()
-}
-
-// writeAnswer forwards an answer to the caller.
-func (g *Gateway) writeAnswer(w http.ResponseWriter, a *admittedCall, buffered *bufferedAnswer) {
-	copyHeader(w.Header(), &Answer{Header: buffered.header})
-	switch {
-	case buffered.rest == nil && buffered.endStated:
-		w.Header().Set("Content-Length", strconv.Itoa(len(buffered.body)))
-	case buffered.rest == nil:
-		// The upstream did not state where the body ends, so the caller is not told either: the body
-		// ends with the connection. net/http then sends neither a length nor chunks.
-		w.Header().Set("Transfer-Encoding", "identity")
-	case buffered.length >= 0:
-		w.Header().Set("Content-Length", strconv.FormatInt(buffered.length, 10))
-	}
-	w.WriteHeader(buffered.status)
-	_, err := w.Write(buffered.body)
-	if err == nil && buffered.rest != nil {
-		_, err = io.Copy(w, buffered.rest)
-	}
-	if buffered.rest != nil {
-		_ = buffered.rest.Close()
-	}
-	g.recordEnd(a, buffered.status, err)
-	if err != nil {
-		// Abort the connection so that a truncated answer does not look complete.
-		panic(http.ErrAbortHandler)
-	}
-}
-
-// recordEnd logs and counts a request that was answered by an upstream.
-func (g *Gateway) recordEnd(a *admittedCall, status int, err error) {
-	took := time.Since(a.call.Arrived)
-	if err != nil && !errors.Is(err, context.Canceled) {
-		g.Metrics.CountAnswerEnd(a.service.Name, observe.EndBrokenOff)
-		g.log.Info("answer broken off", zap.String("request", a.call.ID), zap.String("upstream", a.upstream), zap.Int("status", status),
-			zap.Bool("end_stated", a.endStated), zap.Duration("took", took), zap.Error(err))
-		return
-	}
-	end := observe.EndNotStated
-	if a.endStated {
-		end = observe.EndStated
-	}
-	g.Metrics.CountAnswerEnd(a.service.Name, end)
-	g.Metrics.RecordStageDuration("answer", a.service.Name, took)
-	g.Metrics.CountAnswer(a.service.Name, status)
-	g.log.Info("answered", zap.String("request", a.call.ID), zap.String("upstream", a.upstream), zap.Int("status", status),
-		zap.Bool("end_stated", a.endStated), zap.Duration("took", took))
-}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -124,7 +124,7 @@
 func (s *stream) copyErrorAnswer(answer *Answer) *verdict.Verdict {
 	buffered, err := bufferAnswer(answer)
 	if err != nil {
-		return verdict.Fail(verdict.MayHaveRun, verdict.ReasonTruncated, err, "the engine's answer was truncated")
+		return truncated(err)
 	}
 	s.started, s.status = true, buffered.status
 	s.gateway.writeAnswer(s.w, s.admitted, buffered)
