Own interface: plain answers carry whether their end was stated

The same belief at our own interface: an answer of a plain service that ended with its connection got a Content-Length from us. ServiceResponse and PlainAnswer carry EndStated, and such an answer is handed on without a length; the caller's connection ends with it. Frames of decode streams have their own terminator and were not affected. An answer that is replayed by its idempotency key still has a length: the record does not say how the answer ended.

--- a/caller/plain.go
+++ b/caller/plain.go
@@ -102,6 +102,10 @@
 	if answer.Replayed {
 		header.Set("Idempotency-Replayed", "true")
 	}
+	if !answer.EndStated {
+		// The body ends with the connection, as the service's did. net/http adds no length or chunks then.
+		header.Set("Transfer-Encoding", "identity")
+	}
 	x.w.WriteHeader(answer.Status)
 	_, err := x.w.Write(answer.Body)
 	return wrapWriteError(err)
--- a/caller/server_test.go
+++ b/caller/server_test.go
@@ -29,6 +29,8 @@
 	fail   error
 	tokens []string
 	plain  route.PlainCall
+	// endNotStated is set if the service does not state the end of its answers.
+	endNotStated bool
 }
 
 func (f *fakeBackend) Admit(_ context.Context, organisation string, cost uint64) (route.Charge, error) {
@@ -51,7 +53,7 @@
 
 func (f fakePlain) Run(_ context.Context, call route.PlainCall) (route.PlainAnswer, error) {
 	f.plain = call
-	return route.PlainAnswer{Status: http.StatusTeapot, ContentType: "text/plain", Body: []byte("leaf")}, f.fail
+	return route.PlainAnswer{Status: http.StatusTeapot, ContentType: "text/plain", Body: []byte("leaf"), EndStated: !f.endNotStated}, f.fail
 }
 
 func newTestServer(t *testing.T, backend *fakeBackend) *Server {
@@ -190,6 +192,24 @@
 	assert.Assert(t, strings.Contains(w.Body.String(), `"id":"m"`) && !strings.Contains(w.Body.String(), `"id":"p"`))
 }
 
+// Guards against a length or chunks that tell the caller where an answer ends when the service did not.
+func TestPlainAnswerWithoutAStatedEndGetsNone(t *testing.T) {
+	for _, stated := range []bool{false, true} {
+		server := httptest.NewServer(newTestServer(t, &fakeBackend{endNotStated: !stated}))
+		defer server.Close()
+		r, err := http.NewRequest(http.MethodPost, server.URL+"/services/desk/book", strings.NewReader("12345678"))
+		assert.NilError(t, err)
+		r.Header.Set("Authorization", "Bearer "+testKey)
+		resp, err := http.DefaultClient.Do(r)
+		assert.NilError(t, err)
+		defer resp.Body.Close()
+		body, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, string(body), "leaf")
+		assert.Equal(t, resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0, stated)
+	}
+}
+
 func FuzzParseCompletion(f *testing.F) {
 	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":"a"}]}`), true)
 	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":[{"type":"text","text":"a"}]}],"max_tokens":3}`), true)
--- a/port/httpport/plain.go
+++ b/port/httpport/plain.go
@@ -42,7 +42,7 @@
 		}
 		body = prefixedBody{io.MultiReader(bytes.NewReader(head), resp.Body), resp.Body}
 	}
-	return &port.ServiceResponse{Status: resp.StatusCode, Header: resp.Header, Body: checkedBody{body}}, nil
+	return &port.ServiceResponse{Status: resp.StatusCode, Header: resp.Header, Body: checkedBody{body}, EndStated: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0}, nil
 }
 
 // buildRequest creates the HTTP request from the fields of req only, so that nothing else
--- a/port/httpport/platform_test.go
+++ b/port/httpport/platform_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -45,6 +46,23 @@
 	assert.Equal(t, stats.ByCall[stand.CallKey("POST", "/bookings/7", "leaf=3", []byte(`{"n":1}`))], 1)
 }
 
+// Guards against an answer that ends with its connection and counts as one whose end was stated.
+func TestPlainAnswerSaysWhetherItsEndIsStated(t *testing.T) {
+	for _, stated := range []bool{false, true} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if !stated {
+				w.Header().Set("Transfer-Encoding", "identity")
+			}
+			_, _ = io.WriteString(w, "x")
+		}))
+		defer server.Close()
+		resp, err := httpport.NewPlainService(server.Listener.Addr().String(), nil).Call(context.Background(), port.ServiceRequest{Method: http.MethodPost, Path: "/x"})
+		assert.NilError(t, err)
+		defer resp.Body.Close()
+		assert.Equal(t, resp.EndStated, stated)
+	}
+}
+
 // Guards against a duplicate booking when a kept-alive connection breaks between
 // request and response: net/http silently resends requests that have an
 // Idempotency-Key header.
--- a/port/platform.go
+++ b/port/platform.go
@@ -70,6 +70,8 @@
 	// Body must be closed by the caller. Reading a truncated body returns
 	// io.ErrUnexpectedEOF.
 	Body io.ReadCloser
+	// EndStated is set if the service states where the body ends, by a length or by chunks.
+	EndStated bool
 }
 
 // ServiceRequest is a call to a plain service. It holds only the fields of the
--- a/route/plain.go
+++ b/route/plain.go
@@ -40,6 +40,8 @@
 	Status      int
 	ContentType string
 	Body        []byte
+	// EndStated is set if the service stated where the body ends.
+	EndStated bool
 	// Replayed is set if the answer was recorded by an earlier execution of the call.
 	Replayed bool
 }
@@ -76,7 +78,7 @@
 		return PlainAnswer{}, err
 	}
 	if recorded != nil {
-		return PlainAnswer{Status: recorded.Status, ContentType: recorded.ContentType, Body: recorded.Body, Replayed: true}, nil
+		return PlainAnswer{Status: recorded.Status, ContentType: recorded.ContentType, Body: recorded.Body, EndStated: true, Replayed: true}, nil
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), plainCallTimeout)
 	defer cancel()
@@ -208,5 +210,5 @@
 	if len(body) > maxPlainAnswerBytes {
 		return PlainAnswer{}, verdict.Fail(verdict.HasRun, verdict.ReasonTruncated, nil, "the answer exceeds %d bytes", maxPlainAnswerBytes)
 	}
-	return PlainAnswer{Status: resp.Status, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
+	return PlainAnswer{Status: resp.Status, ContentType: resp.Header.Get("Content-Type"), Body: body, EndStated: resp.EndStated}, nil
 }
