--- a/instance/routed/partition_test.go
+++ b/instance/routed/partition_test.go
@@ -27,8 +27,9 @@
 	running   []*standin.Engine
 	instances []*linkedInstance
 
-	mu   sync.Mutex
-	runs map[string]int
+	mu       sync.Mutex
+	runs     map[string]int
+	arrivals []standin.Arrival
 }
 
 // linkedInstance is an instance with its links to the engines.
@@ -47,6 +48,11 @@
 		defer f.mu.Unlock()
 		f.runs[r.ID]++
 	})
+	f.engines.OnAnswer = func(a standin.Arrival) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.arrivals = append(f.arrivals, a)
+	}
 	for service, stages := range map[string][]string{
 		standin.PlainService: {"", ""}, standin.ModelService: {standin.StagePrefill, standin.StageDecode, standin.StageDecode},
 	} {
