Upstreams: what one says of itself in an answer has one way; one that says it leaves gets nothing more

Such an engine takes the requests with it when it ends.

Cause: nothing read Server-Leaving. Of what an engine says of itself in an answer, only a limit was acted on, and that on the ways of requests; the instance waited for the store's list, which was away. The mark after a 421 ended with the first change of the entry. The class: a statement of the other side that is handed on and not acted on, the same as that of the limit that was not heeded.

Change: the transport shows every response, also of relayed requests and control calls, to one place, and asks it before every send, right before the first byte and before another instance is asked to relay. An answer of 421 says nothing: it is of another engine. A run that said that it leaves counts as leaving in the directory for the rest of the run, however its entry changes, expires or comes back; other instances hear of it in reports. A request whose decode engine leaves after its reservation, or while its prompt is prefilled, is placed elsewhere and keeps the prompt. If all engines leave, requests are refused at once with a time, also those that wait. Calls that free memory go on.

Why it works: claims, homes, retries, hops and the count of engines by role read the directory, and nothing is sent without the admission.

--- a/decision/advertised/advertised.go
+++ b/decision/advertised/advertised.go
@@ -1,19 +1,22 @@
-// Package advertised tracks the request rates that upstreams advertise in their answers as the most
-// that they take from all instances together.
+// Package advertised tracks what upstreams say of themselves in their answers: the request rate that they take
+// from all instances together, that they are shutting down, and how long they want to be left alone by the
+// instance that they answered.
 //
-// Load pattern: an upstream in need answers requests and names a rate that is far below what it gets.
-// It names it to the instance that sent the request, changes it at any time, and stops naming it when
-// it has recovered.
+// Load pattern: an upstream in need names a rate that is far below what it gets, or turns requests away and
+// asks for a time of rest. One that shuts down says so in its answers before the store's list does, or while
+// the store is away.
 //
-// Without it: each instance learns of the rate only from its own requests, and one that has heard of
-// another rate, or of none, sends as before.
+// Without it: each instance learns of a rate only from its own requests, an upstream that turns requests away
+// at once looks the least loaded and attracts more, and requests are lost with an upstream that has left.
 //
-// The newest statement about a run of an upstream holds, whichever instance got it. Statements are
-// dated by the instance's clock that includes suspensions; those of other instances by the time since
-// they got them.
+// A statement is about a run of an upstream, whatever its entry in a list says. The newest one about a rate
+// holds, whichever instance got it; that it leaves holds for the rest of the run, at all instances; a rest
+// holds to its end, at the instance that was asked. Times are of the instance's clock that includes
+// suspensions; those of other instances are derived from the age that they report.
 package advertised
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -32,6 +35,12 @@
 	// endRetention is how long the end of a limit is remembered, so that older statements of other
 	// instances do not restore it.
 	endRetention = 10 * time.Second
+	// leavingRetention is how long a run that leaves is remembered after it was last listed or heard of. An
+	// outdated entry of it may come back after an outage of the store.
+	leavingRetention = 10 * time.Minute
+	// leavingReportTime is how long it is reported to other instances. If they reported what they only know
+	// from each other, none would ever drop it.
+	leavingReportTime = 10 * time.Second
 )
 
 // Key identifies a run of an upstream.
@@ -52,11 +61,13 @@
 // Burst returns the number of requests that may be sent at once.
 func (s Statement) Burst() float64 { return 1 + burstSeconds*s.Rate() }
 
-// Table holds the newest statement of each upstream that has named a rate. It is not safe for
-// concurrent use.
+// Table holds what upstreams have said. It is not safe for concurrent use.
 type Table struct {
+	// statements holds the newest statement of each upstream that has named a rate.
 	statements map[Key]Statement
 	spent      map[Key]spent
+	// leaving holds when each upstream that leaves was last heard of, rests the end of each rest.
+	leaving, rests map[Key]time.Duration
 }
 
 // spent describes an upstream that has got as many requests as it takes.
@@ -67,7 +78,7 @@
 
 // NewTable returns a table without statements.
 func NewTable() *Table {
-	return &Table{statements: make(map[Key]Statement), spent: make(map[Key]spent)}
+	return &Table{statements: make(map[Key]Statement), spent: make(map[Key]spent), leaving: make(map[Key]time.Duration), rests: make(map[Key]time.Duration)}
 }
 
 // Record records a statement, unless a newer one is known. It reports whether the rate changed.
@@ -105,23 +116,55 @@
 	return max(s.room-now, minRecheck), true
 }
 
-// Len returns the number of upstreams with a statement.
-func (t *Table) Len() int { return len(t.statements) }
+// RecordLeaving records that an upstream leaves. It reports whether that was not known.
+func (t *Table) RecordLeaving(now time.Duration, key Key) (isNew bool) {
+	_, known := t.leaving[key]
+	t.leaving[key] = now
+	return !known
+}
+
+// IsLeaving reports whether an upstream has said that it leaves.
+func (t *Table) IsLeaving(key Key) bool {
+	_, leaving := t.leaving[key]
+	return leaving
+}
+
+// RecordRest records that an upstream has asked for a time of rest. Of several rests, the one that ends last
+// holds. It reports whether no rest held before.
+func (t *Table) RecordRest(now time.Duration, key Key, rest time.Duration) (isNew bool) {
+	_, resting := t.Rest(now, key)
+	t.rests[key] = max(t.rests[key], now+rest)
+	return !resting
+}
+
+// Rest returns the time until the end of an upstream's rest. ok is false if none holds.
+func (t *Table) Rest(now time.Duration, key Key) (left time.Duration, ok bool) {
+	left = t.rests[key] - now
+	return left, left > 0
+}
 
-// Keys returns the upstreams with a statement in ascending order.
-func (t *Table) Keys() []Key {
-	keys := make([]Key, 0, len(t.statements))
-	for key := range t.statements {
-		keys = append(keys, key)
+// IsEmpty reports whether no upstream has said anything, which is the usual case.
+func (t *Table) IsEmpty() bool { return len(t.statements)+len(t.leaving)+len(t.rests) == 0 }
+
+// LeavingToReport returns the upstreams that leave and were listed or heard of lately, in ascending order.
+func (t *Table) LeavingToReport(now time.Duration) []Key {
+	var keys []Key
+	for key, heard := range t.leaving {
+		if now-heard <= leavingReportTime {
+			keys = append(keys, key)
+		}
 	}
 	slices.Sort(keys)
 	return keys
 }
 
+// Keys returns the upstreams with a statement about a rate in ascending order.
+func (t *Table) Keys() []Key { return slices.Sorted(maps.Keys(t.statements)) }
+
 // Statement returns the newest statement of an upstream.
 func (t *Table) Statement(key Key) Statement { return t.statements[key] }
 
-// Sweep drops upstreams that no longer exist, and ended limits after endRetention.
+// Sweep drops upstreams that no longer exist, and what has ended.
 func (t *Table) Sweep(now time.Duration, exists func(Key) bool) {
 	for key, s := range t.statements {
 		if !exists(key) || !s.Limited && now-s.At > endRetention {
@@ -129,4 +172,16 @@
 			delete(t.spent, key)
 		}
 	}
+	for key, heard := range t.leaving {
+		if exists(key) {
+			t.leaving[key] = now
+		} else if now-heard > leavingRetention {
+			delete(t.leaving, key)
+		}
+	}
+	for key := range t.rests {
+		if _, resting := t.Rest(now, key); !resting {
+			delete(t.rests, key)
+		}
+	}
 }
--- a/decision/advertised/advertised_test.go
+++ b/decision/advertised/advertised_test.go
@@ -70,3 +70,45 @@
 	_, spent = table.Spent(start+1, 1)
 	assert.Assert(t, !spent, "the limit has ended")
 }
+
+// Guards against a rest that ends before its time, because a shorter one was asked for later.
+func TestRestHoldsToTheLaterEnd(t *testing.T) {
+	table := NewTable()
+	start := time.Minute
+	assert.Assert(t, table.RecordRest(start, 1, 3*time.Second))
+	assert.Assert(t, !table.RecordRest(start+time.Second, 1, time.Second))
+	left, resting := table.Rest(start+2500*time.Millisecond, 1)
+	assert.Assert(t, resting)
+	assert.Equal(t, left, 500*time.Millisecond)
+	table.Sweep(start+2500*time.Millisecond, func(Key) bool { return false })
+	_, resting = table.Rest(start+2500*time.Millisecond, 1)
+	assert.Assert(t, resting, "the entry is away")
+	assert.Assert(t, !table.RecordRest(start+2500*time.Millisecond, 1, time.Second))
+	_, resting = table.Rest(start+3200*time.Millisecond, 1)
+	assert.Assert(t, resting)
+	_, resting = table.Rest(start+3500*time.Millisecond, 1)
+	assert.Assert(t, !resting)
+	table.Sweep(start+4*time.Second, func(Key) bool { return true })
+	assert.Assert(t, table.IsEmpty())
+}
+
+// Guards against a run that leaves and is forgotten while it is listed, or by an instance that only others have
+// told, and against runs that instances keep reporting to each other forever.
+func TestLeavingIsRememberedWhileListed(t *testing.T) {
+	table := NewTable()
+	start := time.Minute
+	assert.Assert(t, table.RecordLeaving(start, 1) && !table.RecordLeaving(start, 1))
+	now := start
+	for now < start+2*leavingRetention {
+		now += leavingReportTime / 2
+		table.Sweep(now, func(Key) bool { return true })
+		assert.Assert(t, table.IsLeaving(1))
+		assert.DeepEqual(t, table.LeavingToReport(now), []Key{1})
+	}
+	gone := func(Key) bool { return false }
+	table.Sweep(now+leavingRetention, gone)
+	assert.Assert(t, table.IsLeaving(1), "an outdated entry may come back")
+	assert.Equal(t, len(table.LeavingToReport(now+leavingReportTime+1)), 0)
+	table.Sweep(now+leavingRetention+1, gone)
+	assert.Assert(t, table.IsEmpty())
+}
--- a/fleet/codec.go
+++ b/fleet/codec.go
@@ -54,6 +54,9 @@
 	for _, l := range r.Limits {
 		m.Limits = append(m.Limits, marshalLimit(l))
 	}
+	for _, upstream := range r.LeavingUpstreams {
+		m.LeavingUpstreams = append(m.LeavingUpstreams, uint64(upstream))
+	}
 	for _, h := range r.Hubs {
 		m.Hubs = append(m.Hubs, &fleetv1.Peer{Instance: h.Name, Incarnation: h.Incarnation, Address: h.Address, Machine: marshalMachine(h.Machine)})
 	}
@@ -151,6 +154,9 @@
 	for _, l := range m.Limits {
 		r.Limits = append(r.Limits, unmarshalLimit(l))
 	}
+	for _, upstream := range m.LeavingUpstreams {
+		r.LeavingUpstreams = append(r.LeavingUpstreams, Hash(upstream))
+	}
 	for _, h := range m.Hubs {
 		r.Hubs = append(r.Hubs, Member{Name: h.Instance, Incarnation: h.Incarnation, Address: h.Address, Machine: unmarshalMachine(h.Machine)})
 	}
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -146,6 +146,8 @@
 	Short []Hash
 	// Limits are the limits of upstreams that name one or have ended one.
 	Limits []UpstreamLimit
+	// LeavingUpstreams are the hashes of the runs of upstreams that have said that they leave.
+	LeavingUpstreams []Hash
 	// Hubs lists the instances that the sender would select as hubs.
 	Hubs []Member
 	// Fleet is the sender's fleet identity. Most reports omit the name. It is empty in reports of
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -93,9 +93,10 @@
 // Upstreams sends requests to upstreams. Each method makes a single attempt at one upstream,
 // without retries. Errors are of type *verdict.Verdict and state whether the request may have run.
 type Upstreams interface {
-	// OnLimit sets the function that is called with what each answer says about the requests that its
-	// upstream takes. It must be called before any other method.
-	OnLimit(record func(from upstream.Entry, limit upstream.RequestLimit))
+	// Guard sets the functions through which everything passes that is exchanged with upstreams, also on
+	// behalf of other instances: admit is called before each request or call is sent and can keep it from being
+	// sent, record with what each answer says about its upstream. It must be called before any other method.
+	Guard(admit func(to upstream.Entry, use upstream.Use) error, record func(from upstream.Entry, s upstream.Statement))
 	// Run executes the request. It returns an error if the upstream reports that it did not run the
 	// request.
 	Run(ctx context.Context, to upstream.Entry, c *Call, o RunOptions) (*Answer, error)
--- a/gateway/claims.go
+++ b/gateway/claims.go
@@ -96,9 +96,10 @@
 
 // prefill assigns a prefill engine immediately or refuses.
 func (r *remoteClaim) prefill(c fleet.Claim) {
-	except := union(r.pool.idsOf(c.Except), r.dispatcher.gateway.spentUpstreams(r.dispatcher.service))
-	avoid := r.pool.idsOf(c.Avoid)
 	entries := r.dispatcher.gateway.state.Directory.Service(r.dispatcher.service)
+	// Upstreams that rest do so for this instance only.
+	except := union(r.pool.idsOf(c.Except), r.dispatcher.gateway.statements.unavailable(entries).spentIDs())
+	avoid := r.pool.idsOf(c.Avoid)
 	avoid = union(avoid, r.dispatcher.gateway.outliers.ejected(entries))
 	entry, ok := r.pool.claimFor(r.instance, room.Demand{Tokens: c.Tokens}, union(except, avoid))
 	if !ok {
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -166,11 +166,19 @@
 	d.sync()
 	d.dropExpired()
 	entries := d.gateway.state.Directory.Service(d.service)
-	ejected := union(d.gateway.outliers.ejected(entries), d.gateway.spentUpstreams(d.service))
+	unavailable := d.gateway.statements.unavailable(entries)
+	ejected := union(d.gateway.outliers.ejected(entries), unavailable.spentIDs())
+	// Engines that rest do so for this instance only.
+	ejectedHere := union(ejected, unavailable.restingIDs())
+	d.refuseIfNoneAvailable()
 	now := time.Now()
 	d.queue.Dispatch(now, func(item *waiting.Item) bool {
 		queued := d.requests[item]
-		entry, ok := queued.claim(d.decode, ejected)
+		except := ejectedHere
+		if queued.remote != nil {
+			except = ejected
+		}
+		entry, ok := queued.claim(d.decode, except)
 		if !ok {
 			return false
 		}
@@ -185,6 +193,21 @@
 	d.gateway.triggerReport()
 }
 
+// refuseIfNoneAvailable refuses the queued requests of this instance if all engines have said that they take
+// none.
+func (d *dispatcher) refuseIfNoneAvailable() {
+	if d.gateway.refuseIfNoneAvailable(d.service, upstream.Decode, 0) == nil {
+		return
+	}
+	for item, queued := range d.requests {
+		if queued.remote == nil {
+			d.queue.Remove(item)
+			delete(d.requests, item)
+			queued.resolve(placementResult{refusal: d.gateway.refuseIfNoneAvailable(d.service, upstream.Decode, item.RetrySeed)})
+		}
+	}
+}
+
 // queueTimeout returns the refusal of a request for which no decode engine had capacity.
 func queueTimeout(item *waiting.Item, retry time.Duration) *verdict.Verdict {
 	return verdict.Refuse(verdict.ReasonQueueTimeout, retry, "no decode engine had capacity within %v", time.Since(item.Arrived).Round(time.Millisecond))
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -49,7 +49,7 @@
 	dispatchers       *dispatcherSet
 	plainPools        *plainPools
 	outliers          *outlierDetector
-	limits            *upstreamLimits
+	statements        *upstreamStatements
 	retryBudgets      *retryBudgets
 	crashes           *crashTracker
 	placementHomes    PlacementHomes
@@ -61,8 +61,9 @@
 func New(o Options) *Gateway {
 	g := &Gateway{Options: o, state: o.State, quotas: o.Quotas, log: o.Log}
 	g.outliers = newOutlierDetector(boottime.Now)
-	g.limits = newUpstreamLimits(boottime.Now, o.Quotas, o.Log)
-	g.Upstreams.OnLimit(g.limits.record)
+	g.statements = newUpstreamStatements(boottime.Now, o.Quotas, o.State.Directory, o.Log)
+	g.statements.onLeaving = g.triggerReport
+	g.Upstreams.Guard(g.statements.admit, g.statements.record)
 	g.Upstreams.OnLinkCut(g.outliers.recordSuccess)
 	g.plainPools = newPlainPools()
 	g.dispatchers = newDispatcherSet(g)
@@ -204,7 +205,7 @@
 	g.plainPools.addLoads(r.Loads)
 	g.dispatchers.addReport(r)
 	g.crashes.addReport(now, r)
-	g.limits.fillReport(now, r)
+	g.statements.fillReport(now, r)
 }
 
 // FillReportFor adds the parts of a report that depend on its receiver.
@@ -215,7 +216,7 @@
 // FillPollAnswer adds the gateway's data to the answer to a poll.
 func (g *Gateway) FillPollAnswer(now time.Duration, poll, r *fleet.Report) {
 	g.quotas.FillPollAnswer(r)
-	g.limits.fillReport(now, r)
+	g.statements.fillReport(now, r)
 	if !r.Whole {
 		return
 	}
@@ -238,13 +239,13 @@
 // Sweep removes expired state.
 func (g *Gateway) Sweep() {
 	g.dispatchers.sweep()
-	g.limits.sweep(g.state.Directory)
+	g.statements.sweep()
 }
 
 // ApplyReport applies a report of another instance.
 func (g *Gateway) ApplyReport(now time.Duration, r *fleet.Report) {
 	g.quotas.ApplyReport(now, r)
-	g.limits.applyReport(now, r)
+	g.statements.applyReport(now, r)
 	if r.Answer && !r.Whole {
 		return
 	}
--- a/gateway/helpers_test.go
+++ b/gateway/helpers_test.go
@@ -35,8 +35,10 @@
 	sends    []string
 	options  []RunOptions
 	released []string
-	// recordLimit is called by tests with the limits of answers.
-	recordLimit func(from upstream.Entry, limit upstream.RequestLimit)
+	// record is called by tests with what answers say.
+	record func(from upstream.Entry, s upstream.Statement)
+	// admit is called before each send.
+	admit func(to upstream.Entry, use upstream.Use) error
 }
 
 func (f *fakeUpstreams) Decode(r *http.Request) (*Call, string, error) {
@@ -49,6 +51,9 @@
 }
 
 func (f *fakeUpstreams) Run(ctx context.Context, to upstream.Entry, c *Call, o RunOptions) (*Answer, error) {
+	if err := f.admit(to, upstream.Work); err != nil {
+		return nil, err
+	}
 	f.mu.Lock()
 	f.sends = append(f.sends, to.ID)
 	f.options = append(f.options, o)
@@ -56,11 +61,14 @@
 	return f.run(ctx, to, c, o)
 }
 
-func (f *fakeUpstreams) OnLimit(record func(from upstream.Entry, limit upstream.RequestLimit)) {
-	f.recordLimit = record
+func (f *fakeUpstreams) Guard(admit func(to upstream.Entry, use upstream.Use) error, record func(from upstream.Entry, s upstream.Statement)) {
+	f.admit, f.record = admit, record
 }
 
 func (f *fakeUpstreams) Prefill(_ context.Context, to upstream.Entry, _ *Call) (string, error) {
+	if err := f.admit(to, upstream.Work); err != nil {
+		return "", err
+	}
 	if f.prefill == nil {
 		return "handle", nil
 	}
@@ -79,6 +87,9 @@
 }
 
 func (f *fakeUpstreams) Reserve(_ context.Context, to upstream.Entry, _ int, _ time.Duration) (string, error) {
+	if err := f.admit(to, upstream.Work); err != nil {
+		return "", err
+	}
 	if f.reserve == nil {
 		return "reservation", nil
 	}
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -113,15 +113,18 @@
 	g.Metrics.RecordStageDuration("placement", r.admitted.service.Name, waited)
 	g.log.Info("placed", zap.String("request", r.admitted.call.ID), zap.String("upstream", target.entry.ID), zap.Int("tokens", r.claimedTokens),
 		zap.Duration("waited", waited), zap.Float64("pool_free", r.dispatcher.decode.freeShare()), zap.Uint64("list", g.state.Directory.Version()))
-	defer func() { r.dispatcher.release(target.entry, r.claimedTokens) }()
+	defer func() {
+		if target.entry.ID != "" {
+			r.dispatcher.release(target.entry, r.claimedTokens)
+		}
+	}()
 	out.onEvents = func(events int) { r.growClaim(target.entry, events) }
 	source, from, v := r.prefill(ctx)
 	if v != nil {
 		r.dropReservation(target)
 		return v
 	}
-	if v := r.checkBeforeSend(target); v != nil {
-		r.dropReservation(target)
+	if v := r.confirmPlacement(ctx, &target); v != nil {
 		r.freeHandle(from, source)
 		return v
 	}
@@ -164,21 +167,16 @@
 	r.except[target.entry.ID] = true
 	g.recordUpstreamFailure(ctx, r.admitted.call, target.entry, v)
 	if v.Ran == verdict.NotRun {
-		r.handleRefusal(target)
-		r.freeHandle(from, source)
-		if v.RetryAfter == 0 {
-			v.RetryAfter = enginesFullRetry
+		r.dropReservation(target)
+		if v.Reason != verdict.ReasonUpstreamResting && v.Reason != verdict.ReasonUpstreamLeaving {
+			r.dispatcher.withdrawRefusing(r.dispatcher.decode, target.entry)
 		}
+		r.freeHandle(from, source)
+		g.setRetryAfter(r.admitted, upstream.Decode, v, enginesFullRetry)
 	}
 	return nil, v
 }
 
-// handleRefusal gives up a placement at an engine that refused the request despite its reservation.
-func (r *modelRun) handleRefusal(target placement) {
-	r.dropReservation(target)
-	r.dispatcher.withdrawRefusing(r.dispatcher.decode, target.entry)
-}
-
 // growClaim raises the claim of a request whose answer exceeds the estimate, by several events at a
 // time.
 func (r *modelRun) growClaim(entry upstream.Entry, events int) {
@@ -193,16 +191,25 @@
 	r.gateway.triggerReport()
 }
 
-// checkBeforeSend checks, immediately before the request is sent, that its preconditions still
-// hold.
-func (r *modelRun) checkBeforeSend(target placement) *verdict.Verdict {
-	if v := r.gateway.checkStillAllowed(r.admitted); v != nil {
-		return v
-	}
-	if _, ok := r.gateway.state.Directory.Current(target.entry.ID); !ok {
-		return verdict.Refuse(verdict.ReasonNoUpstream, plainRetry, "the decode engine is leaving")
+// confirmPlacement checks, immediately before the request is sent, that its preconditions still hold. If the
+// engine takes no requests any more, the request is placed at another one, which fetches the prompt's KV cache
+// as well. Without a placement, target is empty.
+func (r *modelRun) confirmPlacement(ctx context.Context, target *placement) *verdict.Verdict {
+	for {
+		v := r.gateway.checkStillAllowed(r.admitted)
+		if v == nil && r.gateway.accepts(target.entry) {
+			return nil
+		}
+		r.dropReservation(*target)
+		if v != nil {
+			return v
+		}
+		r.dispatcher.release(target.entry, r.claimedTokens)
+		*target = placement{}
+		if *target, v = r.acquirePlacement(ctx); v != nil {
+			return v
+		}
 	}
-	return nil
 }
 
 // placement is a claim at a decode engine with the engine's own reservation.
@@ -222,7 +229,7 @@
 		Objective: time.Duration(r.admitted.route.ObjectiveMS) * time.Millisecond, Deadline: c.Deadline, RetrySeed: hashPoint(c.ID),
 	}
 	for {
-		if v := r.gateway.refuseIfAllSpent(r.admitted.service.Name, upstream.Decode); v != nil {
+		if v := r.gateway.refuseIfNoneAvailable(r.admitted.service.Name, upstream.Decode, item.RetrySeed); v != nil {
 			return placement{}, v
 		}
 		if v := r.gateway.refuseIfUnreachable(r.admitted, upstream.Decode); v != nil {
@@ -233,7 +240,7 @@
 			return placement{}, v
 		}
 		clear(r.full)
-		if _, ok := r.gateway.limits.take(ctx, entry); !ok {
+		if _, ok := r.gateway.statements.take(ctx, entry); !ok {
 			r.dispatcher.release(entry, r.claimedTokens)
 			if ctx.Err() != nil {
 				return placement{}, contextRefusal(ctx)
@@ -244,10 +251,18 @@
 			return placement{entry: entry}, nil
 		}
 		reservation, v := r.reserve(ctx, entry)
-		if v == nil {
+		if v == nil && r.gateway.accepts(entry) {
 			return placement{entry, reservation}, nil
 		}
-		r.dispatcher.backOff(entry.ID)
+		if v == nil {
+			// The engine has reserved the memory and said in the same answer that it leaves.
+			r.dropReservation(placement{entry, reservation})
+			r.dispatcher.release(entry, r.claimedTokens)
+			continue
+		}
+		if v.Reason == verdict.ReasonUpstreamRefused {
+			r.dispatcher.backOff(entry.ID)
+		}
 		r.dispatcher.release(entry, r.claimedTokens)
 		if ctx.Err() != nil {
 			return placement{}, contextRefusal(ctx)
@@ -356,7 +371,7 @@
 		if !ok {
 			return upstream.Entry{}, false
 		}
-		if _, ok := r.gateway.limits.take(ctx, entry); ok {
+		if _, ok := r.gateway.statements.take(ctx, entry); ok {
 			return entry, true
 		}
 		r.dispatcher.prefill.release(entry.ID, tokens)
--- a/gateway/placement.go
+++ b/gateway/placement.go
@@ -75,7 +75,7 @@
 	place, ok := d.claimFromHome(ctx, home, fleet.Claim{
 		Organisation: fleet.HashOf(item.Organisation), Priority: item.Priority, Tokens: item.Tokens, Output: item.Output,
 		Waited: time.Since(item.Arrived), Objective: item.Objective, Left: time.Until(item.Deadline), Point: item.RetrySeed,
-		Except: shortHashes(union(request.except, d.gateway.spentUpstreams(d.service))), Avoid: shortHashes(ejected), Full: shortHashes(request.full),
+		Except: shortHashes(union(request.except, d.gateway.unavailableUpstreams(d.service))), Avoid: shortHashes(ejected), Full: shortHashes(request.full),
 	})
 	if ctx.Err() != nil {
 		return upstream.Entry{}, contextRefusal(ctx), true
@@ -94,13 +94,13 @@
 }
 
 // acceptPlacement records an engine that a home has assigned. It reports false if the engine is not
-// known here, or is leaving: the home may not know that yet.
+// known here, or takes no requests: the home may not know that yet.
 func (d *dispatcher) acceptPlacement(p *pool, place fleet.Place, n room.Demand) (upstream.Entry, bool) {
 	entry, known := p.recordPlacement(place.Upstream, n)
 	if !known {
 		return upstream.Entry{}, false
 	}
-	if _, current := d.gateway.state.Directory.Current(entry.ID); current {
+	if d.gateway.accepts(entry) {
 		return entry, true
 	}
 	p.release(entry.ID, n.Tokens)
@@ -122,7 +122,7 @@
 // claimPrefill claims capacity at a prefill engine that is not in tried.
 func (d *dispatcher) claimPrefill(ctx context.Context, tokens int, tried map[string]bool) (upstream.Entry, bool) {
 	ejected := d.gateway.outliers.ejected(d.gateway.state.Directory.Service(d.service))
-	tried = union(tried, d.gateway.spentUpstreams(d.service))
+	tried = union(tried, d.gateway.unavailableUpstreams(d.service))
 	if home, isLocal := d.gateway.homeOf(d.service); !isLocal {
 		place, ok := d.claimFromHome(ctx, home, fleet.Claim{Prefill: true, Tokens: tokens, Except: shortHashes(tried), Avoid: shortHashes(ejected)})
 		if ok && place.State == fleet.PlaceRefused {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -93,9 +93,7 @@
 	run := &plainRun{gateway: g, admitted: a, pool: g.plainPools.get(a.service.Name), tried: make(map[string]bool)}
 	answer, v := run.execute(ctx)
 	if v != nil {
-		if v.Ran == verdict.NotRun && v.Reason.Retryable() && v.RetryAfter == 0 {
-			v.RetryAfter = plainRetryAfter(a.call.ID)
-		}
+		g.setRetryAfter(a, upstream.Plain, v, plainRetryAfter(a.call.ID))
 		return v
 	}
 	g.writeAnswer(w, a, answer)
@@ -105,8 +103,11 @@
 // plainRetryAfter returns the Retry-After of a refused request. The times are spread because full
 // upstreams refuse many requests at once, and the callers would otherwise all return at the same
 // time.
-func plainRetryAfter(id string) time.Duration {
-	fraction := float64(hashPoint(id)) / math.MaxUint64
+func plainRetryAfter(id string) time.Duration { return spreadRetry(hashPoint(id)) }
+
+// spreadRetry returns a time around plainRetry that depends on a uniformly distributed seed.
+func spreadRetry(seed uint64) time.Duration {
+	fraction := float64(seed) / math.MaxUint64
 	return time.Duration((1 + plainRetrySpread*(fraction-0.5)) * float64(plainRetry))
 }
 
@@ -166,6 +167,9 @@
 		r.unreachableCount++
 		return r.unreachableCount < maxUnreachable && time.Since(r.admitted.call.Arrived) < unreachableLimit
 	}
+	if v != nil && errors.Is(v, errNotSent) {
+		return true
+	}
 	route := r.admitted.route
 	if r.sends == 0 || r.sends >= route.Attempts() {
 		return false
@@ -296,7 +300,7 @@
 
 // recordFailure records a failed attempt.
 func (r *plainRun) recordFailure(ctx context.Context, entry upstream.Entry, v *verdict.Verdict) {
-	if v.Reason == verdict.ReasonUpstreamUnreachable && v.Ran == verdict.NotRun {
+	if v.Reason == verdict.ReasonUpstreamUnreachable && v.Ran == verdict.NotRun || errors.Is(v, errNotSent) {
 		r.sends--
 	}
 	r.maxRan = max(r.maxRan, v.Ran)
@@ -330,7 +334,7 @@
 		if v != nil {
 			return upstream.Entry{}, v
 		}
-		if _, ok := r.gateway.limits.take(ctx, entry); ok {
+		if _, ok := r.gateway.statements.take(ctx, entry); ok {
 			return entry, nil
 		}
 		r.pool.release(entry.ID, 0)
@@ -346,8 +350,8 @@
 	if v := r.gateway.refuseIfUnreachable(r.admitted, upstream.Plain); v != nil {
 		return upstream.Entry{}, v
 	}
-	spent, retry := r.gateway.limits.spent(entries)
-	except := union(r.tried, spent)
+	unavailable := r.gateway.statements.unavailable(entries)
+	except := union(r.tried, unavailable.ids())
 	if entry, ok := r.pool.claim(room.Demand{}, union(except, r.gateway.outliers.ejected(entries))); ok {
 		return entry, nil
 	}
@@ -355,9 +359,11 @@
 	if entry, ok := r.pool.claim(room.Demand{}, except); ok {
 		return entry, nil
 	}
-	if len(spent) > 0 {
-		retry = max(retry, plainRetryAfter(r.admitted.call.ID))
-		return upstream.Entry{}, verdict.Refuse(verdict.ReasonUpstreamLimited, retry, "upstreams of %s have reached the rates that they take", r.admitted.service.Name)
+	if v := r.gateway.refuseIfNoneAvailable(r.admitted.service.Name, upstream.Plain, hashPoint(r.admitted.call.ID)); v != nil {
+		return upstream.Entry{}, v
+	}
+	if len(unavailable.spent) > 0 {
+		return upstream.Entry{}, verdict.Refuse(verdict.ReasonUpstreamLimited, plainRetryAfter(r.admitted.call.ID), "upstreams of %s have reached the rates that they take", r.admitted.service.Name)
 	}
 	return upstream.Entry{}, verdict.Refuse(verdict.ReasonNoUpstream, 0, "no upstream of %s has capacity", r.admitted.service.Name)
 }
--- a/gateway/roles.go
+++ b/gateway/roles.go
@@ -200,7 +200,8 @@
 	if to == upstream.Decode {
 		from, pool = upstream.Prefill, d.prefill
 	}
-	excluded := union(c.gateway.outliers.ejected(c.gateway.state.Directory.Service(d.service)), map[string]bool{})
+	ejected := c.gateway.outliers.ejected(c.gateway.state.Directory.Service(d.service))
+	excluded := union(union(ejected, c.gateway.unavailableUpstreams(d.service)), map[string]bool{})
 	ordered, lastErr := 0, fmt.Errorf("no %s engine can change", from)
 	for attempt := 0; ordered < count && attempt < orderCandidates*count; attempt++ {
 		entry, ok := pool.leastLoaded(excluded)
--- a/gateway/upstreamlimits_test.go
+++ b/gateway/statements_test.go
@@ -47,10 +47,10 @@
 		for _, perSecond := range []float64{0, 0.3, 4.9, 40} {
 			f := newQuotaFleet(n)
 			entry := upstream.Entry{ID: "u", Started: 7}
-			var limits []*upstreamLimits
+			var limits []*upstreamStatements
 			for _, m := range f.members {
-				l := newUpstreamLimits(func() time.Duration { return f.now }, m.Quotas, zap.NewNop())
-				l.record(entry, upstream.RequestLimit{Named: true, PerSecond: perSecond})
+				l := newUpstreamStatements(func() time.Duration { return f.now }, m.Quotas, upstream.NewDirectory(), zap.NewNop())
+				l.recordLimit(entry, upstream.RequestLimit{Named: true, PerSecond: perSecond})
 				limits = append(limits, l)
 			}
 			rng := rand.New(rand.NewPCG(uint64(n), 1))
@@ -76,33 +76,33 @@
 func TestLimitsReachOtherInstances(t *testing.T) {
 	f := newQuotaFleet(2)
 	clock := func() time.Duration { return f.now }
-	a, b := newUpstreamLimits(clock, f.members[0].Quotas, zap.NewNop()), newUpstreamLimits(clock, f.members[1].Quotas, zap.NewNop())
+	a, b := newUpstreamStatements(clock, f.members[0].Quotas, upstream.NewDirectory(), zap.NewNop()), newUpstreamStatements(clock, f.members[1].Quotas, upstream.NewDirectory(), zap.NewNop())
 	entry := upstream.Entry{ID: "u", Started: 7}
-	tell := func(from, to *upstreamLimits) {
+	tell := func(from, to *upstreamStatements) {
 		r := &fleet.Report{}
 		from.fillReport(f.now, r)
 		f.now += 50 * time.Millisecond
 		to.applyReport(f.now, r)
 	}
-	isLimited := func(l *upstreamLimits) bool {
-		_, limited := l.table.Limit(limitKey(entry))
+	isLimited := func(l *upstreamStatements) bool {
+		_, limited := l.table.Limit(runKey(entry))
 		return limited
 	}
-	a.record(entry, upstream.RequestLimit{Named: true, PerSecond: 0.5})
+	a.recordLimit(entry, upstream.RequestLimit{Named: true, PerSecond: 0.5})
 	tell(a, b)
 	assert.Assert(t, isLimited(b))
 	f.now += time.Second
-	b.record(entry, upstream.RequestLimit{})
+	b.recordLimit(entry, upstream.RequestLimit{})
 	tell(b, a)
 	assert.Assert(t, !isLimited(a) && !isLimited(b))
 	// Another run of the upstream has said nothing.
-	a.record(entry, upstream.RequestLimit{Named: true})
+	a.recordLimit(entry, upstream.RequestLimit{Named: true})
 	next := entry
 	next.Started++
 	_, ok := a.take(t.Context(), next)
 	assert.Assert(t, ok)
 	f.now += time.Second
-	a.sweep(upstream.NewDirectory())
+	a.sweep()
 	assert.Assert(t, !isLimited(a), "the upstream is gone")
 }
 
@@ -124,7 +124,7 @@
 	t.Helper()
 	entry, ok := gw.state.Directory.Current(id)
 	assert.Assert(t, ok)
-	gw.recordLimit(entry, upstream.RequestLimit{Named: true, PerSecond: perSecond})
+	gw.record(entry, upstream.Statement{Limit: &upstream.RequestLimit{Named: true, PerSecond: perSecond}})
 }
 
 func answerOK(context.Context, upstream.Entry, *Call, RunOptions) (*Answer, error) {
--- a/httpconn/exchange.go
+++ b/httpconn/exchange.go
@@ -37,6 +37,8 @@
 	// sent; 0 means no limit. What was checked before a send may no longer hold after the
 	// process was suspended.
 	SendBefore time.Duration
+	// Admit, if set, is called immediately before the request is sent. An error keeps it from being sent.
+	Admit func() error
 	// Repeatable is set if the request may run more than once.
 	Repeatable bool
 	// ExpectWithin is the time after which a missing response makes the link suspect; 0 means
@@ -44,6 +46,20 @@
 	ExpectWithin time.Duration
 }
 
+// ErrNotAdmitted is the error of a request that Request.Admit kept from being sent.
+var ErrNotAdmitted = errors.New("the request was not admitted")
+
+// CheckAdmitted returns the error of Admit, of type *Error.
+func (r *Request) CheckAdmitted() error {
+	if r.Admit == nil {
+		return nil
+	}
+	if err := r.Admit(); err != nil {
+		return &Error{Err: fmt.Errorf("%w: %w", ErrNotAdmitted, err)}
+	}
+	return nil
+}
+
 // matches reports whether a response belongs to the request.
 func (r *Request) matches(response http.Header) bool {
 	if r.EchoHeader == "" {
@@ -124,6 +140,10 @@
 		_ = c.Close()
 		return nil, &Error{Err: errTooLate}
 	}
+	if err := r.CheckAdmitted(); err != nil {
+		_ = c.Close()
+		return nil, err
+	}
 	x := &exchange{pool: p, conn: c, written: make(chan error, 1)}
 	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	head, err := encode(r)
--- a/relay/link.go
+++ b/relay/link.go
@@ -42,6 +42,7 @@
 		if err == nil {
 			t.recordContact(to)
 		}
+		t.report(to, r, resp)
 		return resp, err
 	}
 	impatient := *r
@@ -58,6 +59,7 @@
 	t.removeWaiting(to.Address, x)
 	if err == nil {
 		t.recordContact(to)
+		t.report(to, r, resp)
 		return resp, nil
 	}
 	if ctx.Err() == nil && httpconn.Sent(err) {
--- a/relay/server.go
+++ b/relay/server.go
@@ -162,9 +162,9 @@
 		Method:     m.Method, Target: m.Target, Host: m.Host, Header: unmarshalHeader(m.Headers), Body: m.Body, EchoHeader: m.EchoHeader,
 		Repeatable: m.Repeatable, ExpectWithin: time.Duration(m.ExpectWithinMs) * time.Millisecond, MaxIdle: maxIdleForRelay,
 	}
-	resp, err := t.sendDirectly(ctx, entry, r, true)
+	resp, err := t.sendDirectly(ctx, entry, t.guarded(entry, r), true)
 	if err != nil {
-		if !httpconn.Sent(err) {
+		if !httpconn.Sent(err) && !errors.Is(err, httpconn.ErrNotAdmitted) {
 			t.checkLater(entry)
 		}
 		return s.sendFailure(stream, &relayv1.Failure{
--- a/relay/transport.go
+++ b/relay/transport.go
@@ -101,6 +101,9 @@
 	checking singleflight.Group
 	// onCut is called with each upstream whose link is found to be cut.
 	onCut func(upstream.Entry)
+	// admit and onResponse are set by Guard.
+	admit      func(upstream.Entry, *httpconn.Request) error
+	onResponse func(upstream.Entry, *httpconn.Request, *httpconn.Response)
 }
 
 // peerClock is the time of another instance's clock in a response, and when that was received.
@@ -154,6 +157,30 @@
 // does not. It must be called before any request is sent.
 func (t *Transport) OnCut(handle func(upstream.Entry)) { t.onCut = handle }
 
+// Guard sets the functions that see everything that passes between this instance and upstreams, also on behalf
+// of other instances and over them: admit is called before each request is sent and can keep it from being
+// sent, onResponse with each response. It must be called before any request is sent.
+func (t *Transport) Guard(admit func(upstream.Entry, *httpconn.Request) error, onResponse func(upstream.Entry, *httpconn.Request, *httpconn.Response)) {
+	t.admit, t.onResponse = admit, onResponse
+}
+
+// guarded returns a copy of a request that is admitted by Guard.
+func (t *Transport) guarded(to upstream.Entry, r *httpconn.Request) *httpconn.Request {
+	if t.admit == nil {
+		return r
+	}
+	out := *r
+	out.Admit = func() error { return t.admit(to, r) }
+	return &out
+}
+
+// report passes a response on to Guard.
+func (t *Transport) report(to upstream.Entry, r *httpconn.Request, resp *httpconn.Response) {
+	if t.onResponse != nil && resp != nil {
+		t.onResponse(to, r, resp)
+	}
+}
+
 var (
 	// ErrLink is the error of a request that may have been sent over a link, or by another instance, that
 	// failed. It says nothing about the upstream.
@@ -165,6 +192,10 @@
 // Do sends a request at most once and returns the response once its headers have been read. Errors are of
 // type *httpconn.Error.
 func (t *Transport) Do(ctx context.Context, to upstream.Entry, r *httpconn.Request) (*httpconn.Response, error) {
+	r = t.guarded(to, r)
+	if err := r.CheckAdmitted(); err != nil {
+		return nil, err
+	}
 	cut := t.use(to)
 	if t.Network == nil || !t.Network.HasPeers() {
 		return t.sendDirectly(ctx, to, r, false)
@@ -179,7 +210,7 @@
 	}
 	started := t.now()
 	resp, err := t.sendDirectly(ctx, to, r, true)
-	if err == nil || httpconn.Sent(err) || ctx.Err() != nil {
+	if err == nil || httpconn.Sent(err) || ctx.Err() != nil || errors.Is(err, httpconn.ErrNotAdmitted) {
 		return resp, err
 	}
 	if reached, _ := t.checkByPeers(ctx, to); !reached || ctx.Err() != nil {
@@ -200,7 +231,10 @@
 
 // DoDirectly sends a request over this instance's own link only.
 func (t *Transport) DoDirectly(ctx context.Context, to upstream.Entry, r *httpconn.Request) (*httpconn.Response, error) {
-	return t.pool.Do(ctx, to.Address, r)
+	r = t.guarded(to, r)
+	resp, err := t.pool.Do(ctx, to.Address, r)
+	t.report(to, r, resp)
+	return resp, err
 }
 
 // use records that the link to an upstream is needed, probes it if that is due, and reports whether it is
@@ -290,7 +324,11 @@
 	}
 	failure := errNotReached
 	for _, p := range good[:min(len(good), maxRelayTries)] {
+		if err := r.CheckAdmitted(); err != nil {
+			return nil, err
+		}
 		resp, err := t.client.send(ctx, p, to, r)
+		t.report(to, r, resp)
 		result := "ok"
 		switch {
 		case err == nil:
--- a/upstream/directory.go
+++ b/upstream/directory.go
@@ -57,20 +57,14 @@
 	return e
 }
 
-// RequestLimit is what an answer of an upstream says about the requests that it takes.
-type RequestLimit struct {
-	// Named is set if the answer names a limit; PerSecond is the number of requests per second from
-	// all instances together.
-	Named     bool
-	PerSecond float64
-}
-
 // Directory holds the newest entry of each upstream. It is safe for concurrent use.
 type Directory struct {
 	mu      sync.RWMutex
 	entries map[string]Entry
 	// gone holds the upstreams passed to MarkGone by id, with the entry that was current then.
 	gone map[string]Entry
+	// leaving holds the start times of the runs passed to MarkLeaving, by id.
+	leaving map[string]int64
 	// evacuated holds the data centres whose upstreams get no new requests on the operators'
 	// instruction.
 	evacuated map[string]bool
@@ -84,7 +78,7 @@
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	return &Directory{entries: make(map[string]Entry), gone: make(map[string]Entry), evacuated: make(map[string]bool), byService: make(map[string][]Entry)}
+	return &Directory{entries: make(map[string]Entry), gone: make(map[string]Entry), leaving: make(map[string]int64), evacuated: make(map[string]bool), byService: make(map[string][]Entry)}
 }
 
 // Put stores an entry, unless a newer one with the same id is known: a write whose response was
@@ -140,6 +134,38 @@
 	d.markChanged()
 }
 
+// MarkLeaving makes a run of an upstream count as leaving for as long as it exists, whatever its entry says. It
+// is called when an answer of that run says so, which the store may not know yet. It reports whether this is a
+// change.
+func (d *Directory) MarkLeaving(e Entry) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if started, marked := d.leaving[e.ID]; marked && started >= e.Started {
+		return false
+	}
+	d.leaving[e.ID] = e.Started
+	d.markChanged()
+	return true
+}
+
+// RetainLeaving drops the marks of MarkLeaving for which keep returns false.
+func (d *Directory) RetainLeaving(keep func(id string, started int64) bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, started := range d.leaving {
+		if !keep(id, started) {
+			delete(d.leaving, id)
+			d.markChanged()
+		}
+	}
+}
+
+// isLeaving reports whether an upstream accepts no new requests. The caller holds the lock.
+func (d *Directory) isLeaving(e Entry) bool {
+	started, marked := d.leaving[e.ID]
+	return e.Leaving || d.evacuated[e.DataCentre] || marked && started == e.Started
+}
+
 // Evacuate sets whether the upstreams of a data centre are excluded from new requests. It
 // reports whether this is a change.
 //
@@ -185,7 +211,7 @@
 			}
 			delete(d.gone, id)
 		}
-		e.Leaving = e.Leaving || d.evacuated[e.DataCentre]
+		e.Leaving = d.isLeaving(e)
 		d.byService[e.Service] = append(d.byService[e.Service], e)
 	}
 	for _, list := range d.byService {
@@ -230,7 +256,7 @@
 	if g, marked := d.gone[id]; marked && g == e.withoutSequence() {
 		return Entry{}, false
 	}
-	return e, ok && !e.Leaving && !d.evacuated[e.DataCentre]
+	return e, ok && !d.isLeaving(e)
 }
 
 // Version increases with each change of the directory that can affect Service or Current.
--- a/verdict/reason.go
+++ b/verdict/reason.go
@@ -29,7 +29,12 @@
 	ReasonQueueTimeout        Reason = "queue_timeout"
 	ReasonNoUpstream          Reason = "no_upstream"
 	// ReasonUpstreamLimited means that all upstreams have reached the rates that they take.
-	ReasonUpstreamLimited      Reason = "upstream_limited"
+	ReasonUpstreamLimited Reason = "upstream_limited"
+	// ReasonUpstreamResting means that the upstream, or each one that could be tried, has asked this instance
+	// for a time of rest.
+	ReasonUpstreamResting Reason = "upstream_resting"
+	// ReasonUpstreamLeaving means that the upstream, or each one that could be tried, is shutting down.
+	ReasonUpstreamLeaving      Reason = "upstream_leaving"
 	ReasonSchedulerUnavailable Reason = "scheduler_unavailable"
 	ReasonQuarantined          Reason = "quarantined"
 	ReasonRetryBudgetSpent     Reason = "retry_budget_spent"
