Upstreams: the time of a refusal for a limit is spread, and a second placement is logged

A refusal because of limits had a time of at least the usual one at plain services only; with one way for both it holds for both. `placed again` says that a request was placed at another engine before it was sent.

--- a/gateway/model.go
+++ b/gateway/model.go
@@ -205,10 +205,10 @@
 			return v
 		}
 		r.dispatcher.release(target.entry, r.claimedTokens)
-		*target = placement{}
 		if *target, v = r.acquirePlacement(ctx); v != nil {
 			return v
 		}
+		r.gateway.log.Info("placed again", zap.String("request", r.admitted.call.ID), zap.String("upstream", target.entry.ID))
 	}
 }
 
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -363,7 +365,8 @@
 		return upstream.Entry{}, v
 	}
 	if len(unavailable.spent) > 0 {
-		return upstream.Entry{}, verdict.Refuse(verdict.ReasonUpstreamLimited, plainRetryAfter(r.admitted.call.ID), "upstreams of %s have reached the rates that they take", r.admitted.service.Name)
+		retry := max(slices.Min(slices.Collect(maps.Values(unavailable.spent))), plainRetryAfter(r.admitted.call.ID))
+		return upstream.Entry{}, verdict.Refuse(verdict.ReasonUpstreamLimited, retry, "upstreams of %s have reached the rates that they take", r.admitted.service.Name)
 	}
 	return upstream.Entry{}, verdict.Refuse(verdict.ReasonNoUpstream, 0, "no upstream of %s has capacity", r.admitted.service.Name)
 }
--- a/gateway/statements.go
+++ b/gateway/statements.go
@@ -236,7 +236,7 @@
 		// Callers that return at the same moment would be turned away again.
 		return verdict.Refuse(reason, retry+spreadRetry(seed), "all upstreams of %s have asked for rest", service)
 	case verdict.ReasonUpstreamLimited:
-		return verdict.Refuse(reason, retry, "all upstreams of %s have reached the rates that they take", service)
+		return verdict.Refuse(reason, max(retry, spreadRetry(seed)), "all upstreams of %s have reached the rates that they take", service)
 	}
 	if leaving == 0 {
 		return nil
