Soak: answers without a frame, leaving and rest said in answers only, and checks for each

Engines end answers without a length or chunks, break them off, say in their answers only that they leave, and turn everything away with a time of rest, on a schedule of its own. The ledger checks that an instance that has passed on that an engine leaves sends it nothing more, and that one that was asked for rest sends at most two requests within it. Callers also send resumable streams.

--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -39,6 +39,8 @@
 	faultPeriods []faultPeriod
 	orders       []standin.Order
 	limits       []engineLimit
+	// statements are the requests that engines answered with a statement about themselves.
+	statements []standin.Arrival
 	// partitions are the periods in which instances reached no engine; instances is the number of all.
 	partitions []faultPeriod
 	instances  int
@@ -144,6 +146,8 @@
 	out = append(out, l.checkQuota()...)
 	out = append(out, l.checkOrders()...)
 	out = append(out, l.checkPartitions()...)
+	out = append(out, l.checkLeavingSaid()...)
+	out = append(out, l.checkRests()...)
 	for _, limit := range l.limits {
 		out = append(out, l.checkLimit(limit)...)
 	}
@@ -157,7 +161,7 @@
 	add := func(guarantee, format string, args ...any) {
 		out = append(out, Finding{guarantee, id, fmt.Sprintf(format, args...), s.sentAt})
 	}
-	if s.kind != standin.Read && len(runs) > 1 {
+	if !s.kind.Repeatable() && len(runs) > 1 {
 		add("at most one run", "%v ran %d times, at %s and %s", s.kind, len(runs), runs[0].Engine, runs[1].Engine)
 	}
 	switch s.status {
@@ -166,7 +170,7 @@
 			add("true refusals", "answered with status %d, but ran at %s", s.status, runs[0].Engine)
 		}
 	case http.StatusOK:
-		stream := s.kind == standin.Draft
+		stream := s.kind.Streamed()
 		if s.truncated {
 			return out
 		}
--- a/soak/run.go
+++ b/soak/run.go
@@ -166,7 +166,7 @@
 
 func (r *run) startEngines() error {
 	all := standin.NewEngines(r.store, r.ledger.addRun)
-	all.OnOrder = r.ledger.addOrder
+	all.OnOrder, all.OnAnswer = r.ledger.addOrder, r.ledger.addStatement
 	start := func(n int, service, stage string) error {
 		for range n {
 			var p *standin.Link
@@ -261,7 +261,7 @@
 				return
 			case <-time.After(time.Until(r.startedAt.Add(f.At))):
 			}
-			for _, k := range slices.Concat(baseKinds, delayKinds, reportLossKinds, fleetWideKinds, needKinds, partitionKinds) {
+			for _, k := range slices.Concat(baseKinds, delayKinds, reportLossKinds, fleetWideKinds, needKinds, partitionKinds, statementKinds) {
 				if k.name == f.Kind {
 					start := time.Now()
 					k.apply(r, f)
@@ -356,7 +356,7 @@
 		if current, last := r.currentKeys(); current != "" {
 			key, staleKey = current, last
 		}
-		s := &request{kind: standin.Kind(rng.IntN(3)), organisation: unlimitedOrganisation, key: key, sentAt: time.Now()}
+		s := &request{kind: standin.Kind(rng.IntN(4)), organisation: unlimitedOrganisation, key: key, sentAt: time.Now()}
 		switch n % 6 {
 		case 0:
 			s.kind, s.organisation, s.key = standin.Draft, limitedOrganisation, "limited"
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -119,6 +119,45 @@
 	}
 }
 
+// Guards against checks that miss requests to engines that have said that they leave or want rest.
+func TestChecksFindWorkAgainstStatements(t *testing.T) {
+	start := time.Unix(100, 0)
+	record := func(statement standin.Arrival, passedOn bool, others int, after time.Duration) *ledger {
+		l := newLedger(1)
+		add := func(id string, sent time.Time) {
+			s := &request{kind: standin.Book, instance: "i0", sentAt: sent, organisation: unlimitedOrganisation, status: http.StatusOK, signature: standin.Signature(id), answer: standin.Answer(id, false), endedAt: sent}
+			l.addRequest(id, s)
+			l.addRun(standin.Run{ID: id, Engine: "other", Organisation: unlimitedOrganisation, Body: standin.Body(id), At: sent})
+		}
+		statement.ID, statement.Engine, statement.At = "a", "e", start
+		add("a", start)
+		if !passedOn {
+			l.requests["a"].status, l.requests["a"].signature = http.StatusBadGateway, ""
+		}
+		l.addStatement(statement)
+		for n := range others {
+			id := strconv.Itoa(n)
+			add(id, start.Add(after))
+			l.runs[id][0].Engine = "e"
+			l.addStatement(standin.Arrival{ID: id, Engine: "e", Leaving: statement.Leaving, Rest: statement.Rest, At: start.Add(after)})
+		}
+		return l
+	}
+	leaving, rest := standin.Arrival{Leaving: true}, standin.Arrival{Rest: restTime}
+	const late, soon = 4 * time.Second, time.Second
+	assert.Equal(t, len(record(leaving, true, 1, late).checkLeavingSaid()), 1)
+	assert.Equal(t, len(record(leaving, true, 1, soon).checkLeavingSaid()), 0)
+	// The later requests were told as well, at the same time.
+	assert.Equal(t, len(record(leaving, false, 1, late).checkLeavingSaid()), 0)
+	assert.Assert(t, len(record(rest, true, restSlack+1, late).checkRests()) > 0)
+	assert.Equal(t, len(record(rest, true, restSlack, late).checkRests()), 0)
+	assert.Equal(t, len(record(rest, true, restSlack+1, soon).checkRests()), 0)
+	assert.Equal(t, len(record(rest, false, restSlack+1, late).checkRests()), 0)
+	disturbed := record(rest, true, restSlack+1, late)
+	disturbed.addPartition("i0", start, start.Add(time.Second))
+	assert.Equal(t, len(disturbed.checkRests()), 0)
+}
+
 func TestCheckFindsExceededQuota(t *testing.T) {
 	l := newLedger(4)
 	allowed := int(((quotaRate*quotaWindow.Seconds()+quotaBurst)*(1+quotaOver) + quotaSlack) / standin.DraftTokens)
