Streams: encoded ones are not searched for events, and none has a length at the caller

An encoded stream looked as if it ended inside an event and was aborted. A stream of events with a length that ends inside one reached its caller whole by that length, whatever followed. TestStreamWithAStatedEnd failed before.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -6,6 +6,7 @@
 	"mime"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -110,9 +111,12 @@
 	return nil
 }
 
-// isEventStream reports whether the answer consists of events. Without a type, that is assumed if its end is
-// not stated.
+// isEventStream reports whether the answer consists of events that can be read here. Without a type, that is
+// assumed if its end is not stated.
 func (s *stream) isEventStream() bool {
+	if encoding := s.answer.Header.Get("Content-Encoding"); encoding != "" && !strings.EqualFold(encoding, "identity") {
+		return false
+	}
 	mediaType, _, err := mime.ParseMediaType(s.answer.Header.Get("Content-Type"))
 	if err != nil {
 		return !s.answer.EndStated
@@ -140,7 +144,7 @@
 	s.started, s.status = true, s.answer.Status
 	s.gateway.Metrics.RecordStageDuration("first_byte", s.admitted.service.Name, time.Since(s.admitted.call.Arrived))
 	copyHeader(s.w.Header(), s.answer)
-	if s.answer.Length >= 0 && !s.admitted.route.Resumable {
+	if s.answer.Length >= 0 && !s.admitted.route.Resumable && !s.isEventStream() {
 		s.w.Header().Set("Content-Length", strconv.FormatInt(s.answer.Length, 10))
 	}
 	s.w.WriteHeader(s.answer.Status)
--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -110,3 +110,30 @@
 		}
 	}
 }
+
+// Guards against a stream that ends inside an event and looks complete because its engine stated that end, and
+// against encoded streams, in which no event can be found, that count as broken off.
+func TestStreamWithAStatedEnd(t *testing.T) {
+	for _, path := range []string{"/draft/1", "/resumable/1"} {
+		for _, length := range []int64{-1, 10} {
+			for _, c := range []struct {
+				body, encoding string
+				brokenOff      bool
+			}{{"data: x\n\nd", "", true}, {"data: xx\n\n", "", false}, {"compressed", "gzip", false}, {"", "", false}} {
+				gw := newTestGateway(t)
+				gw.run = func(context.Context, upstream.Entry, *Call, RunOptions) (*Answer, error) {
+					answer := unframedAnswer(c.body)
+					answer.EndStated, answer.Length = true, length
+					if c.encoding != "" {
+						answer.Header.Set("Content-Encoding", c.encoding)
+					}
+					return answer, nil
+				}
+				rec, aborted := gw.request(path, map[string]string{"Tokens": tokenCounts})
+				assert.Check(t, aborted == c.brokenOff, "%s %q", path, c.body)
+				assert.Check(t, !c.brokenOff || rec.Header().Get("Content-Length") == "", "%s %q: the length is complete", path, c.body)
+				assert.Check(t, c.brokenOff || rec.Body.String() == c.body, "%s %q", path, rec.Body)
+			}
+		}
+	}
+}
