--- a/instance/routed/statements_test.go
+++ b/instance/routed/statements_test.go
@@ -210,10 +210,9 @@
 	}
 }
 
-// Guards against requests that go round over another instance to an engine that asked this instance for rest,
-// and against an instance that relays to an engine that asked it for rest.
-func TestRestHoldsOverAnotherInstance(t *testing.T) {
-	t.Parallel()
+// cutOff returns an instance of a fleet that reaches the engines over the others only.
+func cutOff(t *testing.T) (*partitionFleet, *linkedInstance) {
+	t.Helper()
 	f := newPartitionFleet(t, 3)
 	for _, i := range f.instances {
 		waitFor(t, func() bool { return len(i.sendAll("before", 1)) == 0 })
@@ -222,6 +221,26 @@
 	assert.NilError(t, cut.links.Partition((*standin.Link).Sever))
 	time.Sleep(partitionGrace)
 	waitFor(t, func() bool { return len(cut.sendAll("over", 1)) == 0 })
+	return f, cut
+}
+
+// Guards against an engine that says that it leaves in an answer that was relayed, and gets requests on.
+func TestLeavingHoldsOverAnotherInstance(t *testing.T) {
+	t.Parallel()
+	f, cut := cutOff(t)
+	f.store.SetDown(true)
+	id := f.stage("")[0].SayLeaving()
+	f.tell(t, cut, []standin.Kind{standin.Read}, id)
+	since := f.allArrivals()
+	good, _ := cut.sendMany(t, "after", 10, standin.Read, standin.Book)
+	assert.Equal(t, good, 20)
+	assert.Equal(t, f.countArrivals(id, since), 0, "requests reached the engine")
+}
+
+// Guards against requests that go round over another instance to an engine that asked this instance for rest.
+func TestRestHoldsOverAnotherInstance(t *testing.T) {
+	t.Parallel()
+	f, cut := cutOff(t)
 	var ids []string
 	for _, e := range f.stage("") {
 		ids = append(ids, e.AskForRest(longRest))
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -209,6 +209,48 @@
 	}
 }
 
+// Guards against an instance that relays to an upstream from which it was asked to keep away, and against a request
+// that is not sent by another one then, or that goes round the admission of the instance that sends it.
+func TestAdmissionHoldsForRelayedRequests(t *testing.T) {
+	var received atomic.Int32
+	nodes := newNodes(t, 3, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		received.Add(1)
+		echo(w, r)
+	}))
+	var refusing [3]atomic.Bool
+	var responses [3]atomic.Int32
+	for n, node := range nodes {
+		node.Guard(func(upstream.Entry, *httpconn.Request) error {
+			if refusing[n].Load() {
+				return errors.New("resting")
+			}
+			return nil
+		}, func(upstream.Entry, *httpconn.Request, *httpconn.Response) { responses[n].Add(1) })
+	}
+	nodes[0].partition(t, false)
+	send := func(id string) error { _, err := nodes[0].sendRequest(t.Context(), id); return err }
+	for n := range 6 {
+		assert.NilError(t, send(fmt.Sprint("before", n)))
+	}
+	refusing[1].Store(true)
+	before := responses[1].Load()
+	for n := range 6 {
+		assert.NilError(t, send(fmt.Sprint("one", n)))
+	}
+	assert.Equal(t, responses[1].Load(), before, "an instance relayed that must not")
+	assert.Equal(t, responses[0].Load(), received.Load(), "the sender was not shown a relayed response")
+	assert.Equal(t, responses[1].Load()+responses[2].Load(), received.Load(), "an instance was not shown a response that it relayed")
+	got := received.Load()
+	refusing[0].Store(true)
+	err := send("own")
+	assert.Assert(t, errors.Is(err, httpconn.ErrNotAdmitted) && !httpconn.Sent(err), "%v", err)
+	refusing[0].Store(false)
+	refusing[2].Store(true)
+	err = send("all")
+	assert.Assert(t, err != nil && !httpconn.Sent(err), "%v", err)
+	assert.Equal(t, received.Load(), got)
+}
+
 // Guards against upstreams that work on for a caller that has left, on the way over another instance.
 func TestEndOfRelayedRequestReachesTheUpstream(t *testing.T) {
 	for _, stage := range []string{"waiting", "reading"} {
