--- a/decision/advertised/advertised.go
+++ b/decision/advertised/advertised.go
@@ -1,16 +1,16 @@
 // Package advertised tracks what upstreams say of themselves in their answers: the request rate that they take
-// from all instances together, that they are shutting down, and how long they want to be left alone by the
-// instance that they answered.
+// from all instances together, that they are shutting down, and how long the
+// instance that they answered must back off.
 //
 // Load pattern: an upstream in need names a rate that is far below what it gets, or turns requests away and
-// asks for a time of rest. One that shuts down says so in its answers before the store's list does, or while
+// requests a backoff. One that shuts down says so in its answers before the store's list does, or while
 // the store is away.
 //
 // Without it: each instance learns of a rate only from its own requests, an upstream that turns requests away
 // at once looks the least loaded and attracts more, and requests are lost with an upstream that has left.
 //
 // A statement is about a run of an upstream, whatever its entry in a list says. The newest one about a rate
-// holds, whichever instance got it; that it leaves holds for the rest of the run, at all instances; a rest
+// holds, whichever instance got it; that it leaves holds until the run ends, at all instances; a backoff
 // holds to its end, at the instance that was asked. Times are of the instance's clock that includes
 // suspensions; those of other instances are derived from the age that they report.
 package advertised
@@ -66,8 +66,8 @@
 	// statements holds the newest statement of each upstream that has named a rate.
 	statements map[Key]Statement
 	spent      map[Key]spent
-	// leaving holds when each upstream that leaves was last heard of, rests the end of each rest.
-	leaving, rests map[Key]time.Duration
+	// leaving holds when each upstream that leaves was last heard of, backoffs the end of each backoff.
+	leaving, backoffs map[Key]time.Duration
 }
 
 // spent describes an upstream that has got as many requests as it takes.
@@ -78,7 +78,7 @@
 
 // NewTable returns a table without statements.
 func NewTable() *Table {
-	return &Table{statements: make(map[Key]Statement), spent: make(map[Key]spent), leaving: make(map[Key]time.Duration), rests: make(map[Key]time.Duration)}
+	return &Table{statements: make(map[Key]Statement), spent: make(map[Key]spent), leaving: make(map[Key]time.Duration), backoffs: make(map[Key]time.Duration)}
 }
 
 // Record records a statement, unless a newer one is known. It reports whether the rate changed.
@@ -129,22 +129,22 @@
 	return leaving
 }
 
-// RecordRest records that an upstream has asked for a time of rest. Of several rests, the one that ends last
-// holds. It reports whether no rest held before.
-func (t *Table) RecordRest(now time.Duration, key Key, rest time.Duration) (isNew bool) {
-	_, resting := t.Rest(now, key)
-	t.rests[key] = max(t.rests[key], now+rest)
-	return !resting
+// RecordBackoff records that an upstream has requested a backoff. Of several backoffs, the one that ends last
+// holds. It reports whether no backoff held before.
+func (t *Table) RecordBackoff(now time.Duration, key Key, backoff time.Duration) (isNew bool) {
+	_, backingOff := t.Backoff(now, key)
+	t.backoffs[key] = max(t.backoffs[key], now+backoff)
+	return !backingOff
 }
 
-// Rest returns the time until the end of an upstream's rest. ok is false if none holds.
-func (t *Table) Rest(now time.Duration, key Key) (left time.Duration, ok bool) {
-	left = t.rests[key] - now
+// Backoff returns the time until the end of an upstream's backoff. ok is false if none holds.
+func (t *Table) Backoff(now time.Duration, key Key) (left time.Duration, ok bool) {
+	left = t.backoffs[key] - now
 	return left, left > 0
 }
 
 // IsEmpty reports whether no upstream has said anything, which is the usual case.
-func (t *Table) IsEmpty() bool { return len(t.statements)+len(t.leaving)+len(t.rests) == 0 }
+func (t *Table) IsEmpty() bool { return len(t.statements)+len(t.leaving)+len(t.backoffs) == 0 }
 
 // LeavingToReport returns the upstreams that leave and were listed or heard of lately, in ascending order.
 func (t *Table) LeavingToReport(now time.Duration) []Key {
@@ -179,9 +179,9 @@
 			delete(t.leaving, key)
 		}
 	}
-	for key := range t.rests {
-		if _, resting := t.Rest(now, key); !resting {
-			delete(t.rests, key)
+	for key := range t.backoffs {
+		if _, backingOff := t.Backoff(now, key); !backingOff {
+			delete(t.backoffs, key)
 		}
 	}
 }
--- a/decision/advertised/advertised_test.go
+++ b/decision/advertised/advertised_test.go
@@ -71,23 +71,23 @@
 	assert.Assert(t, !spent, "the limit has ended")
 }
 
-// Guards against a rest that ends before its time, because a shorter one was asked for later.
-func TestRestHoldsToTheLaterEnd(t *testing.T) {
+// Guards against a backoff that ends before its time, because a shorter one was asked for later.
+func TestBackoffHoldsToTheLaterEnd(t *testing.T) {
 	table := NewTable()
 	start := time.Minute
-	assert.Assert(t, table.RecordRest(start, 1, 3*time.Second))
-	assert.Assert(t, !table.RecordRest(start+time.Second, 1, time.Second))
-	left, resting := table.Rest(start+2500*time.Millisecond, 1)
-	assert.Assert(t, resting)
+	assert.Assert(t, table.RecordBackoff(start, 1, 3*time.Second))
+	assert.Assert(t, !table.RecordBackoff(start+time.Second, 1, time.Second))
+	left, backingOff := table.Backoff(start+2500*time.Millisecond, 1)
+	assert.Assert(t, backingOff)
 	assert.Equal(t, left, 500*time.Millisecond)
 	table.Sweep(start+2500*time.Millisecond, func(Key) bool { return false })
-	_, resting = table.Rest(start+2500*time.Millisecond, 1)
-	assert.Assert(t, resting, "the entry is away")
-	assert.Assert(t, !table.RecordRest(start+2500*time.Millisecond, 1, time.Second))
-	_, resting = table.Rest(start+3200*time.Millisecond, 1)
-	assert.Assert(t, resting)
-	_, resting = table.Rest(start+3500*time.Millisecond, 1)
-	assert.Assert(t, !resting)
+	_, backingOff = table.Backoff(start+2500*time.Millisecond, 1)
+	assert.Assert(t, backingOff, "the entry is away")
+	assert.Assert(t, !table.RecordBackoff(start+2500*time.Millisecond, 1, time.Second))
+	_, backingOff = table.Backoff(start+3200*time.Millisecond, 1)
+	assert.Assert(t, backingOff)
+	_, backingOff = table.Backoff(start+3500*time.Millisecond, 1)
+	assert.Assert(t, !backingOff)
 	table.Sweep(start+4*time.Second, func(Key) bool { return true })
 	assert.Assert(t, table.IsEmpty())
 }
--- a/gateway/rest_test.go
+++ b/gateway/backoff_test.go
@@ -13,13 +13,13 @@
 	"github.com/cairnworks/cairnworks/verdict"
 )
 
-// askForRest lets upstreams ask the gateway for rest.
-func (gw *testGateway) askForRest(t *testing.T, rest time.Duration, ids ...string) {
+// requestBackoff lets upstreams tell the gateway to back off.
+func (gw *testGateway) requestBackoff(t *testing.T, backoff time.Duration, ids ...string) {
 	t.Helper()
 	for _, id := range ids {
 		entry, ok := gw.state.Directory.Current(id)
 		assert.Assert(t, ok)
-		gw.record(entry, upstream.Statement{Rest: rest})
+		gw.record(entry, upstream.Statement{Backoff: backoff})
 	}
 }
 
@@ -32,28 +32,28 @@
 	return time.Duration(seconds * float64(time.Second))
 }
 
-// Guards against requests that wait, reserve in a loop or return too early while all upstreams rest: they are
+// Guards against requests that wait, reserve in a loop or return too early while all upstreams request a backoff: they are
 // refused with the shortest time left, although that is beyond the caller's deadline.
-func TestAllRestIsRefusedWithTheShortestTime(t *testing.T) {
+func TestBackoffOfAllIsRefusedWithTheShortestTime(t *testing.T) {
 	gw := newTestGateway(t)
 	gw.run = answerOK
 	calls := 0
 	gw.reserve = func(upstream.Entry) (string, error) { calls++; return "reservation", nil }
 	gw.prefill = func(upstream.Entry) (string, error) { calls++; return "handle", nil }
-	gw.askForRest(t, time.Hour, "plain 0", "decode 4")
-	gw.askForRest(t, 20*time.Minute, "plain 1", "decode 5")
+	gw.requestBackoff(t, time.Hour, "plain 0", "decode 4")
+	gw.requestBackoff(t, 20*time.Minute, "plain 1", "decode 5")
 	for _, path := range []string{"/book/1", "/read/1", "/draft/1", "/resumable/1"} {
 		rec, _ := gw.request(path, map[string]string{"Tokens": tokenCounts})
 		assert.Equal(t, rec.Code, http.StatusServiceUnavailable)
-		after := retryAfter(t, rec.Header(), rec.Body.String(), verdict.ReasonUpstreamResting)
+		after := retryAfter(t, rec.Header(), rec.Body.String(), verdict.ReasonUpstreamBackoff)
 		assert.Assert(t, after > 19*time.Minute && after <= 20*time.Minute+2*plainRetry, "%s: %v", path, after)
 	}
 	assert.Equal(t, len(gw.sends)+calls, 0)
 }
 
-// Guards against a request that waits for room until its time is up, although all engines have asked for rest
+// Guards against a request that waits for room until its time is up, although all engines have requested a backoff
 // meanwhile.
-func TestWaitingRequestIsRefusedWhenAllRest(t *testing.T) {
+func TestWaitingRequestIsRefusedWhenAllRequestBackoff(t *testing.T) {
 	gw := newTestGateway(t)
 	gw.run = answerOK
 	d := gw.gateway.dispatchers.get(&gw.state.Index().Set().Services[1])
@@ -67,20 +67,20 @@
 		done <- rec.Body.String()
 	}()
 	time.Sleep(20 * time.Millisecond)
-	gw.askForRest(t, time.Hour, "decode 4", "decode 5")
+	gw.requestBackoff(t, time.Hour, "decode 4", "decode 5")
 	body := <-done
-	assert.Assert(t, strings.Contains(body, string(verdict.ReasonUpstreamResting)) || strings.Contains(body, string(verdict.ReasonQueueTimeout)), body)
+	assert.Assert(t, strings.Contains(body, string(verdict.ReasonUpstreamBackoff)) || strings.Contains(body, string(verdict.ReasonQueueTimeout)), body)
 }
 
-// Guards against a rest of all prefill engines that keeps decode engines from reading prompts themselves.
-func TestRestOfPrefillEnginesLeavesPromptsToDecodeEngines(t *testing.T) {
+// Guards against a backoff of all prefill engines that keeps decode engines from reading prompts themselves.
+func TestBackoffOfPrefillEnginesLeavesPromptsToDecodeEngines(t *testing.T) {
 	gw := newTestGateway(t)
 	gw.run = answerOK
 	gw.prefill = func(upstream.Entry) (string, error) {
-		t.Error("a prompt was sent to an engine that rests")
+		t.Error("a prompt was sent to an engine that requested a backoff")
 		return "", nil
 	}
-	gw.askForRest(t, time.Hour, "prefill 2", "prefill 3")
+	gw.requestBackoff(t, time.Hour, "prefill 2", "prefill 3")
 	for range 3 {
 		rec, _ := gw.request("/draft/1", map[string]string{"Tokens": tokenCounts})
 		assert.Equal(t, rec.Code, http.StatusOK)
@@ -92,17 +92,17 @@
 
 // Guards against an engine that one instance was asked to leave alone and that the home of the places keeps
 // assigning to it, or keeps from others.
-func TestRestIsForTheInstanceThatWasAsked(t *testing.T) {
+func TestBackoffIsForTheInstanceThatWasTold(t *testing.T) {
 	runPlacementTest(t, 18, 2, func(t *testing.T, f *placementFleet) {
-		rest := func(instance int, ids ...string) {
+		backoff := func(instance int, ids ...string) {
 			for _, id := range ids {
 				entry, ok := f.gateways[instance].state.Directory.Current(id)
 				assert.Assert(t, ok)
-				f.upstreams[instance].record(entry, upstream.Statement{Rest: time.Hour})
+				f.upstreams[instance].record(entry, upstream.Statement{Backoff: time.Hour})
 			}
 		}
-		rest(1, "d0", "p0")
-		rest(0, "d1", "p1")
+		backoff(1, "d0", "p0")
+		backoff(0, "d1", "p1")
 		claims := func(instance int) map[string]bool {
 			placed := make(map[string]bool)
 			for range 3 {
@@ -117,7 +117,7 @@
 		}
 		before := f.claims
 		assert.DeepEqual(t, claims(1), map[string]bool{"d1": true, "p1": true})
-		assert.Equal(t, f.claims-before, uint64(6), "the claims do not name what rests")
+		assert.Equal(t, f.claims-before, uint64(6), "the claims do not name what requested it")
 		assert.DeepEqual(t, claims(0), map[string]bool{"d0": true, "p0": true})
 	})
 }
--- a/gateway/claims.go
+++ b/gateway/claims.go
@@ -97,7 +97,7 @@
 // prefill assigns a prefill engine immediately or refuses.
 func (r *remoteClaim) prefill(c fleet.Claim) {
 	entries := r.dispatcher.gateway.state.Directory.Service(r.dispatcher.service)
-	// Upstreams that rest do so for this instance only.
+	// A requested backoff binds the instance that was told only.
 	except := union(r.pool.idsOf(c.Except), r.dispatcher.gateway.statements.unavailable(entries).spentIDs())
 	avoid := r.pool.idsOf(c.Avoid)
 	avoid = union(avoid, r.dispatcher.gateway.outliers.ejected(entries))
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -168,8 +168,8 @@
 	entries := d.gateway.state.Directory.Service(d.service)
 	unavailable := d.gateway.statements.unavailable(entries)
 	ejected := union(d.gateway.outliers.ejected(entries), unavailable.spentIDs())
-	// Engines that rest do so for this instance only.
-	ejectedHere := union(ejected, unavailable.restingIDs())
+	// A requested backoff binds the instance that was told only.
+	ejectedHere := union(ejected, unavailable.backoffIDs())
 	d.refuseIfNoneAvailable()
 	now := time.Now()
 	d.queue.Dispatch(now, func(item *waiting.Item) bool {
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -168,7 +168,7 @@
 	g.recordUpstreamFailure(ctx, r.admitted.call, target.entry, v)
 	if v.Ran == verdict.NotRun {
 		r.dropReservation(target)
-		if v.Reason != verdict.ReasonUpstreamResting && v.Reason != verdict.ReasonUpstreamLeaving {
+		if v.Reason != verdict.ReasonUpstreamBackoff && v.Reason != verdict.ReasonUpstreamLeaving {
 			r.dispatcher.withdrawRefusing(r.dispatcher.decode, target.entry)
 		}
 		r.freeHandle(from, source)
--- a/gateway/statements.go
+++ b/gateway/statements.go
@@ -47,8 +47,8 @@
 	if said.Leaving {
 		s.recordLeaving(from)
 	}
-	if said.Rest > 0 {
-		s.recordRest(from, said.Rest)
+	if said.Backoff > 0 {
+		s.recordBackoff(from, said.Backoff)
 	}
 }
 
@@ -79,12 +79,12 @@
 	}
 }
 
-func (s *upstreamStatements) recordRest(from upstream.Entry, rest time.Duration) {
+func (s *upstreamStatements) recordBackoff(from upstream.Entry, backoff time.Duration) {
 	s.mu.Lock()
-	isNew := s.table.RecordRest(s.now(), runKey(from), rest)
+	isNew := s.table.RecordBackoff(s.now(), runKey(from), backoff)
 	s.mu.Unlock()
 	if isNew {
-		s.log.Info("upstream asks for rest", zap.String("upstream", from.ID), zap.String("address", from.Address), zap.Duration("rest", rest))
+		s.log.Info("upstream requests a backoff", zap.String("upstream", from.ID), zap.String("address", from.Address), zap.Duration("backoff", backoff))
 	}
 }
 
@@ -114,8 +114,8 @@
 		return nil
 	}
 	key := runKey(to)
-	if left, resting := s.table.Rest(s.now(), key); resting {
-		return verdict.Fail(verdict.NotRun, verdict.ReasonUpstreamResting, errNotSent, "the upstream has asked for rest for another %v", left.Round(time.Millisecond))
+	if left, backingOff := s.table.Backoff(s.now(), key); backingOff {
+		return verdict.Fail(verdict.NotRun, verdict.ReasonUpstreamBackoff, errNotSent, "the upstream has requested a backoff for another %v", left.Round(time.Millisecond))
 	}
 	if use == upstream.Work && s.table.IsLeaving(key) {
 		return verdict.Fail(verdict.NotRun, verdict.ReasonUpstreamLeaving, errNotSent, "the upstream is shutting down")
@@ -153,9 +153,9 @@
 // unavailable are upstreams that get no requests because of what they have said, by ID, with the time until they
 // may.
 type unavailable struct {
-	// spent are those whose limits are reached, for all instances. resting are those that have asked this
-	// instance for rest.
-	spent, resting map[string]time.Duration
+	// spent are those whose limits are reached, for all instances. backingOff are those that have told this
+	// instance to back off.
+	spent, backingOff map[string]time.Duration
 }
 
 // unavailable returns which of the entries get no requests.
@@ -165,15 +165,15 @@
 	if s.table.IsEmpty() {
 		return unavailable{}
 	}
-	out := unavailable{spent: make(map[string]time.Duration), resting: make(map[string]time.Duration)}
+	out := unavailable{spent: make(map[string]time.Duration), backingOff: make(map[string]time.Duration)}
 	now := s.now()
 	for _, e := range entries {
 		key := runKey(e)
 		if left, spent := s.table.Spent(now, key); spent {
 			out.spent[e.ID] = left
 		}
-		if left, resting := s.table.Rest(now, key); resting {
-			out.resting[e.ID] = left
+		if left, backingOff := s.table.Backoff(now, key); backingOff {
+			out.backingOff[e.ID] = left
 		}
 	}
 	return out
@@ -182,11 +182,11 @@
 // spentIDs returns the IDs of the upstreams whose limits are reached.
 func (u unavailable) spentIDs() map[string]bool { return idSet(u.spent) }
 
-// restingIDs returns the IDs of the upstreams that have asked this instance for rest.
-func (u unavailable) restingIDs() map[string]bool { return idSet(u.resting) }
+// backoffIDs returns the IDs of the upstreams that have told this instance to back off.
+func (u unavailable) backoffIDs() map[string]bool { return idSet(u.backingOff) }
 
 // ids returns the IDs of all unavailable upstreams.
-func (u unavailable) ids() map[string]bool { return union(u.spentIDs(), u.restingIDs()) }
+func (u unavailable) ids() map[string]bool { return union(u.spentIDs(), u.backoffIDs()) }
 
 // idSet returns the keys of a map.
 func idSet(of map[string]time.Duration) map[string]bool {
@@ -198,7 +198,7 @@
 }
 
 // left returns the time until an upstream may get requests, or 0 if it may now.
-func (u unavailable) left(id string) time.Duration { return max(u.spent[id], u.resting[id]) }
+func (u unavailable) left(id string) time.Duration { return max(u.spent[id], u.backingOff[id]) }
 
 // accepts reports whether an upstream takes requests of this instance, as far as it and the store have said.
 func (g *Gateway) accepts(e upstream.Entry) bool {
@@ -226,15 +226,15 @@
 			return nil
 		case retry == 0 || left < retry:
 			retry, reason = left, verdict.ReasonUpstreamLimited
-			if u.resting[e.ID] >= u.spent[e.ID] {
-				reason = verdict.ReasonUpstreamResting
+			if u.backingOff[e.ID] >= u.spent[e.ID] {
+				reason = verdict.ReasonUpstreamBackoff
 			}
 		}
 	}
 	switch reason {
-	case verdict.ReasonUpstreamResting:
+	case verdict.ReasonUpstreamBackoff:
 		// Callers that return at the same moment would be turned away again.
-		return verdict.Refuse(reason, retry+spreadRetry(seed), "all upstreams of %s have asked for rest", service)
+		return verdict.Refuse(reason, retry+spreadRetry(seed), "all upstreams of %s have requested a backoff", service)
 	case verdict.ReasonUpstreamLimited:
 		return verdict.Refuse(reason, max(retry, spreadRetry(seed)), "all upstreams of %s have reached the rates that they take", service)
 	}
--- a/instance/routed/statements_test.go
+++ b/instance/routed/statements_test.go
@@ -12,8 +12,8 @@
 	"github.com/cairnworks/cairnworks/platform/standin"
 )
 
-// longRest is a time of rest that lasts beyond the end of each test.
-const longRest = time.Hour
+// longBackoff is a backoff that lasts beyond the end of each test.
+const longBackoff = time.Hour
 
 // stage returns the engines of a stage.
 func (f *partitionFleet) stage(stage string) (engines []*standin.Engine) {
@@ -164,12 +164,12 @@
 	}
 }
 
-// restSlack is the number of requests and calls that may reach an engine after it asked for rest: some are
+// backoffSlack is the number of requests and calls that may reach an engine after it was told to back off: some are
 // under way.
-const restSlack = 2
+const backoffSlack = 2
 
-// Guards against requests and calls to an engine that asked for a time of rest, from its first answer on.
-func TestEngineThatAsksForRestGetsNothing(t *testing.T) {
+// Guards against requests and calls to an engine that requested a backoff, from its first answer on.
+func TestEngineThatRequestsBackoffGetsNothing(t *testing.T) {
 	for _, stage := range []string{"", standin.StagePrefill, standin.StageDecode} {
 		for _, alone := range []bool{false, true} {
 			t.Run(fmt.Sprintf("stage %q, all %v", stage, alone), func(t *testing.T) {
@@ -181,13 +181,13 @@
 				if stage != "" {
 					kinds = []standin.Kind{standin.Draft}
 				}
-				resting := f.stage(stage)
+				backingOff := f.stage(stage)
 				if !alone {
-					resting = resting[:1]
+					backingOff = backingOff[:1]
 				}
-				ids := make([]string, len(resting))
-				for n, e := range resting {
-					ids[n] = e.AskForRest(longRest)
+				ids := make([]string, len(backingOff))
+				for n, e := range backingOff {
+					ids[n] = e.RequestBackoff(longBackoff)
 				}
 				f.tell(t, i, kinds, ids...)
 				since := f.allArrivals()
@@ -196,11 +196,11 @@
 				settle()
 				for _, id := range ids {
 					got := f.countArrivals(id, since)
-					assert.Assert(t, got <= restSlack, "%d requests and calls reached %s", got, id)
+					assert.Assert(t, got <= backoffSlack, "%d requests and calls reached %s", got, id)
 				}
 				if alone && stage != standin.StagePrefill {
 					assert.Equal(t, good, 0)
-					assert.Assert(t, retry > longRest/2, "refused until %v", retry)
+					assert.Assert(t, retry > longBackoff/2, "refused until %v", retry)
 					assert.Equal(t, f.allArrivals(), since, "requests and calls reached engines")
 					return
 				}
@@ -237,18 +237,18 @@
 	assert.Equal(t, f.countArrivals(id, since), 0, "requests reached the engine")
 }
 
-// Guards against requests that go round over another instance to an engine that asked this instance for rest.
-func TestRestHoldsOverAnotherInstance(t *testing.T) {
+// Guards against requests that go round over another instance to an engine that told this instance to back off.
+func TestBackoffHoldsOverAnotherInstance(t *testing.T) {
 	t.Parallel()
 	f, cut := cutOff(t)
 	var ids []string
 	for _, e := range f.stage("") {
-		ids = append(ids, e.AskForRest(longRest))
+		ids = append(ids, e.RequestBackoff(longBackoff))
 	}
 	f.tell(t, cut, []standin.Kind{standin.Read, standin.Book}, ids...)
 	since := f.allArrivals()
 	good, retry := cut.sendMany(t, "after", 10, standin.Read, standin.Book)
 	assert.Equal(t, good, 0)
-	assert.Assert(t, retry > longRest/2)
+	assert.Assert(t, retry > longBackoff/2)
 	assert.Equal(t, f.allArrivals(), since, "requests went round")
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -222,7 +222,7 @@
 	for n, node := range nodes {
 		node.Guard(func(upstream.Entry, *httpconn.Request) error {
 			if refusing[n].Load() {
-				return errors.New("resting")
+				return errors.New("backing off")
 			}
 			return nil
 		}, func(upstream.Entry, *httpconn.Request, *httpconn.Response) { responses[n].Add(1) })
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -147,7 +147,7 @@
 	out = append(out, l.checkOrders()...)
 	out = append(out, l.checkPartitions()...)
 	out = append(out, l.checkLeavingSaid()...)
-	out = append(out, l.checkRests()...)
+	out = append(out, l.checkBackoffs()...)
 	for _, limit := range l.limits {
 		out = append(out, l.checkLimit(limit)...)
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -119,7 +119,7 @@
 	}
 }
 
-// Guards against checks that miss requests to engines that have said that they leave or want rest.
+// Guards against checks that miss requests to engines that have said that they leave or request a backoff.
 func TestChecksFindWorkAgainstStatements(t *testing.T) {
 	start := time.Unix(100, 0)
 	record := func(statement standin.Arrival, passedOn bool, others int, after time.Duration) *ledger {
@@ -139,23 +139,23 @@
 			id := strconv.Itoa(n)
 			add(id, start.Add(after))
 			l.runs[id][0].Engine = "e"
-			l.addStatement(standin.Arrival{ID: id, Engine: "e", Leaving: statement.Leaving, Rest: statement.Rest, At: start.Add(after)})
+			l.addStatement(standin.Arrival{ID: id, Engine: "e", Leaving: statement.Leaving, Backoff: statement.Backoff, At: start.Add(after)})
 		}
 		return l
 	}
-	leaving, rest := standin.Arrival{Leaving: true}, standin.Arrival{Rest: restTime}
+	leaving, backoff := standin.Arrival{Leaving: true}, standin.Arrival{Backoff: backoffTime}
 	const late, soon = 4 * time.Second, time.Second
 	assert.Equal(t, len(record(leaving, true, 1, late).checkLeavingSaid()), 1)
 	assert.Equal(t, len(record(leaving, true, 1, soon).checkLeavingSaid()), 0)
 	// The later requests were told as well, at the same time.
 	assert.Equal(t, len(record(leaving, false, 1, late).checkLeavingSaid()), 0)
-	assert.Assert(t, len(record(rest, true, restSlack+1, late).checkRests()) > 0)
-	assert.Equal(t, len(record(rest, true, restSlack, late).checkRests()), 0)
-	assert.Equal(t, len(record(rest, true, restSlack+1, soon).checkRests()), 0)
-	assert.Equal(t, len(record(rest, false, restSlack+1, late).checkRests()), 0)
-	disturbed := record(rest, true, restSlack+1, late)
+	assert.Assert(t, len(record(backoff, true, backoffSlack+1, late).checkBackoffs()) > 0)
+	assert.Equal(t, len(record(backoff, true, backoffSlack, late).checkBackoffs()), 0)
+	assert.Equal(t, len(record(backoff, true, backoffSlack+1, soon).checkBackoffs()), 0)
+	assert.Equal(t, len(record(backoff, false, backoffSlack+1, late).checkBackoffs()), 0)
+	disturbed := record(backoff, true, backoffSlack+1, late)
 	disturbed.addPartition("i0", start, start.Add(time.Second))
-	assert.Equal(t, len(disturbed.checkRests()), 0)
+	assert.Equal(t, len(disturbed.checkBackoffs()), 0)
 }
 
 func TestCheckFindsExceededQuota(t *testing.T) {
--- a/soak/statements.go
+++ b/soak/statements.go
@@ -8,7 +8,7 @@
 )
 
 // statementKinds let engines end answers without a frame, break them off, and say in answers that they leave or
-// want rest. They are drawn separately, like delayKinds.
+// request a backoff. They are drawn separately, like delayKinds.
 var statementKinds = []faultKind{
 	{"engine without frames", 2, func(r *run, f fault) { r.endAnswers(f, standin.Unframed) }},
 	{"engine breaks off", 2, func(r *run, f fault) { r.endAnswers(f, standin.BrokenOff) }},
@@ -19,22 +19,22 @@
 		e.proxy.Reset()
 		e.engine.Replace()
 	}},
-	{"engine wants rest", 2, func(r *run, f fault) {
+	{"engine requests backoff", 2, func(r *run, f fault) {
 		e := r.targetEngine(f).engine
-		e.AskForRest(restTime)
+		e.RequestBackoff(backoffTime)
 		time.Sleep(f.Duration)
-		e.AskForRest(0)
+		e.RequestBackoff(0)
 	}},
 }
 
 const (
 	// meanStatementGap is the mean time between two faults of statementKinds.
 	meanStatementGap = 3 * time.Second
-	// restTime is the time of rest that engines ask for. From restDelay on, at most restSlack requests may reach
+	// backoffTime is the backoff that engines ask for. From backoffDelay on, at most backoffSlack requests may reach
 	// an engine in it.
-	restTime  = 6 * time.Second
-	restDelay = 500 * time.Millisecond
-	restSlack = 2
+	backoffTime  = 6 * time.Second
+	backoffDelay = 500 * time.Millisecond
+	backoffSlack = 2
 )
 
 // endAnswers makes an engine end its answers in a way for the duration of a fault.
@@ -47,7 +47,7 @@
 
 // addStatement records a request that an engine answered with a statement about itself.
 func (l *ledger) addStatement(a standin.Arrival) {
-	if a.ID == "" || !a.Leaving && a.Rest == 0 {
+	if a.ID == "" || !a.Leaving && a.Backoff == 0 {
 		return
 	}
 	l.mu.Lock()
@@ -89,16 +89,16 @@
 	return out
 }
 
-// checkRests checks the number of requests that reach an engine from an instance that it has asked for rest. Only
+// checkBackoffs checks the number of requests that reach an engine from an instance that it has told to back off. Only
 // requests that may run once are taken as proof that the instance got the answer: their fate depends on it.
-func (l *ledger) checkRests() []Finding {
+func (l *ledger) checkBackoffs() []Finding {
 	var out []Finding
 	for _, asked := range l.statements {
 		s, known := l.requests[asked.ID]
-		if asked.Rest == 0 || !known || s.kind.Repeatable() || s.status != 200 && s.status != 503 {
+		if asked.Backoff == 0 || !known || s.kind.Repeatable() || s.status != 200 && s.status != 503 {
 			continue
 		}
-		from, until := asked.At.Add(restDelay+clockSlack), asked.At.Add(asked.Rest)
+		from, until := asked.At.Add(backoffDelay+clockSlack), asked.At.Add(asked.Backoff)
 		if !l.undisturbed(s.instance, asked.At, until) || l.isPartitioned(s.instance, asked.At, until) {
 			continue
 		}
@@ -109,8 +109,8 @@
 				n, last = n+1, a
 			}
 		}
-		if n > restSlack {
-			out = append(out, Finding{"rest of engines", last.ID, fmt.Sprintf("%d requests from %s at engine %s, which had asked it for %v of rest", n, s.instance, asked.Engine, asked.Rest), last.At})
+		if n > backoffSlack {
+			out = append(out, Finding{"backoff of engines", last.ID, fmt.Sprintf("%d requests from %s at engine %s, which had told it to back off for %v", n, s.instance, asked.Engine, asked.Backoff), last.At})
 		}
 	}
 	return out
--- a/upstream/statement.go
+++ b/upstream/statement.go
@@ -16,8 +16,8 @@
 	Limit *RequestLimit
 	// Leaving is set if the upstream is shutting down and accepts no new requests.
 	Leaving bool
-	// Rest is how long the upstream takes nothing from the instance that it answered; 0 if it asks for no rest.
-	Rest time.Duration
+	// Backoff is how long the upstream takes nothing from the instance that it answered; 0 if it requests no backoff.
+	Backoff time.Duration
 }
 
 // Use is what a request or a call does to an upstream.
--- a/verdict/reason.go
+++ b/verdict/reason.go
@@ -30,9 +30,9 @@
 	ReasonNoUpstream          Reason = "no_upstream"
 	// ReasonUpstreamLimited means that all upstreams have reached the rates that they take.
 	ReasonUpstreamLimited Reason = "upstream_limited"
-	// ReasonUpstreamResting means that the upstream, or each one that could be tried, has asked this instance
-	// for a time of rest.
-	ReasonUpstreamResting Reason = "upstream_resting"
+	// ReasonUpstreamBackoff means that the upstream, or each one that could be tried, has asked this instance
+	// to back off.
+	ReasonUpstreamBackoff Reason = "upstream_backoff"
 	// ReasonUpstreamLeaving means that the upstream, or each one that could be tried, is shutting down.
 	ReasonUpstreamLeaving      Reason = "upstream_leaving"
 	ReasonSchedulerUnavailable Reason = "scheduler_unavailable"
