--- a/decision/eventstream/eventstream.go
+++ b/decision/eventstream/eventstream.go
@@ -7,7 +7,7 @@
 // Without it: such a stream looks like one that has ended.
 package eventstream
 
-import "bytes"
+import "strings"
 
 // Scanner follows a stream of events. Its zero value is at the start of a stream.
 type Scanner struct {
@@ -47,18 +47,16 @@
 // Events returns the number of events that have ended, including blocks of comments.
 func (s *Scanner) Events() int { return s.events }
 
-var idField = []byte("id:")
-
 // LastID returns the last ID in complete events. ok is false if there is none.
 func LastID(events []byte) (id string, ok bool) {
-	for {
-		start := bytes.LastIndexAny(events, "\r\n")
-		if value, found := bytes.CutPrefix(events[start+1:], idField); found {
-			return string(bytes.TrimSpace(value)), true
+	for rest := string(events); ; {
+		start := strings.LastIndexAny(rest, "\r\n")
+		if value, found := strings.CutPrefix(rest[start+1:], "id:"); found {
+			return strings.TrimSpace(value), true
 		}
 		if start < 0 {
 			return "", false
 		}
-		events = events[:start]
+		rest = rest[:start]
 	}
 }
