Tests: arrivals beyond the first of each request exceed the retry budget, failing until the fix

Callers of a service in need wait longer because instances send it more repeated requests than the budget allows.

--- /dev/null
+++ b/gateway/budget_test.go
@@ -0,0 +1,104 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cairnworks/cairnworks/fleet"
+	"github.com/cairnworks/cairnworks/upstream"
+)
+
+// budgetedRequests is the number of requests of the tests of the retry budget, at a ratio of allowedRatio.
+const (
+	budgetedRequests = 100
+	allowedRatio     = 0.2
+)
+
+// arrivalCounter counts what arrives at the fake upstreams.
+type arrivalCounter struct{ runs, refusedPrefills, acceptedPrefills atomic.Int64 }
+
+// newBudgetedGateway returns a gateway with a retry budget of allowedRatio and no slack, and the arrivals at its
+// upstreams. prefill and run decide on the n-th call of each kind.
+func newBudgetedGateway(t *testing.T, prefill func(n int64) error, run func(n int64, o RunOptions) (*Answer, error)) (*testGateway, *arrivalCounter) {
+	gw, c := newTestGateway(t), &arrivalCounter{}
+	gw.gateway.retryBudgets = newRetryBudgets(RetryBudget{Ratio: allowedRatio, Window: time.Hour, FirstStart: true}, func() fleet.Size { return fleet.SizeOf(1) })
+	var prefills atomic.Int64
+	gw.prefill = func(upstream.Entry) (string, error) {
+		if err := prefill(prefills.Add(1)); err != nil {
+			c.refusedPrefills.Add(1)
+			return "", err
+		}
+		c.acceptedPrefills.Add(1)
+		return "handle", nil
+	}
+	gw.run = func(_ context.Context, _ upstream.Entry, _ *Call, o RunOptions) (*Answer, error) {
+		return run(c.runs.Add(1), o)
+	}
+	return gw, c
+}
+
+// repeated returns the number of arrivals beyond one run and one accepted prefill for each request.
+func (c *arrivalCounter) repeated() int64 {
+	return c.runs.Load() + c.refusedPrefills.Load() + c.acceptedPrefills.Load() - 2*budgetedRequests
+}
+
+func acceptedPrefill(int64) error { return nil }
+
+// Guards against a retry that is charged once and arrives twice, as a prefill and as a run.
+func TestPromptsPrefilledAgainAreChargedToTheBudget(t *testing.T) {
+	gw, c := newBudgetedGateway(t, acceptedPrefill, func(_ int64, o RunOptions) (*Answer, error) {
+		if o.LastEventID == "" {
+			return &Answer{Status: http.StatusOK, Body: &truncatedBody{events(1, 3)}, Length: -1, EndStated: true}, nil
+		}
+		return newAnswer(http.StatusOK, events(4, 6))
+	})
+	for n := range budgetedRequests {
+		gw.request("/resumable/1", map[string]string{"Id": fmt.Sprint(n), "Tokens": tokenCounts})
+	}
+	assert.Assert(t, c.repeated() > 0)
+	assert.Assert(t, float64(c.repeated()) <= allowedRatio*budgetedRequests, "%d arrivals beyond the first of each request", c.repeated())
+}
+
+// Guards against prefill engines that refuse every prompt, so that each request arrives twice.
+func TestRefusedPrefillsAreChargedToTheBudget(t *testing.T) {
+	gw, c := newBudgetedGateway(t, func(int64) error { return refusedError() }, func(int64, RunOptions) (*Answer, error) {
+		return newAnswer(http.StatusOK, events(1, 2))
+	})
+	served := 0
+	for n := range budgetedRequests {
+		if rec, _ := gw.request("/draft/1", map[string]string{"Id": fmt.Sprint(n), "Tokens": tokenCounts}); rec.Code == http.StatusOK {
+			served++
+		}
+	}
+	// No prefill is accepted, so that only the run of each request is not a repeated arrival.
+	repeated := c.refusedPrefills.Load() + c.runs.Load() - budgetedRequests
+	assert.Assert(t, float64(repeated) <= allowedRatio*budgetedRequests, "%d arrivals beyond the first of each request", repeated)
+	assert.Assert(t, served >= 0.9*budgetedRequests, "%d requests were served by decode engines that read the prompts", served)
+}
+
+// Guards against instances whose shares of the slack grow when others end that have used theirs up.
+func TestSharesOfEndedInstancesAreNotUsedAgain(t *testing.T) {
+	const slack, before, after = 90.0, 9, 1
+	instances := before
+	budgets := make([]*retryBudgets, before)
+	for i := range budgets {
+		budgets[i] = newRetryBudgets(RetryBudget{Window: time.Hour, Slack: slack, FirstStart: true}, func() fleet.Size { return fleet.SizeOf(instances) })
+	}
+	used := 0
+	for _, b := range budgets {
+		for b.tryRetry("s") {
+			used++
+		}
+	}
+	instances = after
+	for budgets[0].tryRetry("s") {
+		used++
+	}
+	assert.Assert(t, used > 0 && float64(used) <= slack, "%d retries from a slack of %v", used, slack)
+}
