Metrics: arrivals at upstreams by call, prefills included

Operators who see repeated sends pile up cannot tell which: "retries" counts decisions to retry, and prefills stand nowhere. cairnworks_arrivals counts each request that may have arrived, by service, by call (run, prefill) and by whether one of the same request came before; the line "retried" has the prefills so far. All sends of the gateway pass one type for it, and a verdict says whether anything was sent at all (Unsent).

--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -71,6 +71,7 @@
 	if a.service, ok = index.Service(name); !ok {
 		return nil, verdict.Refuse(verdict.ReasonNoUpstream, time.Second, "the route's service %s is not configured", name)
 	}
+	c.sends.service = a.service.Name
 	if a.service.Kind != object.KindModel {
 		c.PromptParts = nil
 	}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -68,6 +68,7 @@
 	g.outliers = newOutlierDetector(boottime.Now)
 	g.statements = newUpstreamStatements(boottime.Now, o.Quotas, o.State.Directory, o.Log)
 	g.statements.onLeaving = g.triggerReport
+	g.Upstreams = &sender{Upstreams: o.Upstreams, metrics: o.Metrics}
 	g.Upstreams.Guard(g.admit, g.statements.record)
 	g.Upstreams.OnLinkCut(g.outliers.recordSuccess)
 	g.plainPools = newPlainPools()
@@ -94,13 +95,15 @@
 
 // admit decides, immediately before anything is sent to an upstream, whether it may be.
 func (g *Gateway) admit(to upstream.Entry, out upstream.Outgoing) error {
-	if v := g.statements.check(to, out.Use); v != nil {
-		return v
+	v := g.statements.check(to, out.Use)
+	if v == nil {
+		v = g.crashes.admit(to, out)
 	}
-	if v := g.crashes.admit(to, out); v != nil {
-		return v
+	if v == nil {
+		return nil
 	}
-	return nil
+	v.Unsent = true
+	return v
 }
 
 // announceCrash tells the other instances of a crash, and refuses the requests that are queued and must not be sent
--- a/gateway/helpers_test.go
+++ b/gateway/helpers_test.go
@@ -246,7 +246,7 @@
 	return verdict.Fail(verdict.MayHaveRun, verdict.ReasonUpstreamCrashed, nil, "closed")
 }
 func unreachableError() error {
-	return verdict.Fail(verdict.NotRun, verdict.ReasonUpstreamUnreachable, nil, "refused")
+	return &verdict.Verdict{Ran: verdict.NotRun, Unsent: true, Reason: verdict.ReasonUpstreamUnreachable, Detail: "refused"}
 }
 func (gw *testGateway) failWith(err error) {
 	gw.run = func(context.Context, upstream.Entry, *Call, RunOptions) (*Answer, error) { return nil, err }
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -74,7 +74,7 @@
 		if run.sends > before && run.mayRetry(ctx, out, v) {
 			g.Metrics.CountRetry(a.service.Name, v.Reason)
 			g.log.Info("retried", zap.String("request", a.call.ID), zap.String("reason", string(v.Reason)),
-				zap.Int("sent", run.sends), zap.String("after_event", out.lastID))
+				zap.Int("sent", run.sends), zap.Int("prefills", a.call.sends.prefills), zap.String("after_event", out.lastID))
 			continue
 		}
 		if out.started {
--- a/observe/metrics.go
+++ b/observe/metrics.go
@@ -182,6 +182,18 @@
 // CountRefusedConnection counts a connection that was closed because of overload before its request was read.
 func (m *Metrics) CountRefusedConnection() { m.Scope.Counter("refused_connections").Inc(1) }
 
+// Kinds of sends for CountArrival.
+const (
+	SendRun     = "run"
+	SendPrefill = "prefill"
+)
+
+// CountArrival counts a request that may have arrived at an upstream: its run, or the prefill of its prompt. repeated is
+// set if it is beyond the first one of its request.
+func (m *Metrics) CountArrival(service, send string, repeated bool) {
+	m.Scope.Tagged(map[string]string{"service": service, "send": send, "repeated": strconv.FormatBool(repeated)}).Counter("arrivals").Inc(1)
+}
+
 // CountRetry counts a retry by the reason of the failed attempt.
 func (m *Metrics) CountRetry(service string, reason verdict.Reason) {
 	m.Scope.Tagged(map[string]string{"service": service, "reason": string(reason)}).Counter("retries").Inc(1)
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -40,6 +40,8 @@
 type Verdict struct {
 	// Ran states whether the request may have been executed.
 	Ran Ran
+	// Unsent is set if nothing was sent to the upstream that the request or the call was meant for.
+	Unsent bool
 	// Reason is the cause. It is also used as a metric tag.
 	Reason Reason
 	// RetryAfter is the time after which a retry can succeed. Zero means that a retry will
