Retries: every repeated arrival at an upstream is charged before it is sent

Cause: decisions to retry were counted, at four places, and not arrivals. A retried model request was charged once and arrived twice (its prompt was prefilled again). A refused prefill was counted after the fact and without a bound, and the last prefill engine is never withdrawn, so that each request arrived twice for as long as it refused.

Now all sends pass one type (sender), which knows what has arrived for its call: the first run and the first accepted prefill are free, all others are charged before they are sent, and returned if nothing was sent. The run that follows a refused prefill is charged for it. Prefills of prompts that were read before may use half of the budget, since a decode engine can read them itself; an engine that has just refused a prefill gets the next one only if a further refusal could be paid. What cannot be charged is not sent: the caller is told that nothing ran and when to come back.

A plain request whose retry found no upstream with room was retried in a loop that drew on the budget without a send; an attempt that was not sent is no longer retried. budgetUseRatio is 0.8 (was 0.7), as the part for uncounted arrivals is no longer needed.

--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -1,98 +1,123 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/cairnworks/cairnworks/boottime"
-	"github.com/cairnworks/cairnworks/fleet"
 )
 
-// RetryBudget limits the load that retries add to a service, across the fleet.
+// RetryBudget limits the load that repeated sends add to a service, across the fleet.
 type RetryBudget struct {
-	// Ratio is the allowed ratio of retries to requests within the window.
+	// Ratio is the allowed ratio of arrivals beyond the first of each request to requests within the window.
 	Ratio  float64
 	Window time.Duration
-	// Slack is the number of retries allowed per window in addition to Ratio.
+	// Slack is the number of such arrivals allowed per window in addition to Ratio.
 	Slack float64
-	// FirstStart is set if the fleet starts for the first time, so that no retries can have been
-	// sent before.
+	// FirstStart is set if the fleet starts for the first time, so that none can have been sent before.
 	FirstStart bool
 }
 
-// budgetUseRatio is the fraction of the budget that is used. The remainder is for requests that
-// upstreams reject and that were not known to be retries when they were sent.
-const budgetUseRatio = 0.7
+// Parameters of the budget.
+const (
+	// budgetUseRatio is the fraction of the budget that is used. Requests and arrivals are counted here at other
+	// moments than they arrive.
+	budgetUseRatio = 0.8
+	// prefillShare is the fraction of it that prompts that are prefilled again may use: a decode engine can read a
+	// prompt itself, but nothing replaces a run.
+	prefillShare = 0.5
+	// maxArrivalDelay is the longest time from a charge to the arrival that it is for.
+	maxArrivalDelay = time.Second
+)
+
+// FleetView is what is known of the fleet's size.
+type FleetView struct {
+	// Instances is the number of instances, or 0 if it is unknown.
+	Instances int
+}
 
-// retryBudgets counts requests and retries per service at this instance. Each instance applies the
-// ratio to its own requests and uses its share of the slack, so that the fleet stays within both
-// even if instances are partitioned. It is safe for concurrent use.
+// retryBudgets counts requests and the arrivals that are charged, per service at this instance. Each instance applies
+// the ratio to its own requests and uses its share of the slack, so that the fleet stays within both even if instances
+// are partitioned. It is safe for concurrent use.
 type retryBudgets struct {
 	limit     RetryBudget
-	fleetSize func() fleet.Size
+	fleetView func() FleetView
+	now       boottime.Clock
+	mu        sync.Mutex
 	// slackAvailableFrom is when this instance's share of the slack may be used. A restarted
 	// instance does not know which retries it sent before: if all instances are killed at once
 	// after using up their shares, the window would otherwise contain the slack twice.
 	slackAvailableFrom time.Duration
-	mu                 sync.Mutex
-	byService          map[string]*retryWindow
+	byService          map[string]*budgetWindow
 }
 
-type retryWindow struct {
-	requests, retries []time.Duration
-}
+// budgetWindow holds the times of the requests for a service and of its charges.
+type budgetWindow struct{ requests, charges []time.Duration }
 
-func newRetryBudgets(limit RetryBudget, fleetSize func() fleet.Size) *retryBudgets {
-	b := &retryBudgets{limit: limit, fleetSize: fleetSize, byService: make(map[string]*retryWindow)}
+func newRetryBudgets(limit RetryBudget, fleetView func() FleetView, now boottime.Clock) *retryBudgets {
+	b := &retryBudgets{limit: limit, fleetView: fleetView, now: now, byService: make(map[string]*budgetWindow)}
 	if !limit.FirstStart {
-		b.slackAvailableFrom = boottime.Now() + limit.Window
+		b.slackAvailableFrom = now() + limit.Window
 	}
 	return b
 }
 
-func (b *retryBudgets) window(name string) *retryWindow {
-	s, known := b.byService[name]
+// window returns the current window of a service. b.mu must be held.
+func (b *retryBudgets) window(service string, now time.Duration) *budgetWindow {
+	w, known := b.byService[service]
 	if !known {
-		s = &retryWindow{}
-		b.byService[name] = s
+		w = &budgetWindow{}
+		b.byService[service] = w
 	}
-	return s
+	w.requests = dropBefore(w.requests, now-b.limit.Window)
+	w.charges = dropBefore(w.charges, now-b.limit.Window-maxArrivalDelay)
+	return w
 }
 
 // countRequest counts a request.
 func (b *retryBudgets) countRequest(service string) {
-	now := boottime.Now()
+	now := b.now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.window(service)
-	s.requests = append(dropBefore(s.requests, now-b.limit.Window), now)
+	w := b.window(service, now)
+	w.requests = append(w.requests, now)
 }
 
-// tryRetry takes one retry from the budget and reports whether there was one left.
-func (b *retryBudgets) tryRetry(service string) bool {
-	now := boottime.Now()
+// slack returns this instance's share of the slack.
+func (b *retryBudgets) slack(now time.Duration) float64 {
+	v := b.fleetView()
+	if v.Instances == 0 || now < b.slackAvailableFrom {
+		return 0
+	}
+	return b.limit.Slack / float64(v.Instances)
+}
+
+// take charges n arrivals to a service's budget, of which the given fraction may be used. It returns the time of the
+// charges, or ok as false without a charge if they do not fit.
+func (b *retryBudgets) take(service string, n int, fraction float64) (at time.Duration, ok bool) {
+	now := b.now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.window(service)
-	s.requests = dropBefore(s.requests, now-b.limit.Window)
-	s.retries = dropBefore(s.retries, now-b.limit.Window)
-	slack := b.fleetSize().PerInstance(b.limit.Slack)
-	if now < b.slackAvailableFrom {
-		slack = 0
+	w := b.window(service, now)
+	allowed := b.limit.Ratio*float64(len(w.requests)) + b.slack(now)
+	if float64(len(w.charges)+n) > fraction*budgetUseRatio*allowed {
+		return 0, false
 	}
-	if float64(len(s.retries)+1) > budgetUseRatio*(b.limit.Ratio*float64(len(s.requests))+slack) {
-		return false
+	for range n {
+		w.charges = append(w.charges, now)
 	}
-	s.retries = append(s.retries, now)
-	return true
+	return now, true
 }
 
-// countRetry counts a retry that is made regardless of the budget.
-func (b *retryBudgets) countRetry(service string) {
+// giveBack returns a charge for an arrival that does not take place.
+func (b *retryBudgets) giveBack(service string, at time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.window(service)
-	s.retries = append(s.retries, boottime.Now())
+	w := b.window(service, b.now())
+	if i := slices.Index(w.charges, at); i >= 0 {
+		w.charges = slices.Delete(w.charges, i, i+1)
+	}
 }
 
 // dropBefore returns times without those before from.
--- a/gateway/budget_test.go
+++ b/gateway/budget_test.go
@@ -10,7 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/cairnworks/cairnworks/fleet"
+	"github.com/cairnworks/cairnworks/boottime"
 	"github.com/cairnworks/cairnworks/upstream"
 )
 
@@ -27,7 +27,8 @@
 // upstreams. prefill and run decide on the n-th call of each kind.
 func newBudgetedGateway(t *testing.T, prefill func(n int64) error, run func(n int64, o RunOptions) (*Answer, error)) (*testGateway, *arrivalCounter) {
 	gw, c := newTestGateway(t), &arrivalCounter{}
-	gw.gateway.retryBudgets = newRetryBudgets(RetryBudget{Ratio: allowedRatio, Window: time.Hour, FirstStart: true}, func() fleet.Size { return fleet.SizeOf(1) })
+	gw.gateway.retryBudgets = newRetryBudgets(RetryBudget{Ratio: allowedRatio, Window: time.Hour, FirstStart: true}, fleetViewOf(1), boottime.Now)
+	gw.gateway.sender.budgets = gw.gateway.retryBudgets
 	var prefills atomic.Int64
 	gw.prefill = func(upstream.Entry) (string, error) {
 		if err := prefill(prefills.Add(1)); err != nil {
@@ -82,23 +83,89 @@
 	assert.Assert(t, served >= 0.9*budgetedRequests, "%d requests were served by decode engines that read the prompts", served)
 }
 
+// testBudget is a budget with a clock and a fleet that tests set.
+type testBudget struct {
+	*retryBudgets
+	at   time.Duration
+	view FleetView
+}
+
+func newTestBudget(limit RetryBudget, instances int) *testBudget {
+	b := &testBudget{at: time.Minute}
+	b.view = FleetView{Instances: instances}
+	b.retryBudgets = newRetryBudgets(limit, func() FleetView { return b.view }, func() time.Duration { return b.at })
+	return b
+}
+
+// advance lets time pass while the size of the fleet remains known.
+func (b *testBudget) advance(d time.Duration) {
+	for end := b.at + d; b.at < end; {
+		b.at += time.Second
+	}
+}
+
+// spend takes as much as the budget allows and returns the number of charges.
+func (b *testBudget) spend(service string) int {
+	n := 0
+	for {
+		if _, ok := b.take(service, 1, 1); !ok {
+			return n
+		}
+		n++
+	}
+}
+
 // Guards against instances whose shares of the slack grow when others end that have used theirs up.
 func TestSharesOfEndedInstancesAreNotUsedAgain(t *testing.T) {
 	const slack, before, after = 90.0, 9, 1
-	instances := before
-	budgets := make([]*retryBudgets, before)
+	budgets := make([]*testBudget, before)
+	used := 0
 	for i := range budgets {
-		budgets[i] = newRetryBudgets(RetryBudget{Window: time.Hour, Slack: slack, FirstStart: true}, func() fleet.Size { return fleet.SizeOf(instances) })
+		budgets[i] = newTestBudget(RetryBudget{Window: 10 * time.Second, Slack: slack, FirstStart: true}, before)
+		used += budgets[i].spend("s")
 	}
-	used := 0
-	for _, b := range budgets {
-		for b.tryRetry("s") {
-			used++
+	survivor := budgets[0]
+	survivor.view.Instances = after
+	survivor.advance(time.Second)
+	used += survivor.spend("s")
+	assert.Assert(t, used > 0 && float64(used) <= slack, "%d retries from a slack of %v", used, slack)
+}
+
+// Retries are limited in proportion to requests, so that a failing service does not get three times its load.
+func TestRetryBudget(t *testing.T) {
+	b := newTestBudget(RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Slack: 9, FirstStart: true}, 3)
+	for range 100 {
+		b.countRequest("s")
+	}
+	assert.Equal(t, b.spend("s"), 18) // 0.8 × (0.2 × 100 requests + 9/3 slack)
+	assert.Assert(t, b.spend("other") > 0, "a service's share of the slack")
+}
+
+// All instances are killed at once after using up their shares of the slack. With new shares after the restart they
+// would send twice the retries that the window allows, while the upstreams are most overloaded.
+func TestRestartDoesNotRenewTheRetrySlack(t *testing.T) {
+	b := newTestBudget(RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Slack: 90}, 3)
+	for range 100 {
+		b.countRequest("s")
+	}
+	assert.Equal(t, b.spend("s"), 16) // 0.8 × 0.2 × 100 requests
+	b.advance(b.limit.Window + maxArrivalDelay + time.Second)
+	assert.Equal(t, b.spend("s"), 24) // 0.8 × 90/3 slack
+}
+
+// Guards against charges for sends that did not take place, which would leave callers without retries.
+func TestUnsentRetriesAreNotCharged(t *testing.T) {
+	gw := newTestGateway(t)
+	gw.gateway.retryBudgets = newRetryBudgets(RetryBudget{Window: time.Hour, Slack: 4, FirstStart: true}, fleetViewOf(1), boottime.Now)
+	gw.gateway.sender.budgets = gw.gateway.retryBudgets
+	gw.run = func(_ context.Context, _ upstream.Entry, c *Call, _ RunOptions) (*Answer, error) {
+		if c.sends.runs == 0 {
+			return nil, refusedError()
 		}
+		return nil, unreachableError()
 	}
-	instances = after
-	for budgets[0].tryRetry("s") {
-		used++
+	for n := range 10 {
+		gw.request("/read/1", map[string]string{"Id": fmt.Sprint(n)})
 	}
-	assert.Assert(t, used > 0 && float64(used) <= slack, "%d retries from a slack of %v", used, slack)
+	assert.Equal(t, len(gw.gateway.retryBudgets.window("plain", boottime.Now()).charges), 0)
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -54,8 +54,7 @@
 	// keyHash and priority are set during admission.
 	keyHash  string
 	priority int
-	// sends are the call's sends to upstreams.
-	sends sends
+	sends    sends
 }
 
 // identity returns what identifies the request at each send.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -224,42 +224,6 @@
 	}
 }
 
-// Retries are limited in proportion to requests, so that a failing service does not get three times
-// its load.
-func TestRetryBudget(t *testing.T) {
-	b := newRetryBudgets(RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Slack: 9, FirstStart: true}, func() fleet.Size { return fleet.SizeOf(3) })
-	for range 100 {
-		b.countRequest("s")
-	}
-	n := 0
-	for b.tryRetry("s") {
-		n++
-	}
-	assert.Equal(t, n, 16) // 0.7 × (0.2 × 100 requests + 9/3 slack)
-	assert.Assert(t, b.tryRetry("other"), "a service's share of the slack")
-}
-
-// All instances are killed at once after using up their shares of the slack. With new shares after
-// the restart they would send twice the retries that the window allows, while the upstreams are
-// most overloaded.
-func TestRestartDoesNotRenewTheRetrySlack(t *testing.T) {
-	b := newRetryBudgets(RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Slack: 90}, func() fleet.Size { return fleet.SizeOf(3) })
-	for range 100 {
-		b.countRequest("s")
-	}
-	n := 0
-	for b.tryRetry("s") {
-		n++
-	}
-	assert.Equal(t, n, 14) // 0.7 × 0.2 × 100 requests
-	b.slackAvailableFrom = boottime.Now()
-	b.countRetry("s")
-	for b.tryRetry("s") {
-		n++
-	}
-	assert.Equal(t, n, 34) // 0.7 × (0.2 × 100 requests + 90/3 slack), less the retry counted above
-}
-
 // Guards against callers that are refused by a full plain upstream without a Retry-After and all
 // return at the same time.
 func TestRefusedPlainCallsReturnAtDifferentTimes(t *testing.T) {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -39,10 +39,12 @@
 	Instance string
 	// MaxBufferedBodyBytes limits the total size of buffered request bodies.
 	MaxBufferedBodyBytes int64
-	// RetryBudget limits the load that retries add to a service's upstreams.
+	// RetryBudget limits the load that repeated sends add to a service's upstreams.
 	RetryBudget RetryBudget
-	// FleetSize returns the number of instances that share the retry budget.
+	// FleetSize returns the number of instances.
 	FleetSize func() fleet.Size
+	// FleetView returns the number of instances that share the retry budget.
+	FleetView func() FleetView
 }
 
 // Gateway is the HTTP handler for routed requests.
@@ -56,6 +58,7 @@
 	outliers          *outlierDetector
 	statements        *upstreamStatements
 	retryBudgets      *retryBudgets
+	sender            *sender
 	crashes           *crashTracker
 	placementHomes    PlacementHomes
 	bufferedBodyBytes atomic.Int64
@@ -68,7 +71,9 @@
 	g.outliers = newOutlierDetector(boottime.Now)
 	g.statements = newUpstreamStatements(boottime.Now, o.Quotas, o.State.Directory, o.Log)
 	g.statements.onLeaving = g.triggerReport
-	g.Upstreams = &sender{Upstreams: o.Upstreams, metrics: o.Metrics}
+	g.retryBudgets = newRetryBudgets(o.RetryBudget, o.FleetView, boottime.Now)
+	g.sender = newSender(o.Upstreams, g.retryBudgets, o.Metrics, boottime.Now)
+	g.Upstreams = g.sender
 	g.Upstreams.Guard(g.admit, g.statements.record)
 	g.Upstreams.OnLinkCut(g.outliers.recordSuccess)
 	g.plainPools = newPlainPools()
@@ -76,7 +81,6 @@
 	g.crashes = newCrashTracker(boottime.Now, g.log, g.Metrics, g.Upstreams.CheckReachable)
 	g.crashes.trialDelay = g.trialDelay
 	g.crashes.onChange = g.announceCrash
-	g.retryBudgets = newRetryBudgets(o.RetryBudget, o.FleetSize)
 	return g
 }
 
@@ -160,6 +164,7 @@
 // serve runs an admitted request.
 func (g *Gateway) serve(ctx context.Context, w http.ResponseWriter, a *admittedCall) {
 	g.retryBudgets.countRequest(a.service.Name)
+	defer g.sender.release(a.call)
 	var v *verdict.Verdict
 	if a.service.Kind == object.KindModel {
 		v = g.serveModel(ctx, w, a)
@@ -273,6 +278,7 @@
 	g.dispatchers.sweep()
 	g.statements.sweep()
 	g.crashes.sweep()
+	g.sender.sweep()
 }
 
 // ApplyReport applies a report of another instance.
--- a/gateway/helpers_test.go
+++ b/gateway/helpers_test.go
@@ -195,12 +195,17 @@
 	gw.fillQuotas(quotas)
 	gw.gateway = New(Options{
 		ApplyTimeout: 2 * time.Second, Codec: gw.fakeUpstreams, Upstreams: gw.fakeUpstreams, State: gw.state, Quotas: quotas, Log: zap.NewNop(), Metrics: observe.NewMetrics(),
-		MaxBufferedBodyBytes: 1 << 20, RetryBudget: RetryBudget{Ratio: 1, Window: 10 * time.Second, Slack: 20, FirstStart: true}, FleetSize: func() fleet.Size { return fleet.SizeOf(1) },
+		MaxBufferedBodyBytes: 1 << 20, RetryBudget: RetryBudget{Ratio: 1, Window: 10 * time.Second, Slack: 20, FirstStart: true}, FleetSize: func() fleet.Size { return fleet.SizeOf(1) }, FleetView: fleetViewOf(1),
 	})
 	t.Cleanup(gw.gateway.Close)
 	return gw
 }
 
+// fleetViewOf returns the view of a fleet whose size is known at any time.
+func fleetViewOf(instances int) func() FleetView {
+	return func() FleetView { return FleetView{Instances: instances} }
+}
+
 // fillQuotas lets time pass until the quotas of an instance without peers are filled.
 func (gw *testGateway) fillQuotas(quotas *Quotas) {
 	for range 100 {
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -98,7 +98,7 @@
 	if out.started && !out.resumable() {
 		return false
 	}
-	return r.gateway.retryBudgets.tryRetry(r.admitted.service.Name)
+	return r.gateway.sender.reserveRun(r.admitted.call)
 }
 
 // attempt places the request, prefills its prompt and forwards its answer.
@@ -165,6 +165,12 @@
 		return answer, nil
 	}
 	v := verdict.From(err)
+	if v.Reason == verdict.ReasonRetryBudgetSpent {
+		r.sends--
+		r.dropReservation(target)
+		r.freeHandle(from, source)
+		return nil, v
+	}
 	r.except[target.entry.ID] = true
 	g.recordUpstreamFailure(ctx, r.admitted.call, target.entry, v)
 	if v.Ran == verdict.NotRun {
@@ -329,13 +335,10 @@
 	g, c := r.gateway, r.admitted.call
 	tried := make(map[string]bool)
 	var lastFailure *verdict.Verdict
-	for attempt := range prefillAttempts {
+	for range prefillAttempts {
 		if ctx.Err() != nil {
 			return KVSource{}, upstream.Entry{}, contextRefusal(ctx)
 		}
-		if attempt > 0 && !g.retryBudgets.tryRetry(r.admitted.service.Name) {
-			break
-		}
 		if v := g.checkStillAllowed(r.admitted); v != nil {
 			return KVSource{}, upstream.Entry{}, v
 		}
@@ -348,6 +351,9 @@
 		if v == nil {
 			return KVSource{Address: entry.Address, Handle: handle}, entry, nil
 		}
+		if v.Reason == verdict.ReasonRetryBudgetSpent {
+			break
+		}
 		g.recordUpstreamFailure(ctx, c, entry, v)
 		if v.Reason == verdict.ReasonUpstreamRefused {
 			g.outliers.recordFailure(entry)
@@ -358,11 +364,6 @@
 	if ctx.Err() != nil {
 		return KVSource{}, upstream.Entry{}, contextRefusal(ctx)
 	}
-	if lastFailure != nil && lastFailure.Reason != verdict.ReasonUpstreamUnreachable {
-		// The prefill engine received the request before refusing it, so the send to the decode
-		// engine counts as a retry.
-		g.retryBudgets.countRetry(r.admitted.service.Name)
-	}
 	// The decode engine prefills the prompt itself, at half the speed and interleaved with the
 	// decoding of other requests. That is better than no answer.
 	g.log.Info("prompt left to the decode engine", zap.String("request", c.ID), zap.Int("tried", len(tried)), zap.NamedError("last", lastFailure.OrNil()))
--- a/gateway/placement_bench_test.go
+++ b/gateway/placement_bench_test.go
@@ -28,7 +28,7 @@
 			for e := range engines {
 				state.Directory.Put(upstream.Entry{ID: fmt.Sprint("d", e), Service: "model", Role: upstream.Decode, Slots: 4})
 			}
-			g := New(Options{Upstreams: &fakeUpstreams{}, State: state, Log: zap.NewNop(), Metrics: observe.NewMetrics(), FleetSize: func() fleet.Size { return fleet.SizeOf(295) }})
+			g := New(Options{Upstreams: &fakeUpstreams{}, State: state, Log: zap.NewNop(), Metrics: observe.NewMetrics(), FleetSize: func() fleet.Size { return fleet.SizeOf(295) }, FleetView: fleetViewOf(295)})
 			defer g.Close()
 			places := make(chan fleet.Place, 1)
 			c := fleet.Claim{Service: fleet.HashOf("model"), Tokens: 250, Objective: time.Second, Left: time.Minute}
--- a/gateway/placement_test.go
+++ b/gateway/placement_test.go
@@ -113,7 +113,7 @@
 			state.Directory.Put(upstream.Entry{ID: fmt.Sprint("p", e), Service: "model", Role: upstream.Prefill, Slots: 4})
 		}
 		f.upstreams = append(f.upstreams, &fakeUpstreams{reach: upstream.ReachedDirectly})
-		g := New(Options{Upstreams: f.upstreams[i], State: state, Log: zap.NewNop(), Metrics: observe.NewMetrics(), FleetSize: func() fleet.Size { return fleet.SizeOf(instances) }})
+		g := New(Options{Upstreams: f.upstreams[i], State: state, Log: zap.NewNop(), Metrics: observe.NewMetrics(), FleetSize: func() fleet.Size { return fleet.SizeOf(instances) }, FleetView: fleetViewOf(instances)})
 		g.Connect(fakeHomes{f, i})
 		// Ejections do not expire during a test.
 		g.outliers.now = func() time.Duration { return now }
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -124,8 +124,6 @@
 	unreachableCount int
 	// maxRan is the highest Ran of all attempts.
 	maxRan verdict.Ran
-	// budgetTaken is set if the next retry has already been taken from the retry budget.
-	budgetTaken bool
 	// lastFailure is an upstream's error response, forwarded if no retry gets a better one.
 	lastFailure *bufferedAnswer
 }
@@ -133,6 +131,7 @@
 // execute makes attempts until there is an answer to forward.
 func (r *plainRun) execute(ctx context.Context) (*bufferedAnswer, *verdict.Verdict) {
 	for {
+		sends := r.sends
 		buffered, v := r.attempt(ctx)
 		if v == nil {
 			r.lastFailure.discard()
@@ -141,7 +140,7 @@
 			}
 			r.lastFailure = buffered
 		}
-		retry := r.mayRetry(ctx, v)
+		retry := r.mayRetry(ctx, v, r.sends > sends)
 		if retry {
 			continue
 		}
@@ -160,8 +159,8 @@
 }
 
 // mayRetry decides whether the request is sent again. v is nil if an upstream answered with a
-// server error.
-func (r *plainRun) mayRetry(ctx context.Context, v *verdict.Verdict) bool {
+// server error; sent is set if the failed attempt was sent to one.
+func (r *plainRun) mayRetry(ctx context.Context, v *verdict.Verdict, sent bool) bool {
 	if ctx.Err() != nil {
 		return false
 	}
@@ -173,17 +172,16 @@
 		return true
 	}
 	route := r.admitted.route
-	if r.sends == 0 || r.sends >= route.Attempts() {
+	if !sent || r.sends >= route.Attempts() {
 		return false
 	}
 	notRun := v != nil && v.Ran == verdict.NotRun
 	if !notRun && !route.MayRepeat() {
 		return false
 	}
-	if !r.budgetTaken && !r.gateway.retryBudgets.tryRetry(r.admitted.service.Name) {
+	if !r.gateway.sender.reserveRun(r.admitted.call) {
 		return false
 	}
-	r.budgetTaken = false
 	reason := verdict.ReasonUpstreamRefused
 	if v != nil {
 		reason = v.Reason
@@ -246,8 +244,7 @@
 func (r *plainRun) send(ctx context.Context, cancel context.CancelCauseFunc, entry upstream.Entry) (*bufferedAnswer, *verdict.Verdict) {
 	g, a := r.gateway, r.admitted
 	timer := time.AfterFunc(r.attemptTimeout(time.Now()), func() {
-		if r.attemptsLeft() && g.retryBudgets.tryRetry(a.service.Name) {
-			r.budgetTaken = true
+		if r.attemptsLeft() && g.sender.reserveRun(a.call) {
 			cancel(errAttemptTimeout)
 		}
 	})
--- a/instance/routed/routed.go
+++ b/instance/routed/routed.go
@@ -135,6 +135,7 @@
 		ApplyTimeout: time.Duration(s.ApplyMS) * time.Millisecond, DataCentre: s.DataCentre, TriggerReport: i.triggerReport, Announce: i.announce, Instance: s.Instance, MaxBufferedBodyBytes: i.maxBufferedBodyBytes(),
 		RetryBudget: gateway.RetryBudget{Ratio: s.RetryRatio, Window: seconds(s.RetryWindowS), Slack: s.RetrySlack, FirstStart: s.FirstStart},
 		FleetSize:   i.fleetSize,
+		FleetView:   i.fleetView,
 	})
 	i.sharedFollowers = []*follow.Follower{
 		i.newSharedFollower(port.TopicConfiguration, time.Duration(s.ApplyMS)*time.Millisecond, &configReader{instance: i}),
@@ -212,6 +213,11 @@
 
 func (i *Instance) fleetSize() fleet.Size { return i.exchange.Size() }
 
+func (i *Instance) fleetView() gateway.FleetView {
+	n, _ := i.fleetSize().Instances()
+	return gateway.FleetView{Instances: n}
+}
+
 // setMembers applies a changed list of other instances.
 func (i *Instance) setMembers(members []fleet.Member) {
 	i.exchange.SetMembers(members)
--- a/observe/metrics.go
+++ b/observe/metrics.go
@@ -189,11 +189,16 @@
 )
 
 // CountArrival counts a request that may have arrived at an upstream: its run, or the prefill of its prompt. repeated is
-// set if it is beyond the first one of its request.
+// set if it is charged to the retry budget.
 func (m *Metrics) CountArrival(service, send string, repeated bool) {
 	m.Scope.Tagged(map[string]string{"service": service, "send": send, "repeated": strconv.FormatBool(repeated)}).Counter("arrivals").Inc(1)
 }
 
+// CountBudgetSpent counts a send that is not made because the service's retry budget does not allow it.
+func (m *Metrics) CountBudgetSpent(service, send string) {
+	m.Scope.Tagged(map[string]string{"service": service, "send": send}).Counter("retry_budget_spent").Inc(1)
+}
+
 // CountRetry counts a retry by the reason of the failed attempt.
 func (m *Metrics) CountRetry(service string, reason verdict.Reason) {
 	m.Scope.Tagged(map[string]string{"service": service, "reason": string(reason)}).Counter("retries").Inc(1)
