Retries: shares of the slack never exceed it together while instances end, start or are cut off

Cause: each instance divided the slack by the present size of the fleet. When most end at once, the shares of the others grow in the window in which those that ended have used theirs (the test: 118 retries from a slack of 90 on the code before); an instance that is cut off keeps its share while others take its place.

Now a share (decision/slack) is divided by the largest size known within a window, and may be used only after the list of instances was known without a gap for a window and the age up to which a list is used (8 s). Starting, being cut off and being suspended are then one case. Cost: an instance that starts, or that read no list for 8 s, uses none of the slack for 19 s (was 10 s after a start).

--- a/fleet/members.go
+++ b/fleet/members.go
@@ -97,8 +97,11 @@
 	// listRead is closed once the list has been read.
 	listRead     chan struct{}
 	listReadOnce sync.Once
-	// hasEntry means that this run has written an entry.
-	hasEntry atomic.Bool
+	// hasEntry means that this run has written an entry, first at entrySince.
+	hasEntry   atomic.Bool
+	entrySince time.Duration
+	// asOf is the start of the latest read of the list.
+	asOf time.Duration
 	// fullLogged means that exceeding maxUnlisted has been logged.
 	fullLogged bool
 }
@@ -131,10 +134,25 @@
 		}
 		return renewInterval
 	}
+	m.mu.Lock()
+	if !m.hasEntry.Load() {
+		m.entrySince = boottime.Now()
+	}
+	m.mu.Unlock()
 	m.hasEntry.Store(true)
 	return renewInterval
 }
 
+// AsOf returns the time as of which the list is known, or 0 unless this run was in it by then.
+func (m *Members) AsOf() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.hasEntry.Load() || m.asOf < m.entrySince {
+		return 0
+	}
+	return m.asOf
+}
+
 // wait waits for d, or until ctx ends or early is closed.
 func (m *Members) wait(ctx context.Context, d time.Duration, early <-chan struct{}) {
 	timer := time.NewTimer(d)
@@ -347,9 +365,10 @@
 }
 
 // CaughtUp implements follow.Handler. Entries that have not been renewed within EntryTTL are removed.
-func (m *Members) CaughtUp(time.Duration) {
+func (m *Members) CaughtUp(asOf time.Duration) {
 	now := boottime.Now()
 	m.mu.Lock()
+	m.asOf = max(m.asOf, asOf)
 	for name, member := range m.others {
 		if m.storeUnavailable {
 			// No instance could renew its entry while the store was unavailable.
--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cairnworks/cairnworks/boottime"
+	"github.com/cairnworks/cairnworks/decision/slack"
 )
 
 // RetryBudget limits the load that repeated sends add to a service, across the fleet.
@@ -29,12 +30,16 @@
 	prefillShare = 0.5
 	// maxArrivalDelay is the longest time from a charge to the arrival that it is for.
 	maxArrivalDelay = time.Second
+	// fleetListMaxAge is the age up to which the list of instances is used to divide the slack.
+	fleetListMaxAge = 8 * time.Second
 )
 
 // FleetView is what is known of the fleet's size.
 type FleetView struct {
-	// Instances is the number of instances, or 0 if it is unknown.
+	// Instances is the number of instances, or 0 if it is unknown. AsOf is the time as of which it is known and
+	// includes this instance; 0 means never.
 	Instances int
+	AsOf      time.Duration
 }
 
 // retryBudgets counts requests and the arrivals that are charged, per service at this instance. Each instance applies
@@ -45,22 +50,18 @@
 	fleetView func() FleetView
 	now       boottime.Clock
 	mu        sync.Mutex
-	// slackAvailableFrom is when this instance's share of the slack may be used. A restarted
-	// instance does not know which retries it sent before: if all instances are killed at once
-	// after using up their shares, the window would otherwise contain the slack twice.
-	slackAvailableFrom time.Duration
-	byService          map[string]*budgetWindow
+	slack     *slack.Share
+	byService map[string]*budgetWindow
 }
 
 // budgetWindow holds the times of the requests for a service and of its charges.
 type budgetWindow struct{ requests, charges []time.Duration }
 
 func newRetryBudgets(limit RetryBudget, fleetView func() FleetView, now boottime.Clock) *retryBudgets {
-	b := &retryBudgets{limit: limit, fleetView: fleetView, now: now, byService: make(map[string]*budgetWindow)}
-	if !limit.FirstStart {
-		b.slackAvailableFrom = now() + limit.Window
+	return &retryBudgets{
+		limit: limit, fleetView: fleetView, now: now, byService: make(map[string]*budgetWindow),
+		slack: slack.New(slack.Config{Window: limit.Window + maxArrivalDelay, MaxAge: fleetListMaxAge}, limit.FirstStart),
 	}
-	return b
 }
 
 // window returns the current window of a service. b.mu must be held.
@@ -84,13 +85,18 @@
 	w.requests = append(w.requests, now)
 }
 
-// slack returns this instance's share of the slack.
-func (b *retryBudgets) slack(now time.Duration) float64 {
-	v := b.fleetView()
-	if v.Instances == 0 || now < b.slackAvailableFrom {
-		return 0
+// observe records the size of the fleet, which must be done every few seconds. b.mu must be held.
+func (b *retryBudgets) observe(now time.Duration) {
+	if v := b.fleetView(); v.AsOf > 0 {
+		b.slack.Observe(now, v.AsOf, v.Instances)
 	}
-	return b.limit.Slack / float64(v.Instances)
+}
+
+// sweep records the size of the fleet while there are no charges.
+func (b *retryBudgets) sweep() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.observe(b.now())
 }
 
 // take charges n arrivals to a service's budget, of which the given fraction may be used. It returns the time of the
@@ -99,8 +105,9 @@
 	now := b.now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.observe(now)
 	w := b.window(service, now)
-	allowed := b.limit.Ratio*float64(len(w.requests)) + b.slack(now)
+	allowed := b.limit.Ratio*float64(len(w.requests)) + b.slack.Of(now, b.limit.Slack)
 	if float64(len(w.charges)+n) > fraction*budgetUseRatio*allowed {
 		return 0, false
 	}
--- a/gateway/budget_test.go
+++ b/gateway/budget_test.go
@@ -92,7 +92,7 @@
 
 func newTestBudget(limit RetryBudget, instances int) *testBudget {
 	b := &testBudget{at: time.Minute}
-	b.view = FleetView{Instances: instances}
+	b.view = FleetView{Instances: instances, AsOf: b.at}
 	b.retryBudgets = newRetryBudgets(limit, func() FleetView { return b.view }, func() time.Duration { return b.at })
 	return b
 }
@@ -101,6 +101,8 @@
 func (b *testBudget) advance(d time.Duration) {
 	for end := b.at + d; b.at < end; {
 		b.at += time.Second
+		b.view.AsOf = b.at
+		b.sweep()
 	}
 }
 
@@ -129,6 +131,8 @@
 	survivor.advance(time.Second)
 	used += survivor.spend("s")
 	assert.Assert(t, used > 0 && float64(used) <= slack, "%d retries from a slack of %v", used, slack)
+	survivor.advance(survivor.limit.Window + maxArrivalDelay + fleetListMaxAge + 2*time.Second)
+	assert.Equal(t, survivor.spend("s"), int(budgetUseRatio*slack), "the survivor has the whole slack in the end")
 }
 
 // Retries are limited in proportion to requests, so that a failing service does not get three times its load.
@@ -149,10 +153,20 @@
 		b.countRequest("s")
 	}
 	assert.Equal(t, b.spend("s"), 16) // 0.8 × 0.2 × 100 requests
-	b.advance(b.limit.Window + maxArrivalDelay + time.Second)
+	b.advance(b.limit.Window + maxArrivalDelay + fleetListMaxAge + time.Second)
 	assert.Equal(t, b.spend("s"), 24) // 0.8 × 90/3 slack
 }
 
+// Guards against an instance that is cut off and uses its share while others take its place.
+func TestSlackIsNotUsedWithoutTheListOfInstances(t *testing.T) {
+	b := newTestBudget(RetryBudget{Window: 10 * time.Second, Slack: 90, FirstStart: true}, 9)
+	b.advance(time.Second)
+	b.at += fleetListMaxAge + time.Second
+	assert.Equal(t, b.spend("s"), 0)
+	b.advance(time.Second)
+	assert.Equal(t, b.spend("s"), 0, "others may have used the share meanwhile")
+}
+
 // Guards against charges for sends that did not take place, which would leave callers without retries.
 func TestUnsentRetriesAreNotCharged(t *testing.T) {
 	gw := newTestGateway(t)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -278,6 +278,7 @@
 	g.dispatchers.sweep()
 	g.statements.sweep()
 	g.crashes.sweep()
+	g.retryBudgets.sweep()
 	g.sender.sweep()
 }
 
--- a/gateway/helpers_test.go
+++ b/gateway/helpers_test.go
@@ -203,7 +203,7 @@
 
 // fleetViewOf returns the view of a fleet whose size is known at any time.
 func fleetViewOf(instances int) func() FleetView {
-	return func() FleetView { return FleetView{Instances: instances} }
+	return func() FleetView { return FleetView{Instances: instances, AsOf: boottime.Now()} }
 }
 
 // fillQuotas lets time pass until the quotas of an instance without peers are filled.
--- a/instance/routed/routed.go
+++ b/instance/routed/routed.go
@@ -213,9 +213,20 @@
 
 func (i *Instance) fleetSize() fleet.Size { return i.exchange.Size() }
 
+// fleetView returns the size of the fleet with the time as of which it is known. In a large fleet it is known by the
+// reports of hubs.
 func (i *Instance) fleetView() gateway.FleetView {
-	n, _ := i.fleetSize().Instances()
-	return gateway.FleetView{Instances: n}
+	n, known := i.fleetSize().Instances()
+	switch {
+	case !known:
+		return gateway.FleetView{}
+	case !i.fleetSize().Large():
+		return gateway.FleetView{Instances: n, AsOf: i.members.AsOf()}
+	case i.exchange.Isolated():
+		return gateway.FleetView{}
+	default:
+		return gateway.FleetView{Instances: n, AsOf: boottime.Now()}
+	}
 }
 
 // setMembers applies a changed list of other instances.
