Soak: arrivals beyond the first of each request, and engines that crash in numbers

The ledger knew runs only. It now gets every request that arrives at an engine, prefills and refusals included, and checks in each 10 s window that those beyond the first of each request stay within the budget; the first accepted prefill is free.

--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -51,6 +51,7 @@
 	s.Fleet = fleetName()
 	s.Store, s.MemoryMB = p.Address(), memoryMB
 	s.RevokeMS = int(maxRevokeDelay / time.Millisecond)
+	s.RetryRatio, s.RetryWindowS, s.RetrySlack = retryRatio, retryWindow.Seconds(), retrySlack
 	s.QuotaWindowS, s.QuotaOver, s.QuotaSlack = quotaWindow.Seconds(), quotaOver, quotaSlack
 	for _, address := range []*string{&s.Callers, &s.Readiness, &s.Reports} {
 		if *address, err = loopback.FreeAddress(); err != nil {
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -45,6 +45,8 @@
 	limits       []engineLimit
 	// statements are the requests that engines answered with a statement about themselves.
 	statements []standin.Arrival
+	// arrivals are the requests that arrived at engines.
+	arrivals []standin.Arrival
 	// partitions are the periods in which instances reached no engine; instances is the number of all.
 	partitions []faultPeriod
 	instances  int
@@ -157,6 +159,8 @@
 	out = append(out, l.checkBackoffs()...)
 	out = append(out, l.checkCrashingParts()...)
 	out = append(out, l.checkSkews()...)
+	out = append(out, l.checkBudget(standin.PlainService)...)
+	out = append(out, l.checkBudget(standin.ModelService)...)
 	for _, limit := range l.limits {
 		out = append(out, l.checkLimit(limit)...)
 	}
--- a/soak/run.go
+++ b/soak/run.go
@@ -178,7 +178,7 @@
 
 func (r *run) startEngines() error {
 	all := standin.NewEngines(r.store, r.ledger.addRun)
-	all.OnOrder, all.OnAnswer = r.ledger.addOrder, r.ledger.addStatement
+	all.OnOrder, all.OnAnswer, all.OnArrival = r.ledger.addOrder, r.ledger.addStatement, r.ledger.addArrival
 	all.Sever, all.OnCrash = r.sever, r.ledger.addCrash
 	r.standIn = all
 	start := func(n int, service, stage string) error {
@@ -275,7 +275,7 @@
 				return
 			case <-time.After(time.Until(r.startedAt.Add(f.At))):
 			}
-			for _, k := range slices.Concat(baseKinds, delayKinds, reportLossKinds, fleetWideKinds, needKinds, partitionKinds, statementKinds, crashingKinds) {
+			for _, k := range slices.Concat(baseKinds, delayKinds, reportLossKinds, fleetWideKinds, needKinds, partitionKinds, statementKinds, crashingKinds, massKinds) {
 				if k.name == f.Kind {
 					start := time.Now()
 					k.apply(r, f)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -342,3 +342,32 @@
 	assert.Equal(t, len(skewed(2*minCountedEach*3/4).check()), 0)
 	assert.Equal(t, skewed(minCountedEach).check()[0].Guarantee, "most requests at one instance")
 }
+
+// Guards against a check that misses arrivals beyond the first of each request.
+func TestCheckFindsRepeatedArrivals(t *testing.T) {
+	start := time.Unix(100, 0)
+	record := func(requests, prefillsEach, refusedEach, runsEach int) *ledger {
+		l := newLedger(4)
+		for n := range requests {
+			id, at := strconv.Itoa(n), start.Add(time.Duration(n)*time.Millisecond)
+			l.addRequest(id, &request{kind: standin.Resume, sentAt: at})
+			add := func(count int, a standin.Arrival) {
+				for range count {
+					a.ID, a.Service, a.At = id, standin.ModelService, at
+					l.addArrival(a)
+				}
+			}
+			add(prefillsEach, standin.Arrival{Prefill: true})
+			add(refusedEach, standin.Arrival{Prefill: true, Refused: true})
+			add(runsEach, standin.Arrival{})
+		}
+		return l
+	}
+	const few = retrySlack
+	assert.Equal(t, len(record(1000, 1, 0, 1).checkBudget(standin.ModelService)), 0)
+	assert.Equal(t, len(record(few, 1, 0, 2).checkBudget(standin.ModelService)), 0)
+	for _, l := range []*ledger{record(2*few, 1, 0, 2), record(2*few, 2, 0, 1), record(2*few, 0, 1, 1), record(few, 2, 0, 2)} {
+		assert.Equal(t, len(l.checkBudget(standin.ModelService)), 1)
+		assert.Equal(t, len(l.checkBudget(standin.PlainService)), 0)
+	}
+}
