--- a/instance/routed/partition_test.go
+++ b/instance/routed/partition_test.go
@@ -108,13 +108,16 @@
 	}
 }
 
-func (f *partitionFleet) addInstance(t *testing.T, name string) {
+func (f *partitionFleet) addInstance(t *testing.T, name string) { f.startInstance(t, name, true) }
+
+// startInstance starts an instance. firstStart is set if the fleet has not run before. It returns the function that stops it.
+func (f *partitionFleet) startInstance(t *testing.T, name string, firstStart bool) (stop func()) {
 	t.Helper()
 	i := &linkedInstance{links: standin.NewLinkSet(), client: &http.Client{Transport: &http.Transport{}}}
 	view := httptest.NewServer(standin.View{Store: f.store, EngineAddress: i.links.EngineAddress})
 	t.Cleanup(view.Close)
 	i.settings = settings.DefaultRouted()
-	i.settings.Instance, i.settings.DataCentre, i.settings.FirstStart = name, "z", true
+	i.settings.Instance, i.settings.DataCentre, i.settings.FirstStart = name, "z", firstStart
 	i.settings.Callers, i.settings.Readiness, i.settings.Reports = freePort(t), freePort(t), freePort(t)
 	// The callers of these tests do not try again, and many instances share the processor.
 	i.settings.MaxRefusedShare = 0
@@ -128,11 +131,15 @@
 		defer close(ended)
 		_ = run.Run(ctx) // The test notices an instance that does not serve.
 	}()
-	t.Cleanup(func() {
+	stop = func() {
 		cancel()
 		<-ended
+	}
+	t.Cleanup(func() {
+		stop()
 		i.links.Close()
 	})
+	return stop
 }
 
 func waitFor(t *testing.T, condition func() bool) {
