Store: positions hold within one era; what a copy lacks is passed on by those that have applied it

Changes of the configuration, leaving upstreams and the like were ignored by all instances.

Cause: offsets, "caught up" and notes of other instances were taken to be valid for ever. After the drill the log is shorter than the known offset. An instance that started or read anew was spoiled by the maximum over its peers.

Now a position is an era and an offset, ordered by era first (port.Position); the adapter reads the era from each answer. A position of another era leads to one full read. A note of an earlier era says nothing, one of a later era begins it. After a full read in a new era records that were known at the same offset are of the copy and not applied over what came later; what is missing or older there stays in force and is passed on to the other instances (carried), until it is written again, with the position from which the topic knows better.

--- a/fleet/codec.go
+++ b/fleet/codec.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"errors"
 	"math"
 	"time"
 
@@ -36,9 +37,12 @@
 	}
 	for topic, offset := range r.Known {
 		if m.Known == nil {
-			m.Known = make(map[uint32]uint64, len(r.Known))
+			m.Known, m.KnownEras = make(map[uint32]uint64, len(r.Known)), make(map[uint32]uint32)
+		}
+		m.Known[uint32(topic)] = port.OffsetOf(offset)
+		if era := port.EraOf(offset); era > 0 {
+			m.KnownEras[uint32(topic)] = uint32(era)
 		}
-		m.Known[uint32(topic)] = offset
 	}
 	for service, v := range r.Works {
 		m.Works = append(m.Works, marshalWork(service, v))
@@ -141,7 +145,11 @@
 		if r.Known == nil {
 			r.Known = make(map[port.Topic]uint64, len(m.Known))
 		}
-		r.Known[port.Topic(topic)] = offset
+		position, err := unmarshalPosition(m.KnownEras[topic], offset)
+		if err != nil {
+			return nil, err
+		}
+		r.Known[port.Topic(topic)] = position
 	}
 	for _, w := range m.Works {
 		r.Works[Hash(w.Service)] = unmarshalWork(w)
@@ -239,24 +247,63 @@
 func marshalNote(n follow.Note, marshal func(port.KeyedRecord) *fleetv1.Record) *fleetv1.Note {
 	// Ages are rounded up so that the sender's as-of time never appears later than it is.
 	age := uint32((n.Age + time.Millisecond - 1).Milliseconds())
-	m := &fleetv1.Note{Topic: uint32(n.Topic), Mark: n.Mark, Next: n.Next, AgeMs: age, From: n.From, Large: n.Large}
+	m := &fleetv1.Note{
+		Topic: uint32(n.Topic), Era: uint32(port.EraOf(n.Next)), Mark: port.OffsetOf(n.Mark), Next: port.OffsetOf(n.Next), AgeMs: age,
+		From: port.OffsetOf(n.From), Large: n.Large, CarriedDigest: n.CarriedDigest,
+	}
 	for _, record := range n.Records {
-		m.Records = append(m.Records, marshal(record))
+		encoded := marshal(record)
+		m.Records = append(m.Records, &fleetv1.Record{Key: encoded.Key, Value: encoded.Value, Offset: port.OffsetOf(record.Offset), Deflated: encoded.Deflated})
+	}
+	for _, record := range n.Carried {
+		m.Carried = append(m.Carried, &fleetv1.CarriedRecord{Record: marshal(record.KeyedRecord), NewerFrom: record.NewerFrom})
 	}
 	return m
 }
 
+// unmarshalPosition decodes a position of which the era and the offset are sent separately.
+func unmarshalPosition(era uint32, offset uint64) (uint64, error) {
+	if uint64(era) > port.MaxEra || offset > port.MaxOffset {
+		return 0, errPosition
+	}
+	return port.Position(uint64(era), offset), nil
+}
+
+var (
+	errPosition = errors.New("position out of range")
+	errNoRecord = errors.New("carried record without a record")
+)
+
 func unmarshalNote(m *fleetv1.Note) (follow.Note, error) {
 	n := follow.Note{
-		Topic: port.Topic(m.GetTopic()), Mark: m.GetMark(), Next: m.GetNext(), Age: time.Duration(m.GetAgeMs()) * time.Millisecond,
-		From: m.GetFrom(), Large: m.GetLarge(),
+		Topic: port.Topic(m.GetTopic()), Age: time.Duration(m.GetAgeMs()) * time.Millisecond, Large: m.GetLarge(), CarriedDigest: m.GetCarriedDigest(),
+	}
+	for to, offset := range map[*uint64]uint64{&n.Mark: m.GetMark(), &n.Next: m.GetNext(), &n.From: m.GetFrom()} {
+		position, err := unmarshalPosition(m.GetEra(), offset)
+		if err != nil {
+			return follow.Note{}, err
+		}
+		*to = position
 	}
 	for _, record := range m.GetRecords() {
 		read, err := unmarshalRecord(record)
 		if err != nil {
 			return follow.Note{}, err
 		}
+		if read.Offset, err = unmarshalPosition(m.GetEra(), read.Offset); err != nil {
+			return follow.Note{}, err
+		}
 		n.Records = append(n.Records, read)
 	}
+	for _, record := range m.GetCarried() {
+		if record.GetRecord() == nil {
+			return follow.Note{}, errNoRecord
+		}
+		read, err := unmarshalRecord(record.GetRecord())
+		if err != nil {
+			return follow.Note{}, err
+		}
+		n.Carried = append(n.Carried, follow.CarriedRecord{KeyedRecord: read, NewerFrom: record.GetNewerFrom()})
+	}
 	return n, nil
 }
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -97,6 +97,11 @@
 	// listRead is closed once the list has been read.
 	listRead     chan struct{}
 	listReadOnce sync.Once
+	// left are the incarnations of the runs that have deleted their entries, by name. A copy of the store may still have
+	// these.
+	left map[string]uint64
+	// renewNow makes Run renew the entry at once.
+	renewNow chan struct{}
 	// hasEntry means that this run has written an entry, first at entrySince.
 	hasEntry   atomic.Bool
 	entrySince time.Duration
@@ -108,7 +113,7 @@
 
 // NewMembers returns an empty list. changed is called with all other members after each change.
 func NewMembers(self Member, log port.KeyedLog, logger *zap.Logger, changed func([]Member)) *Members {
-	return &Members{self: self, log: log, logger: logger, onChange: changed, others: make(map[string]Member), listRead: make(chan struct{})}
+	return &Members{self: self, log: log, logger: logger, onChange: changed, others: make(map[string]Member), left: make(map[string]uint64), renewNow: make(chan struct{}, 1), listRead: make(chan struct{})}
 }
 
 // Run maintains this instance's entry until ctx ends.
@@ -117,11 +122,19 @@
 		m.wait(ctx, firstListTimeout, m.listRead)
 	}
 	for ctx.Err() == nil {
-		m.wait(ctx, m.renew(ctx), nil)
+		m.wait(ctx, m.renew(ctx), m.renewNow)
 	}
 	return ctx.Err()
 }
 
+// RenewNow renews the entry at once, because the store may have lost it.
+func (m *Members) RenewNow() {
+	select {
+	case m.renewNow <- struct{}{}:
+	default:
+	}
+}
+
 // renew renews the entry unless none is needed and returns the time until the next call.
 func (m *Members) renew(ctx context.Context) time.Duration {
 	if m.SkipEntry != nil && m.SkipEntry() {
@@ -326,6 +339,21 @@
 	return true
 }
 
+// Merge implements follow.Handler. Instances that the copy lacks write their entries again; until then they are known
+// by their reports.
+func (m *Members) Merge(records []port.KeyedRecord) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, record := range records {
+		var member Member
+		if err := json.Unmarshal(record.Value, &member); err == nil && member.Incarnation <= m.left[record.Key] {
+			continue
+		}
+		m.putEntry(record)
+	}
+	return true
+}
+
 // Add implements follow.Handler.
 func (m *Members) Add(record port.KeyedRecord) bool {
 	m.mu.Lock()
@@ -340,6 +368,7 @@
 		return
 	}
 	if record.Value == nil {
+		m.left[record.Key] = max(m.left[record.Key], m.others[record.Key].Incarnation)
 		delete(m.others, record.Key)
 		return
 	}
--- a/fleet/records.go
+++ b/fleet/records.go
@@ -81,7 +81,11 @@
 	if !x.IsSameFleet(fleetid.Identity{ID: fleetid.ID(m.FleetId), Name: m.FleetName}, m.Instance, request.Peer().Addr) {
 		return nil, connect.NewError(connect.CodePermissionDenied, errOtherFleet)
 	}
-	note, err := x.handler.ServeRecords(boottime.Now(), port.Topic(m.Topic), m.From)
+	from, err := unmarshalPosition(m.Era, m.From)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	note, err := x.handler.ServeRecords(boottime.Now(), port.Topic(m.Topic), from)
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
@@ -140,7 +144,7 @@
 	client := fleetv1connect.NewRecordServiceClient(recordClient, "http://"+address, connect.WithReadMaxBytes(maxFetchBytes), transport.ClientOptions())
 	own := x.Identity()
 	response, err := client.Fetch(ctx, connect.NewRequest(&fleetv1.FetchRequest{
-		FleetId: uint64(own.ID), FleetName: own.Name, Instance: x.self.Name, Topic: uint32(topic), From: from,
+		FleetId: uint64(own.ID), FleetName: own.Name, Instance: x.self.Name, Topic: uint32(topic), From: port.OffsetOf(from), Era: uint32(port.EraOf(from)),
 	}))
 	if err != nil {
 		return follow.Note{}, err
--- a/follow/fetch.go
+++ b/follow/fetch.go
@@ -35,12 +35,13 @@
 func (f *Follower) Serve(now time.Duration, from uint64) (Note, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	from = max(from, port.EraStart(f.next))
 	records, ok := f.history.since(from)
-	if f.Rank == nil || !f.known || !f.markKnown || !ok {
+	if !f.hasNote() || !ok {
 		return Note{}, ErrUnknownRecords
 	}
 	n := f.newNote(now)
-	n.From, n.Records = from, records
+	n.From, n.Records, n.Carried = from, records, f.carried.list()
 	return n, nil
 }
 
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -43,6 +43,9 @@
 	Replace(records []port.KeyedRecord) (changed bool)
 	// Add processes one further record.
 	Add(record port.KeyedRecord) (changed bool)
+	// Merge processes the newest record of every key after the store came back from a copy. The copy may have older
+	// records than were processed, and what it lacks may be written again soon.
+	Merge(records []port.KeyedRecord) (changed bool)
 	// CaughtUp reports that every record that was in the topic at asOf has been processed.
 	// asOf is a time of the clock that includes suspensions.
 	CaughtUp(asOf time.Duration)
@@ -84,6 +87,14 @@
 	// Fetcher fetches records that are too large for reports. If it is nil, they are read from the
 	// store.
 	Fetcher Fetcher
+	// Carries is set for a topic whose records must outlive the store's copies: what was applied and is missing in a
+	// copy is passed on to the other instances until it is written again.
+	Carries bool
+	// AwaitsPeers reports whether an instance that has just read the topic must hear of another one, or wait for
+	// markTimeout, before it counts as caught up: the others may know what the store has lost. It may be nil.
+	AwaitsPeers func() bool
+	// OnEra is called when the store has come back from a copy. It must not block, and may be nil.
+	OnEra func(era uint64)
 	// Now is the clock that includes suspensions.
 	Now boottime.Clock
 
@@ -92,11 +103,13 @@
 	failingSince time.Duration
 
 	mu sync.Mutex
-	// next is the offset up to which the topic is known, if known is set.
+	// next is the position up to which the topic is known, if known is set. rejoining is set if the store has come back
+	// from a copy and nothing is known of the topic in the era of next.
+	rejoining  bool
 	next       uint64
 	known      bool
 	knownSince time.Duration
-	// mark is the offset after the last record that changed anything, if markKnown is set; see
+	// mark is the position after the last record that changed anything, if markKnown is set; see
 	// Note.
 	mark      uint64
 	markKnown bool
@@ -117,11 +130,14 @@
 	active  bool
 	relay   relay
 	history history
+	carried carried
+	// gated is set while this instance waits for another one; see AwaitsPeers.
+	gated bool
 }
 
 // NewFollower returns a follower of a topic. Exported fields may be set until Run is called.
 func NewFollower(topic port.Topic, timing PollTiming, handler Handler) *Follower {
-	return &Follower{Topic: topic, Timing: timing, Handler: handler, Logger: zap.NewNop(), Now: boottime.Now, wake: make(chan struct{}, 1)}
+	return &Follower{Topic: topic, Timing: timing, Handler: handler, Logger: zap.NewNop(), Now: boottime.Now, wake: make(chan struct{}, 1), carried: newCarried()}
 }
 
 // Run follows the topic until ctx ends.
@@ -153,7 +169,7 @@
 // readOnce makes one call and processes its result.
 func (f *Follower) readOnce(ctx context.Context, started time.Duration) error {
 	f.mu.Lock()
-	known, next := f.known, f.next
+	known, next := f.known && !f.rejoining, f.next
 	wait := f.Timing.Wait
 	if f.Rank != nil && (!f.active || f.behind) {
 		wait = 0
@@ -165,6 +181,9 @@
 		return f.readSnapshot(ctx, started)
 	}
 	records, next, err := f.Log.Since(ctx, f.Topic, next, wait)
+	if errors.Is(err, port.ErrNewEra) {
+		return f.readSnapshot(ctx, started)
+	}
 	if errors.Is(err, port.ErrCompacted) {
 		f.Logger.Info("records expired; reading snapshot", zap.Stringer("topic", f.Topic), zap.Uint64("from", next))
 		return f.readSnapshot(ctx, started)
@@ -197,20 +216,44 @@
 		return err
 	}
 	f.mu.Lock()
-	defer f.mu.Unlock()
+	if f.isOfEarlierEra(next) {
+		f.mu.Unlock()
+		return errEarlierEra
+	}
+	before := f.next
 	f.applySnapshot(records, next, started)
+	announce := f.Rank != nil && f.Announce != nil && f.markKnown && port.EraOf(before) != port.EraOf(f.next)
+	f.mu.Unlock()
+	if announce {
+		f.Announce()
+	}
 	return nil
 }
 
+// errEarlierEra is the error of a read that was answered before the store came back from a copy.
+var errEarlierEra = errors.New("the response is of an earlier era of the store")
+
 // applySnapshot processes the newest record of each key. f.mu must be held.
 func (f *Follower) applySnapshot(records []port.KeyedRecord, next uint64, started time.Duration) {
+	if f.isOfEarlierEra(next) {
+		return
+	}
+	if f.known && port.EraOf(next) > port.EraOf(f.next) {
+		f.beginEra(next, sourceStore)
+	}
+	if f.rejoining {
+		f.rejoin(records, next)
+		f.noteCaughtUp(started)
+		f.queueRelay(next)
+		return
+	}
 	if f.known && next < f.next {
 		// Other instances have relayed records since this response was produced. Applying it
 		// would remove them permanently, since they are not read again.
 		f.noteCaughtUp(started)
 		return
 	}
-	changed := f.Handler.Replace(records)
+	changed := f.replace(records)
 	if !f.known || changed {
 		f.history.reset(next)
 	}
@@ -227,9 +270,13 @@
 // applyRecords processes the records of a read. Some may have been relayed in the meantime.
 func (f *Follower) applyRecords(records []port.KeyedRecord, next uint64, started time.Duration) {
 	f.mu.Lock()
+	if f.isOfEarlierEra(next) || f.rejoining {
+		f.mu.Unlock()
+		return
+	}
 	changedUpTo := uint64(0)
 	for _, record := range records {
-		if record.Offset >= f.next && f.Handler.Add(record) {
+		if record.Offset >= f.next && f.add(record) {
 			f.history.add(record)
 			changedUpTo = record.Offset + 1
 		}
@@ -250,7 +297,10 @@
 	f.asOf = max(f.asOf, started)
 	f.lastRead = f.Now()
 	f.endBehind(sourceStore)
-	f.Handler.CaughtUp(started)
+	f.gated = f.mustAwaitPeers(f.lastRead)
+	if !f.gated {
+		f.Handler.CaughtUp(started)
+	}
 }
 
 // Sources of missing records, as they appear in logs.
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -76,6 +76,8 @@
 	replaced, added, caughtUp, readFailed int
 }
 
+func (n *recordingHandler) Merge(records []port.KeyedRecord) bool { return n.Replace(records) }
+
 func (n *recordingHandler) Replace(records []port.KeyedRecord) bool {
 	n.record(func(t *handlerCalls) { t.replaced += 1 + len(records) })
 	return true
--- a/follow/share.go
+++ b/follow/share.go
@@ -42,9 +42,9 @@
 // time as the sender.
 type Note struct {
 	Topic port.Topic
-	// Mark is the offset after the last record that changed anything.
+	// Mark is the position after the last record that changed anything.
 	Mark uint64
-	// Next is the offset up to which the sender knows the topic. The records between Mark and
+	// Next is the position up to which the sender knows the topic. The records between Mark and
 	// Next change nothing.
 	Next uint64
 	// Age is the time since the sender was caught up.
@@ -56,6 +56,10 @@
 	// Large reports that one of the records between From and Mark is too large for a report. The
 	// sender serves them.
 	Large bool
+	// Carried are the records that the sender has applied and that the topic lacks since the store came back from a
+	// copy, unless they are too large. CarriedDigest identifies them; 0 means that there are none.
+	Carried       []CarriedRecord
+	CarriedDigest uint64
 	// Sender is the address at which the sender serves records. It is set by the receiver.
 	Sender string
 }
@@ -73,7 +77,7 @@
 func (f *Follower) Note(now time.Duration) (n Note, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.Rank == nil || !f.known || !f.markKnown {
+	if !f.hasNote() {
 		return Note{}, false
 	}
 	n = f.newNote(now)
@@ -103,17 +107,23 @@
 func (f *Follower) NoteFor(now time.Duration, known uint64) (n Note, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.Rank == nil || !f.known || !f.markKnown {
+	if !f.hasNote() {
 		return Note{}, false
 	}
 	n = f.newNote(now)
 	if known < f.mark {
-		f.addRecords(&n, known)
+		// Of the records of earlier eras, none counts.
+		f.addRecords(&n, max(known, port.EraStart(f.mark)))
 	}
 	return n, true
 }
 
-// NextOffset returns the offset up to which the topic is known, or 0 while it is unknown.
+// hasNote reports whether there is something to tell other instances. f.mu must be held.
+func (f *Follower) hasNote() bool {
+	return f.Rank != nil && f.known && !f.rejoining && f.markKnown
+}
+
+// NextOffset returns the position up to which the topic is known, or 0 while it is unknown.
 func (f *Follower) NextOffset() uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -122,7 +132,11 @@
 
 // newNote returns a note without records. f.mu must be held.
 func (f *Follower) newNote(now time.Duration) Note {
-	return Note{Topic: f.Topic, Mark: f.mark, Next: f.next, Age: now - f.asOf}
+	n := Note{Topic: f.Topic, Mark: f.mark, Next: f.next, Age: now - f.asOf, CarriedDigest: f.carried.digest()}
+	if f.carried.size() <= maxCarriedBytes {
+		n.Carried = f.carried.list()
+	}
+	return n
 }
 
 // Receive processes a note from another instance. earliest is the earliest time at which it
@@ -131,18 +145,23 @@
 func (f *Follower) Receive(n Note, earliest time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.known || f.Rank == nil {
+	if !f.known || f.Rank == nil || f.isOfEarlierEra(n.Next) {
 		return
 	}
-	if f.next < n.Mark {
+	if port.EraOf(n.Next) > port.EraOf(f.next) {
+		f.beginEra(n.Next, sourceInstance)
+	}
+	f.applyCarried(n)
+	if f.next < n.Mark || f.rejoining {
 		f.applyNoteRecords(n)
 	}
-	if f.next < n.Mark {
+	if f.next < n.Mark || f.rejoining || f.lacksCarried(n) {
 		f.setBehind(n)
 		f.wakeUp()
 		return
 	}
 	f.adoptMark(n)
+	f.endGate(f.Now())
 	if f.next >= f.behindMark {
 		f.endBehind(sourceInstance)
 	}
@@ -160,7 +179,7 @@
 func (f *Follower) setBehind(n Note) {
 	var catchUpAt time.Duration
 	switch {
-	case n.Large && n.From <= f.next:
+	case n.Large && n.From <= f.next || f.lacksCarried(n):
 		f.addSource(n.Sender)
 	case len(n.Records) == 0:
 		catchUpAt = f.Now() + relayTimeout
@@ -180,9 +199,13 @@
 	if len(n.Records) == 0 || n.From > f.next {
 		return
 	}
+	if f.rejoining {
+		f.rejoin(n.Records, n.Mark)
+		return
+	}
 	for _, record := range n.Records {
 		if record.Offset >= f.next {
-			f.Handler.Add(record)
+			f.add(record)
 			f.history.add(record)
 		}
 	}
@@ -235,6 +258,7 @@
 	if !f.known {
 		return 0
 	}
+	f.endGate(now)
 	if f.behind {
 		return max(f.catchUpAt-now, 0)
 	}
--- a/follow/share_test.go
+++ b/follow/share_test.go
@@ -24,6 +24,8 @@
 	failedReads int
 }
 
+func (i *instance) Merge(records []port.KeyedRecord) bool { return i.Replace(records) }
+
 func (i *instance) Replace(records []port.KeyedRecord) bool {
 	for _, r := range records {
 		i.Add(r)
--- a/instance/routed/readers.go
+++ b/instance/routed/readers.go
@@ -82,6 +82,10 @@
 	f := follow.NewFollower(topic, timing, reader)
 	f.Rank = func() int { return min(i.exchange.Rank(topic.String()), maxStaggerRank) }
 	f.Announce = func() { i.exchange.Announce() }
+	f.OnEra = func(era uint64) { go i.handleEra(era) }
+	if topic == port.TopicConfiguration {
+		f.Carries, f.AwaitsPeers = true, i.awaitsPeers
+	}
 	return f
 }
 
@@ -174,6 +178,16 @@
 	return changed
 }
 
+// Merge implements follow.Handler. It is given what is not known to be of the copy only, so that nothing is ended for
+// being absent.
+func (r *configReader) Merge(records []port.KeyedRecord) bool {
+	changed := false
+	for _, record := range records {
+		changed = r.Add(record) || changed
+	}
+	return changed
+}
+
 // liftMissingEvacuations ends the evacuation of data centres that a full read no longer names.
 func (r *configReader) liftMissingEvacuations(records []port.KeyedRecord) bool {
 	named := make(map[string]bool)
@@ -277,6 +291,13 @@
 	return changed
 }
 
+// Merge implements follow.Handler. Upstreams that the copy lacks are dropped only if they do not write their entries
+// again.
+func (r *upstreamReader) Merge(records []port.KeyedRecord) bool {
+	r.removals.StoreReplaced(boottime.Now())
+	return r.Replace(records)
+}
+
 // Add implements follow.Handler.
 func (r *upstreamReader) Add(record port.KeyedRecord) bool {
 	r.removals.Reachable(boottime.Now())
--- a/instance/routed/routed.go
+++ b/instance/routed/routed.go
@@ -10,6 +10,7 @@
 	"runtime/debug"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -104,6 +105,8 @@
 	members  *fleet.Members
 	exchange *fleet.Exchange
 	fleetID  *fleetid.Verifier
+	// storeEra is the highest era of the store that was seen.
+	storeEra atomic.Uint64
 	// sharedFollowers follow the topics that a few instances read on behalf of all.
 	sharedFollowers []*follow.Follower
 	createdAt       time.Time
--- a/instance/routed/storecalls.go
+++ b/instance/routed/storecalls.go
@@ -55,6 +55,8 @@
 	switch {
 	case errors.Is(err, port.ErrCompacted):
 		result = "forgotten"
+	case errors.Is(err, port.ErrNewEra):
+		result = "new_era"
 	case errors.Is(err, port.ErrConflict):
 		result = "conflict"
 	case errors.Is(err, context.DeadlineExceeded):
--- a/observe/metrics.go
+++ b/observe/metrics.go
@@ -194,6 +194,9 @@
 	m.Scope.Tagged(map[string]string{"service": service, "send": send, "repeated": strconv.FormatBool(repeated)}).Counter("arrivals").Inc(1)
 }
 
+// CountStoreEra counts that the store has come back from a copy.
+func (m *Metrics) CountStoreEra() { m.Scope.Counter("store_eras").Inc(1) }
+
 // CountBudgetSpent counts a send that is not made because the service's retry budget does not allow it.
 func (m *Metrics) CountBudgetSpent(service, send string) {
 	m.Scope.Tagged(map[string]string{"service": service, "send": send}).Counter("retry_budget_spent").Inc(1)
--- a/port/keyed.go
+++ b/port/keyed.go
@@ -35,7 +35,8 @@
 type KeyedRecord struct {
 	Key string
 	// Value is nil if the key was deleted.
-	Value  []byte
+	Value []byte
+	// Offset is the record's position; see Position.
 	Offset uint64
 }
 
@@ -50,19 +51,19 @@
 // other records at or after the expected offset.
 var ErrConflict = errors.New("topic has advanced past the expected offset")
 
-// KeyedLog is the platform's store of keyed topics. Responses are linearizable. A
-// call that fails without a response may have been executed, or may still be
-// executed seconds later.
+// KeyedLog is the platform's store of keyed topics. Responses are linearizable within an
+// era of the store. A call that fails without a response may have been executed, or may
+// still be executed seconds later.
 type KeyedLog interface {
-	// Newest returns the newest record of each key, and the offset from which Since
+	// Newest returns the newest record of each key, and the position from which Since
 	// continues without a gap.
 	Newest(ctx context.Context, topic Topic) (records []KeyedRecord, next uint64, err error)
-	// Since returns the records starting at offset from, waiting up to wait for one,
-	// and the offset to continue from.
+	// Since returns the records starting at position from, waiting up to wait for one,
+	// and the position to continue from. It returns ErrNewEra if from is of another era.
 	Since(ctx context.Context, topic Topic, from uint64, wait time.Duration) (records []KeyedRecord, next uint64, err error)
 	// Put writes a record; a nil value deletes the key.
 	Put(ctx context.Context, topic Topic, key string, value []byte) error
-	// PutAt writes a record only if it would be stored at offset at, and otherwise
-	// returns ErrConflict.
+	// PutAt writes a record only if it would be stored at position at, and otherwise
+	// returns ErrConflict, or ErrNewEra if at is of another era.
 	PutAt(ctx context.Context, topic Topic, at uint64, key string, value []byte) error
 }
--- a/upstream/removals.go
+++ b/upstream/removals.go
@@ -37,6 +37,12 @@
 	r.unavailable = false
 }
 
+// StoreReplaced records that the store has come back from a copy, which may lack entries of running upstreams.
+func (r *Removals) StoreReplaced(now time.Duration) {
+	r.keepUntil = max(r.keepUntil, now+reregistrationTime)
+	r.unavailable = false
+}
+
 // Remove records that an entry was removed. It reports whether its upstream is dropped now.
 func (r *Removals) Remove(now time.Duration, id string) (drop bool) {
 	if now >= r.keepUntil {
