Fleet ID: written again after the store has lost it

Callers of an instance that started after a drill would have been served by a second fleet, with all quotas and budgets of its own.

Cause: an instance that finds no id generates one; a copy may be older than the id. Now those that know the id write it again as soon as a new era begins, over one that was generated meanwhile; an instance of a fleet that has run before waits 4 s for that. The era in which the id was generated is stored with it, so that an instance that starts asks others for what the store may have lost only if it may have lost something.

--- a/fleetid/verifier.go
+++ b/fleetid/verifier.go
@@ -59,8 +59,10 @@
 	cfg    VerifierConfig
 	id     atomic.Uint64
 	reload chan struct{}
-	known  chan struct{}
-	checks map[Relation]tally.Counter
+	// refresh triggers a load at once.
+	refresh chan struct{}
+	known   chan struct{}
+	checks  map[Relation]tally.Counter
 
 	mu sync.Mutex
 	// lastLogged is when each other fleet was last logged.
@@ -72,7 +74,7 @@
 	if cfg.Metrics == nil {
 		cfg.Metrics = tally.NoopScope
 	}
-	v := &Verifier{cfg: cfg, reload: make(chan struct{}, 1), known: make(chan struct{}), checks: make(map[Relation]tally.Counter), lastLogged: make(map[Identity]time.Time)}
+	v := &Verifier{cfg: cfg, reload: make(chan struct{}, 1), refresh: make(chan struct{}, 1), known: make(chan struct{}), checks: make(map[Relation]tally.Counter), lastLogged: make(map[Identity]time.Time)}
 	for _, r := range []Relation{Stranger, Undecided, SameName} {
 		v.checks[r] = cfg.Metrics.Tagged(map[string]string{"relation": r.String()}).Counter("fleet_meetings")
 	}
@@ -99,18 +101,29 @@
 			continue
 		}
 		pause.Reset()
-		wait(ctx, reloadInterval, nil)
+		if wait(ctx, reloadInterval, v.refresh) {
+			continue
+		}
 		v.waitForReload(ctx)
 	}
 	return ctx.Err()
 }
 
+// Refresh loads the ID again at once, because the store may have lost it.
+func (v *Verifier) Refresh() {
+	select {
+	case v.refresh <- struct{}{}:
+	default:
+	}
+}
+
 // waitForReload waits until the ID should be loaded again.
 func (v *Verifier) waitForReload(ctx context.Context) {
 	if v.cfg.Interval == 0 {
 		select {
 		case <-ctx.Done():
 		case <-v.reload:
+		case <-v.refresh:
 		}
 		return
 	}
@@ -118,15 +131,17 @@
 	wait(ctx, time.Duration(varied*float64(v.cfg.Interval)), v.reload)
 }
 
-// wait waits for d, or until ctx ends or early receives a value or is closed.
-func wait(ctx context.Context, d time.Duration, early <-chan struct{}) {
+// wait waits for d, or until ctx ends or early receives a value or is closed, which it reports.
+func wait(ctx context.Context, d time.Duration, early <-chan struct{}) (isEarly bool) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
 	case <-early:
+		return true
 	}
+	return false
 }
 
 func (v *Verifier) load(ctx context.Context) error {
--- a/fleetid/verifier_test.go
+++ b/fleetid/verifier_test.go
@@ -132,6 +132,8 @@
 	return nil
 }
 
+func (l *fakeKeyedLog) Put(context.Context, port.Topic, string, []byte) error { return nil }
+
 // Instances that start concurrently find no ID and each propose one. The first proposal must win,
 // and all instances must read it.
 func TestConcurrentStartsAgreeOnKeyedStoreID(t *testing.T) {
@@ -139,17 +141,58 @@
 	var second ID
 	log.beforePut = func() {
 		var err error
-		second, err = NewKeyedStore(log).Load(t.Context())
+		second, err = NewKeyedStore(log, 0).Load(t.Context())
 		assert.NilError(t, err)
 	}
-	first, err := NewKeyedStore(log).Load(t.Context())
+	first, err := NewKeyedStore(log, 0).Load(t.Context())
 	assert.NilError(t, err)
 	assert.Assert(t, first != 0)
 	assert.Equal(t, first, second)
-	third, err := NewKeyedStore(log).Load(t.Context())
+	third, err := NewKeyedStore(log, 0).Load(t.Context())
 	assert.NilError(t, err)
 	assert.Equal(t, third, first)
 	log.records[0].Value = []byte("nonsense")
-	_, err = NewKeyedStore(log).Load(t.Context())
+	_, err = NewKeyedStore(log, 0).Load(t.Context())
 	assert.ErrorContains(t, err, "invalid fleet ID")
 }
+
+// Guards against a second ID if the store comes back from a copy that is older than the first, and an instance starts
+// before the others have written the ID again.
+func TestIDIsWrittenAgainAfterTheStoreCameBack(t *testing.T) {
+	log := &fakeKeyedLog{end: port.Position(1, 0)}
+	running := NewKeyedStore(log, 0)
+	id, err := running.Load(t.Context())
+	assert.NilError(t, err)
+	assert.Assert(t, !running.MayHaveLost())
+	log.records, log.end = nil, port.Position(2, 0)
+	now := time.Minute
+	started := NewKeyedStore(log, time.Second)
+	started.now = func() time.Duration { return now }
+	_, err = started.Load(t.Context())
+	assert.ErrorIs(t, err, errNoID)
+	for range 2 {
+		again, err := running.Load(t.Context())
+		assert.NilError(t, err)
+		assert.Equal(t, again, id)
+	}
+	read, err := started.Load(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, read, id)
+	assert.Assert(t, started.MayHaveLost())
+	// An ID that an instance on its own has generated in a new era gives way to the one of the fleet.
+	log.records, log.end = nil, port.Position(3, 0)
+	alone := NewKeyedStore(log, time.Second)
+	alone.now = func() time.Duration { return now }
+	_, err = alone.Load(t.Context())
+	assert.ErrorIs(t, err, errNoID)
+	now += time.Second
+	other, err := alone.Load(t.Context())
+	assert.NilError(t, err)
+	assert.Assert(t, other != id)
+	again, err := running.Load(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, again, id)
+	adopted, err := alone.Load(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, adopted, id)
+}
--- a/instance/routed/routed.go
+++ b/instance/routed/routed.go
@@ -105,6 +105,7 @@
 	members  *fleet.Members
 	exchange *fleet.Exchange
 	fleetID  *fleetid.Verifier
+	idStore  *fleetid.KeyedStore
 	// storeEra is the highest era of the store that was seen.
 	storeEra atomic.Uint64
 	// sharedFollowers follow the topics that a few instances read on behalf of all.
@@ -162,8 +163,9 @@
 	exchange.OnExpire(i.members.Expire)
 	exchange.SetRunFilter(i.members.IsCurrent)
 	exchange.SetHasSynced(i.members.HasSynced)
+	i.idStore = fleetid.NewKeyedStore(adapters.Log, idFoundDelay(s.FirstStart))
 	i.fleetID = fleetid.NewVerifier(fleetid.VerifierConfig{
-		Store: fleetid.NewKeyedStore(adapters.Log), Spread: idReadSpread(s.FirstStart), Name: s.FleetName(), Logger: log, Metrics: metrics.Scope,
+		Store: i.idStore, Spread: idReadSpread(s.FirstStart), Name: s.FleetName(), Logger: log, Metrics: metrics.Scope,
 	})
 	exchange.SetFleet(i.fleetID)
 	i.connectRelay()
@@ -180,6 +182,15 @@
 	return 0
 }
 
+// idFoundDelay returns the time for which the fleet ID must be missing in the store before a new one is generated. In a
+// fleet that has run before, the others write it again if the store has lost it.
+func idFoundDelay(firstStart bool) time.Duration {
+	if firstStart {
+		return 0
+	}
+	return 4 * time.Second
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // defaultMemoryMB is the memory assumed for request bodies if the settings contain no limit.
