Roles: a lease that the store has lost is not given out again while it lasts

Cause: tokens and observations were made of offsets, and a lease that is missing was taken as free. Tokens are positions now, which do not fall. In an era that an instance sees begin, or after its start in a fleet that has run before, it acquires no lease for the length of one. TestLeaseIsNotGivenOutAgainAfterTheStoreCameBack.

--- a/gateway/roles.go
+++ b/gateway/roles.go
@@ -79,6 +79,8 @@
 	IsLeader func(service string) bool
 	// Lease is the lease duration, within which the holder must not change.
 	Lease time.Duration
+	// FirstStart is set if the fleet starts for the first time, so that there is no other holder.
+	FirstStart bool
 	// MayLead reports whether this instance may become the leader; nil means always.
 	MayLead func() bool
 }
@@ -97,17 +99,25 @@
 	confirmations map[string]int
 	pausedUntil   map[string]time.Duration
 	observed      map[string]holderObservation
+	// era is the era of the store in which the leases were read last. Of its leases, those that may be missing in it
+	// have ended by eraSettled.
+	era        uint64
+	eraKnown   bool
+	eraSettled time.Duration
 }
 
 // holderObservation is when this instance first saw a record.
 type holderObservation struct {
-	offset    uint64
+	position  uint64
 	firstSeen time.Duration
 }
 
 // RunRoles checks the split of engines periodically until ctx ends.
 func (g *Gateway) RunRoles(ctx context.Context, o RoleOptions) error {
 	c := &roleController{RoleOptions: o, gateway: g, confirmations: make(map[string]int), pausedUntil: make(map[string]time.Duration), observed: make(map[string]holderObservation)}
+	if !o.FirstStart {
+		c.eraSettled = boottime.Now() + o.Lease
+	}
 	ticker := time.NewTicker(roleCheckInterval)
 	defer ticker.Stop()
 	observed := false
@@ -132,11 +142,12 @@
 func (c *roleController) observeHolders(ctx context.Context) {
 	call, cancel := context.WithTimeout(ctx, roleCallTimeout)
 	defer cancel()
-	records, _, err := c.Log.Newest(call, port.TopicRoles)
+	records, next, err := c.Log.Newest(call, port.TopicRoles)
 	if err != nil {
 		c.gateway.log.Info("cannot read role lease holders", zap.Error(err))
 		return
 	}
+	c.era, c.eraKnown = port.EraOf(next), true
 	for _, record := range records {
 		c.canTakeOver(record)
 	}
@@ -162,6 +173,9 @@
 		zap.Float64("decode_engine_s", work.MeanDecodeWork))
 	if err := c.applyChange(ctx, d, to, count); err != nil {
 		c.pausedUntil[d.service] = boottime.Now() + takeoverLeases*c.Lease
+		if errors.Is(err, errEraNotSettled) {
+			c.pausedUntil[d.service] = c.eraSettled
+		}
 		c.gateway.log.Info("role change failed", zap.String("service", d.service), zap.Stringer("to", to), zap.Error(err))
 	}
 }
@@ -292,7 +306,24 @@
 	return nil
 }
 
-var errHeldByOther = errors.New("another instance holds the lease")
+var (
+	errHeldByOther   = errors.New("another instance holds the lease")
+	errEraNotSettled = errors.New("the store may have lost a lease that has not ended")
+)
+
+// settleEra records the era of the store in which the leases were read. It returns an error while a holder that the
+// store has lost may still give orders.
+func (c *roleController) settleEra(era uint64) error {
+	now := boottime.Now()
+	if c.eraKnown && era != c.era {
+		c.eraSettled = now + c.Lease
+	}
+	c.era, c.eraKnown = era, true
+	if now < c.eraSettled {
+		return errEraNotSettled
+	}
+	return nil
+}
 
 // acquireLease makes this instance the holder for a service, by a write that succeeds only if
 // nothing was written since the topic was read. The holder must stop giving orders at until.
@@ -305,6 +336,9 @@
 	if err != nil {
 		return 0, 0, err
 	}
+	if err := c.settleEra(port.EraOf(next)); err != nil {
+		return 0, 0, err
+	}
 	for _, record := range records {
 		if record.Key == service && !c.canTakeOver(record) {
 			return 0, 0, errHeldByOther
@@ -318,7 +352,8 @@
 	if err := c.Log.PutAt(call, port.TopicRoles, next, service, value); err != nil {
 		return 0, 0, err
 	}
-	// The offset plus one is the fencing token; engines treat 0 as no holder.
+	// The position plus one is the fencing token, which does not fall with the offsets when the store comes back from a
+	// copy; engines treat 0 as no holder.
 	return next + 1, started + time.Duration(leaseUseRatio*float64(c.Lease)), nil
 }
 
@@ -329,7 +364,7 @@
 		return true
 	}
 	now := boottime.Now()
-	if seen, known := c.observed[record.Key]; !known || seen.offset != record.Offset {
+	if seen, known := c.observed[record.Key]; !known || seen.position != record.Offset {
 		c.observed[record.Key] = holderObservation{record.Offset, now}
 		return false
 	}
--- a/gateway/roles_test.go
+++ b/gateway/roles_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"testing"
 	"time"
 
@@ -20,8 +21,20 @@
 	port.KeyedLog
 	records     []port.KeyedRecord
 	loseAnswers bool
+	era         uint64
 }
 
+// goBack makes the log come back from a copy with the first n records.
+func (k *memoryLog) goBack(n int) {
+	k.era++
+	k.records = slices.Clone(k.records[:n])
+	for i := range k.records {
+		k.records[i].Offset = port.Position(k.era, uint64(i))
+	}
+}
+
+func (k *memoryLog) end() uint64 { return port.Position(k.era, uint64(len(k.records))) }
+
 func (k *memoryLog) Newest(context.Context, port.Topic) ([]port.KeyedRecord, uint64, error) {
 	newest := map[string]port.KeyedRecord{}
 	for _, r := range k.records {
@@ -31,11 +44,11 @@
 	for _, r := range newest {
 		out = append(out, r)
 	}
-	return out, uint64(len(k.records)), nil
+	return out, k.end(), nil
 }
 
 func (k *memoryLog) PutAt(_ context.Context, _ port.Topic, at uint64, key string, value []byte) error {
-	if at != uint64(len(k.records)) {
+	if at != k.end() {
 		return port.ErrConflict
 	}
 	k.records = append(k.records, port.KeyedRecord{Key: key, Value: value, Offset: at})
@@ -75,7 +88,7 @@
 
 func newRoleController(gw *testGateway, log port.KeyedLog, engines EngineController, holder string) *roleController {
 	return &roleController{
-		RoleOptions: RoleOptions{Engines: engines, Log: log, Holder: holder, IsLeader: func(string) bool { return true }, Lease: time.Second},
+		RoleOptions: RoleOptions{Engines: engines, Log: log, Holder: holder, IsLeader: func(string) bool { return true }, Lease: time.Second, FirstStart: true},
 		gateway:     gw.gateway, confirmations: map[string]int{}, pausedUntil: map[string]time.Duration{}, observed: map[string]holderObservation{},
 	}
 }
@@ -146,7 +159,7 @@
 	token, _, err := first.acquireLease(t.Context(), d.service)
 	assert.NilError(t, err)
 	assert.Equal(t, token, uint64(2))
-	second.observed[d.service] = holderObservation{offset: 1, firstSeen: boottime.Now() - takeoverLeases*time.Second - time.Millisecond}
+	second.observed[d.service] = holderObservation{position: 1, firstSeen: boottime.Now() - takeoverLeases*time.Second - time.Millisecond}
 	token, _, err = second.acquireLease(t.Context(), d.service)
 	assert.NilError(t, err, "a holder that was not seen renewing for several leases")
 	assert.Equal(t, token, uint64(3))
@@ -154,6 +167,31 @@
 	assert.ErrorIs(t, err, errHeldByOther)
 }
 
+// Guards against two holders, or a fencing token that was used before, when the store comes back from a copy that lacks
+// the lease.
+func TestLeaseIsNotGivenOutAgainAfterTheStoreCameBack(t *testing.T) {
+	gw := newTestGateway(t)
+	log := &memoryLog{}
+	d := modelDispatcher(gw)
+	first, second := newRoleController(gw, log, &fakeEngines{}, "a"), newRoleController(gw, log, &fakeEngines{}, "b")
+	second.observeHolders(t.Context())
+	held, _, err := first.acquireLease(t.Context(), d.service)
+	assert.NilError(t, err)
+	log.goBack(0)
+	_, _, err = second.acquireLease(t.Context(), d.service)
+	assert.ErrorIs(t, err, errEraNotSettled)
+	_, _, err = first.acquireLease(t.Context(), d.service)
+	assert.ErrorIs(t, err, errEraNotSettled)
+	second.eraSettled = boottime.Now()
+	token, _, err := second.acquireLease(t.Context(), d.service)
+	assert.NilError(t, err)
+	assert.Assert(t, token > held, "token %d after %d", token, held)
+	late := newRoleController(gw, log, &fakeEngines{}, "c")
+	late.eraSettled = boottime.Now() + late.Lease
+	_, _, err = late.acquireLease(t.Context(), d.service)
+	assert.ErrorIs(t, err, errEraNotSettled, "an instance that has just started does not know what the store has lost")
+}
+
 // The machine is suspended between the write that acquires the lease and the order. Another
 // instance may hold the lease by then.
 func TestExpiredLeaseHolderGivesNoOrder(t *testing.T) {
--- a/instance/routed/routed.go
+++ b/instance/routed/routed.go
@@ -336,7 +336,7 @@
 	group.Go(func() error {
 		return ignoreCancelled(ctx, i.gateway.RunRoles(ctx, gateway.RoleOptions{
 			Engines: i.adapters.Engines, Log: i.adapters.Log, Holder: i.settings.Instance, IsLeader: func(service string) bool { return i.exchange.Rank(service) == 0 },
-			Lease: time.Duration(i.settings.LeaseMS) * time.Millisecond, MayLead: i.exchange.IsHub,
+			Lease: time.Duration(i.settings.LeaseMS) * time.Millisecond, MayLead: i.exchange.IsHub, FirstStart: i.settings.FirstStart,
 		}))
 	})
 }
