Quarantines: stored again after the store came back from a copy

A part that crashes engines would have been forgotten with the last instance, or kept although it was lifted: what was acknowledged was believed to be stored for ever. The writer compares with the store once more in each era, writes what is missing and deletes what has ended. TestQuarantinesAreStoredAgainAfterTheStoreCameBack.

--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -186,11 +188,26 @@
 // keyedMemory is a store of one topic.
 type keyedMemory struct {
 	port.KeyedLog
+	mu      sync.Mutex
 	records map[string][]byte
 	writes  int
 }
 
+func (m *keyedMemory) set(records map[string][]byte) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.records = records
+}
+
+func (m *keyedMemory) has(key string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.records[key] != nil
+}
+
 func (m *keyedMemory) Newest(context.Context, port.Topic) (out []port.KeyedRecord, next uint64, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	for key, value := range m.records {
 		out = append(out, port.KeyedRecord{Key: key, Value: value})
 	}
@@ -198,6 +215,8 @@
 }
 
 func (m *keyedMemory) Put(_ context.Context, _ port.Topic, key string, value []byte) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.writes++
 	if value == nil {
 		delete(m.records, key)
@@ -207,6 +226,37 @@
 	return nil
 }
 
+// Guards against quarantines that are missing in the store, or stored for ever, after it came back from a copy.
+func TestQuarantinesAreStoredAgainAfterTheStoreCameBack(t *testing.T) {
+	store := &keyedMemory{records: make(map[string][]byte)}
+	gw := newTestGateway(t)
+	gw.condemn("bad")
+	var era atomic.Uint64
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() {
+		done <- gw.gateway.RunQuarantines(ctx, QuarantineStore{Log: store, IsWriter: func() bool { return true }, Era: era.Load})
+	}()
+	key := partAttribute("bad").String()
+	waitUntil(t, func() bool { return store.has(key) })
+	store.set(map[string][]byte{"00000000000000ff": []byte(`{"part":true}`)})
+	era.Add(1)
+	waitUntil(t, func() bool { return store.has(key) && !store.has("00000000000000ff") })
+	cancel()
+	<-done
+}
+
+func waitUntil(t *testing.T, condition func() bool) {
+	t.Helper()
+	for range 1000 {
+		if condition() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("the condition was not met within 10 s")
+}
+
 // Guards against a part that crashes engines again after all instances were killed, against stored quarantines that
 // never end, and against calls of the store without a change.
 func TestQuarantinesOutliveAllInstances(t *testing.T) {
@@ -221,8 +271,9 @@
 	store.records["not an attribute"] = []byte("{}")
 	store.records["12"] = []byte("not a quarantine")
 	started := newTestGateway(t)
-	restored := make(map[quarantine.Attribute]storedQuarantine)
-	assert.Assert(t, started.gateway.restoreQuarantines(t.Context(), store, restored))
+	restored, ok := started.gateway.readQuarantines(t.Context(), store)
+	assert.Assert(t, ok)
+	started.gateway.adoptQuarantines(restored)
 	bad := &Call{PromptParts: []string{"aa", "bad"}}
 	assert.Assert(t, started.gateway.crashes.refusal(bad) != nil)
 	assert.Assert(t, started.gateway.LiftQuarantine(partAttribute("bad").String()))
--- a/gateway/quarantinestore.go
+++ b/gateway/quarantinestore.go
@@ -29,6 +29,15 @@
 	Restore bool
 	// IsWriter reports whether this instance stores the quarantines of the fleet.
 	IsWriter func() bool
+	// Era returns the era of the store, as far as it is known. Nil means that it never changes.
+	Era func() uint64
+}
+
+func (o QuarantineStore) era() uint64 {
+	if o.Era == nil {
+		return 0
+	}
+	return o.Era()
 }
 
 // storedQuarantine is a record of a quarantine. Its key is the attribute.
@@ -42,42 +51,59 @@
 
 // RunQuarantines restores the quarantines that were stored before all instances ended, and stores those of the fleet.
 func (g *Gateway) RunQuarantines(ctx context.Context, o QuarantineStore) error {
-	stored := make(map[quarantine.Attribute]storedQuarantine)
+	stored, era := make(map[quarantine.Attribute]storedQuarantine), o.era()
 	for attempt := 0; o.Restore && attempt < maxRestoreAttempts && ctx.Err() == nil; attempt++ {
-		if g.restoreQuarantines(ctx, o.Log, stored) {
+		if read, ok := g.readQuarantines(ctx, o.Log); ok {
+			stored = read
+			g.adoptQuarantines(stored)
 			break
 		}
 		sleep(ctx, quarantineCheckInterval)
 	}
 	for ctx.Err() == nil {
 		sleep(ctx, quarantineCheckInterval)
-		if o.IsWriter() {
-			g.storeQuarantines(ctx, o.Log, stored)
+		if !o.IsWriter() {
+			continue
+		}
+		if current := o.era(); current != era {
+			// The store may lack quarantines, and have others that have ended.
+			read, ok := g.readQuarantines(ctx, o.Log)
+			if !ok {
+				continue
+			}
+			stored, era = read, current
 		}
+		g.storeQuarantines(ctx, o.Log, stored)
 	}
 	return ctx.Err()
 }
 
-// restoreQuarantines reads the stored quarantines, and reports whether that succeeded.
-func (g *Gateway) restoreQuarantines(ctx context.Context, log port.KeyedLog, stored map[quarantine.Attribute]storedQuarantine) bool {
+// readQuarantines reads the stored quarantines. ok is false if that failed.
+func (g *Gateway) readQuarantines(ctx context.Context, log port.KeyedLog) (stored map[quarantine.Attribute]storedQuarantine, ok bool) {
 	call, cancel := context.WithTimeout(ctx, quarantineCallTimeout)
 	defer cancel()
 	records, _, err := log.Newest(call, port.TopicQuarantines)
 	if err != nil {
 		g.log.Info("cannot read stored quarantines", zap.Error(err))
-		return false
+		return nil, false
 	}
+	stored = make(map[quarantine.Attribute]storedQuarantine)
 	for _, record := range records {
 		n, err := strconv.ParseUint(record.Key, 16, 64)
 		var s storedQuarantine
 		if err != nil || record.Value == nil || json.Unmarshal(record.Value, &s) != nil {
 			continue
 		}
-		attribute := quarantine.Attribute(n)
-		stored[attribute] = s
+		stored[quarantine.Attribute(n)] = s
+	}
+	return stored, true
+}
+
+// adoptQuarantines puts stored quarantines into force.
+func (g *Gateway) adoptQuarantines(stored map[quarantine.Attribute]storedQuarantine) {
+	for attribute, s := range stored {
 		g.crashes.adopt(quarantine.Quarantine{Attribute: attribute, Part: s.Part, Crashes: s.Crashes, LastCrash: g.crashes.sinceBoot(s.LastCrash), Until: g.crashes.sinceBoot(s.Until)})
 	}
-	return true
 }
 
 // storeQuarantines stores the quarantines that have changed, and deletes those that have ended.
--- a/instance/routed/routed.go
+++ b/instance/routed/routed.go
@@ -330,7 +330,7 @@
 	group.Go(func() error { return i.runSweep(ctx) })
 	group.Go(func() error {
 		return ignoreCancelled(ctx, i.gateway.RunQuarantines(ctx, gateway.QuarantineStore{
-			Log: i.adapters.Log, Restore: !i.settings.FirstStart, IsWriter: func() bool { return i.exchange.Rank(port.TopicQuarantines.String()) == 0 },
+			Log: i.adapters.Log, Restore: !i.settings.FirstStart, Era: i.storeEra.Load, IsWriter: func() bool { return i.exchange.Rank(port.TopicQuarantines.String()) == 0 },
 		}))
 	})
 	group.Go(func() error {
