Upstreams: a removed entry does not come back from a copy of the store

Requests would have gone to upstreams that have ended, whose entries the copy still has. The directory remembers the last entries of the upstreams that were removed, and takes only newer ones. TestRemovedEntryDoesNotComeBack.

--- a/upstream/directory.go
+++ b/upstream/directory.go
@@ -57,6 +57,11 @@
 	return e
 }
 
+// isBefore reports whether an entry with the same ID was published before another.
+func (e Entry) isBefore(other Entry) bool {
+	return e.Started < other.Started || e.Started == other.Started && e.Sequence < other.Sequence
+}
+
 // Directory holds the newest entry of each upstream. It is safe for concurrent use.
 type Directory struct {
 	mu      sync.RWMutex
@@ -74,21 +79,30 @@
 	byService map[string][]Entry
 	stale     bool
 	version   uint64
+	// removed holds the last entries of removed upstreams by id, and removedOrder their ids, oldest first.
+	removed      map[string]Entry
+	removedOrder []string
 }
 
+// maxRemoved is the number of removed upstreams that are remembered.
+const maxRemoved = 1024
+
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	return &Directory{entries: make(map[string]Entry), gone: make(map[string]Entry), leaving: make(map[string]int64), evacuated: make(map[string]bool), byService: make(map[string][]Entry)}
+	return &Directory{entries: make(map[string]Entry), gone: make(map[string]Entry), leaving: make(map[string]int64), evacuated: make(map[string]bool), removed: make(map[string]Entry), byService: make(map[string][]Entry)}
 }
 
-// Put stores an entry, unless a newer one with the same id is known: a write whose response was
-// lost may take effect seconds later, after newer writes, and would make a leaving upstream
-// available again. It reports whether anything other than the sequence changed.
+// Put stores an entry, unless a newer one with the same id is known or was removed: a write whose response was
+// lost may take effect seconds later, after newer writes, and a store may come back from a copy. Either would make an
+// upstream available again that leaves or has ended. It reports whether anything other than the sequence changed.
 func (d *Directory) Put(e Entry) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	old, known := d.entries[e.ID]
-	if known && (e.Started < old.Started || e.Started == old.Started && e.Sequence < old.Sequence) {
+	if known && e.isBefore(old) {
+		return false
+	}
+	if gone, removed := d.removed[e.ID]; removed && !known && gone.Started > 0 && !gone.isBefore(e) {
 		return false
 	}
 	d.entries[e.ID] = e
@@ -103,9 +117,18 @@
 func (d *Directory) Remove(id string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if _, known := d.entries[id]; !known {
+	e, known := d.entries[id]
+	if !known {
 		return false
 	}
+	if _, again := d.removed[id]; !again {
+		d.removedOrder = append(d.removedOrder, id)
+	}
+	d.removed[id] = e
+	if len(d.removedOrder) > maxRemoved {
+		delete(d.removed, d.removedOrder[0])
+		d.removedOrder = d.removedOrder[1:]
+	}
 	delete(d.entries, id)
 	d.markChanged()
 	return true
--- a/upstream/directory_test.go
+++ b/upstream/directory_test.go
@@ -28,6 +28,24 @@
 	assert.Assert(t, ok)
 }
 
+// Guards against an upstream that has ended and is back in the directory because the store came back from a copy.
+func TestRemovedEntryDoesNotComeBack(t *testing.T) {
+	d := NewDirectory()
+	d.Put(entry("a", 1, 5))
+	d.Remove("a")
+	assert.Assert(t, !d.Put(entry("a", 1, 4)))
+	assert.Assert(t, !d.Put(entry("a", 1, 5)))
+	assert.Equal(t, d.Len(), 0)
+	assert.Assert(t, d.Put(entry("a", 1, 6)), "it has published a newer entry")
+	d.Remove("a")
+	assert.Assert(t, d.Put(entry("a", 2, 0)), "a new run restarts its sequence")
+	for n := range int64(2 * maxRemoved) {
+		d.Put(entry(fmt.Sprint(n), 1, 1))
+		d.Remove(fmt.Sprint(n))
+	}
+	assert.Equal(t, len(d.removed), maxRemoved)
+}
+
 // Guards against further requests to an address that now belongs to another engine, which refuses
 // them. The old entry remains in the directory until its upstream publishes a change.
 func TestGoneUntilTheEntryChanges(t *testing.T) {
