Soak: a store that comes back from a copy, beside stops, kills and keys that are withdrawn

Drills alone, in series, right before and after a key is withdrawn, while half of the instances end and while all are killed; copies are up to 5 s old, and what the operator wrote is written again 0.2 s after the return. The ledger checks that the fleet keeps its id, and that undisturbed instances refuse no key that was added in time.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -232,6 +232,7 @@
 		drawFaults(rand.New(rand.NewPCG(seed, 7)), statementKinds, meanStatementGap, length, targets),
 		drawFaults(rand.New(rand.NewPCG(seed, 8)), crashingKinds, meanCrashingGap, length, targets),
 		drawFaults(rand.New(rand.NewPCG(seed, 9)), massKinds, meanMassGap, length, targets),
+		drawFaults(rand.New(rand.NewPCG(seed, 10)), drillKinds, meanDrillGap, length, targets),
 	)
 }
 
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -38,6 +38,8 @@
 	runs     map[string][]standin.Run
 	// withdrawnAt holds the time at which each withdrawn key was withdrawn.
 	withdrawnAt map[string]time.Time
+	// addedAt holds the time at which each key was added.
+	addedAt map[string]time.Time
 	// leavingSince holds the time at which each leaving engine announced that it leaves.
 	leavingSince map[string]time.Time
 	faultPeriods []faultPeriod
@@ -80,7 +82,7 @@
 }
 
 func newLedger(instances int) *ledger {
-	return &ledger{instances: instances, requests: make(map[string]*request), runs: make(map[string][]standin.Run), withdrawnAt: make(map[string]time.Time), leavingSince: make(map[string]time.Time)}
+	return &ledger{instances: instances, requests: make(map[string]*request), runs: make(map[string][]standin.Run), withdrawnAt: make(map[string]time.Time), addedAt: make(map[string]time.Time), leavingSince: make(map[string]time.Time)}
 }
 
 func (l *ledger) addLeavingEngine(engine string) {
@@ -159,6 +161,7 @@
 	out = append(out, l.checkBackoffs()...)
 	out = append(out, l.checkCrashingParts()...)
 	out = append(out, l.checkSkews()...)
+	out = append(out, l.checkAddedKeys()...)
 	out = append(out, l.checkBudget(standin.PlainService)...)
 	out = append(out, l.checkBudget(standin.ModelService)...)
 	for _, limit := range l.limits {
--- a/soak/report.go
+++ b/soak/report.go
@@ -35,6 +35,7 @@
 		Statuses: make(map[int]int), Findings: r.ledger.check(), dir: r.Dir,
 	}
 	out.Findings = append(out.Findings, r.ledger.checkRecovery()...)
+	out.Findings = append(out.Findings, r.checkFleetID()...)
 	for _, i := range r.instances {
 		if !i.isReady() {
 			out.Findings = append(out.Findings, Finding{"recovers", "", i.name + " is not ready after the faults", time.Now()})
--- a/soak/run.go
+++ b/soak/run.go
@@ -90,8 +90,10 @@
 	ledger    *ledger
 	faults    []fault
 	startedAt time.Time
-	requests  atomic.Int64
-	standIn   *standin.Engines
+	// firstID is the id of the fleet at the start.
+	firstID  string
+	requests atomic.Int64
+	standIn  *standin.Engines
 	// favoured is the instance that gets most requests, or nil.
 	favoured atomic.Pointer[instance]
 	// cleanups are called by close, in reverse order.
@@ -233,7 +235,7 @@
 		_ = end()
 		return fmt.Errorf("the instances were not ready within %v; see the logs in %s", startTimeout, r.Dir)
 	}
-	r.startedAt = time.Now()
+	r.startedAt, r.firstID = time.Now(), r.fleetID()
 	callersCtx, stopCallers := context.WithCancel(ctx)
 	var callers sync.WaitGroup
 	for n := range r.Callers {
@@ -275,7 +277,7 @@
 				return
 			case <-time.After(time.Until(r.startedAt.Add(f.At))):
 			}
-			for _, k := range slices.Concat(baseKinds, delayKinds, reportLossKinds, fleetWideKinds, needKinds, partitionKinds, statementKinds, crashingKinds, massKinds) {
+			for _, k := range slices.Concat(baseKinds, delayKinds, reportLossKinds, fleetWideKinds, needKinds, partitionKinds, statementKinds, crashingKinds, massKinds, drillKinds) {
 				if k.name == f.Kind {
 					start := time.Now()
 					k.apply(r, f)
@@ -318,7 +320,7 @@
 // disturbedInstance returns the name of the instance that a fault affects, or one of the names above.
 func (r *run) disturbedInstance(f fault) string {
 	switch {
-	case f.Kind == "store down" || strings.HasPrefix(f.Kind, "all "):
+	case f.Kind == "store down" || strings.HasPrefix(f.Kind, "drill") || strings.HasPrefix(f.Kind, "all "):
 		return allInstances
 	case isCrashing(f):
 		return unaffected
@@ -347,6 +349,7 @@
 	defer r.mu.Unlock()
 	old, next := r.key, fmt.Sprintf("k%d", r.version+1)
 	r.publish(old, next)
+	r.ledger.markKeyAdded(next)
 	time.Sleep(keyOverlap)
 	r.publish(next)
 	r.ledger.markKeyWithdrawn(old)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -371,3 +371,23 @@
 		assert.Equal(t, len(l.checkBudget(standin.PlainService)), 0)
 	}
 }
+
+// Guards against a check that misses instances whose configuration has come back older.
+func TestCheckFindsRefusedKeys(t *testing.T) {
+	now := time.Now()
+	record := func(after time.Duration) *ledger {
+		l := newLedger(4)
+		l.addedAt["k"] = now
+		l.addRequest("a", &request{key: "k", instance: "i0", status: http.StatusUnauthorized, sentAt: now.Add(after), endedAt: now.Add(after)})
+		return l
+	}
+	const late = maxApplyDelay + 2*clockSlack
+	assert.Equal(t, len(record(maxApplyDelay).checkAddedKeys()), 0)
+	assert.Equal(t, len(record(late).checkAddedKeys()), 1)
+	disturbed := record(late)
+	disturbed.addFaultPeriod(allInstances, now.Add(late-time.Second), now.Add(late))
+	assert.Equal(t, len(disturbed.checkAddedKeys()), 0)
+	withdrawn := record(late)
+	withdrawn.withdrawnAt["k"] = now.Add(late - time.Second)
+	assert.Equal(t, len(withdrawn.checkAddedKeys()), 0)
+}
