--- a/fleetid/keyedstore.go
+++ b/fleetid/keyedstore.go
@@ -5,6 +5,7 @@
 	"errors"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/oops"
@@ -39,6 +40,7 @@
 	// founded is the era in which the ID was generated, if foundedKnown is set.
 	founded      uint64
 	foundedKnown bool
+	mayHaveLost  atomic.Bool
 }
 
 // NewKeyedStore returns a store that uses log. If the log has no ID, a new one is generated after foundAfter: in a fleet
@@ -49,10 +51,12 @@
 
 // MayHaveLost reports whether the store may have come back from a copy since the ID was generated, in which case other
 // instances may know more than it has. It must be called after Load.
-func (s *KeyedStore) MayHaveLost() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.era > 0 && (!s.foundedKnown || s.era > s.founded)
+func (s *KeyedStore) MayHaveLost() bool { return s.mayHaveLost.Load() }
+
+// use records the ID that this instance uses, as it was read at a position.
+func (s *KeyedStore) use(id ID, position uint64) {
+	s.id, s.era, s.missing = id, port.EraOf(position), false
+	s.mayHaveLost.Store(s.era > 0 && (!s.foundedKnown || s.era > s.founded))
 }
 
 // Load implements Store. Instances that start concurrently each propose an ID at the topic's next
@@ -69,7 +73,7 @@
 		return 0, oops.In("fleetid").Wrap(errNoID)
 	}
 	if proposed == id {
-		s.id, s.era, s.missing = id, port.EraOf(next), false
+		s.use(id, next)
 		return id, nil
 	}
 	putErr := s.log.PutAt(ctx, port.TopicFleet, next, idKey, []byte(proposed.String()))
@@ -79,10 +83,10 @@
 	if id == 0 || s.id != 0 && id != s.id {
 		return 0, oops.In("fleetid").Wrap(errors.Join(errNotStored, putErr))
 	}
-	s.id, s.era, s.missing = id, port.EraOf(next), false
 	if founding && id == proposed {
-		s.founded, s.foundedKnown = s.era, true
+		s.founded, s.foundedKnown = port.EraOf(next), true
 	}
+	s.use(id, next)
 	if id == proposed && s.foundedKnown {
 		// Without this record, instances that start later ask the others for what the store may have lost.
 		_ = s.log.Put(ctx, port.TopicFleet, foundedKey, []byte(strconv.FormatUint(s.founded, 10)))
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -185,7 +185,7 @@
 		return f.readSnapshot(ctx, started)
 	}
 	if errors.Is(err, port.ErrCompacted) {
-		f.Logger.Info("records expired; reading snapshot", zap.Stringer("topic", f.Topic), zap.Uint64("from", next))
+		f.Logger.Info("records expired; reading snapshot", zap.Stringer("topic", f.Topic), zap.Uint64("from", port.OffsetOf(next)))
 		return f.readSnapshot(ctx, started)
 	}
 	if err != nil {
@@ -316,7 +316,7 @@
 	}
 	f.behind, f.sources, f.failedFetches = false, nil, 0
 	f.Logger.Info("missing records received", zap.Stringer("topic", f.Topic), zap.String("source", source),
-		zap.Uint64("next", f.next), zap.Duration("missing_for", f.Now()-f.behindSince))
+		zap.Uint64("next", port.OffsetOf(f.next)), zap.Duration("missing_for", f.Now()-f.behindSince))
 }
 
 // handleFailure reports a failed call and waits before the next one.
--- a/instance/routed/readers.go
+++ b/instance/routed/readers.go
@@ -250,7 +250,7 @@
 		i.requestLimits = c.Limits
 	}
 	i.mu.Unlock()
-	i.log.Info("configuration applied", zap.Uint64("version", c.Version), zap.Uint64("offset", record.Offset),
+	i.log.Info("configuration applied", zap.Uint64("version", c.Version), zap.Uint64("offset", port.OffsetOf(record.Offset)),
 		zap.Int("routes", len(c.Set.Routes)), zap.Int("keys", len(c.Set.Keys)), zap.Int("bytes", len(record.Value)), zap.Duration("took", boottime.Now()-start))
 	return true
 }
@@ -315,7 +315,7 @@
 	changed := i.state.Directory.Put(entry)
 	if logChange := i.changeLogger(); changed {
 		logChange("upstream changed", zap.String("upstream", entry.ID), zap.String("service", entry.Service), zap.String("address", entry.Address),
-			zap.Stringer("role", entry.Role), zap.Bool("leaving", entry.Leaving), zap.Uint64("offset", record.Offset))
+			zap.Stringer("role", entry.Role), zap.Bool("leaving", entry.Leaving), zap.Uint64("offset", port.OffsetOf(record.Offset)))
 	}
 	return changed || wasPending
 }
