Tests: all instances end beside a drill, an evacuation that the store has lost, and the calls after a drill

An evacuation stays in force at running instances and at one that starts, though the copy lacks it; instances that alone have read a topic before the store came back follow it; and a fleet makes no more than twice the calls of before in the seconds after.

--- a/instance/routed/drill_test.go
+++ b/instance/routed/drill_test.go
@@ -17,6 +17,8 @@
 	settleTime = 300 * time.Millisecond
 	// revokeTime is the time within which a withdrawn key must be refused everywhere.
 	revokeTime = 5 * time.Second
+	// countTime is the time over which calls of the store are counted.
+	countTime = 4 * time.Second
 	// leaveTime is the time within which upstreams that leave get no further requests.
 	leaveTime = 2500 * time.Millisecond
 )
@@ -54,12 +56,37 @@
 	time.Sleep(settleTime)
 }
 
-// goBack makes the store come back from the copy after it was away for a moment.
-func (d *drill) goBack() {
+// goBack makes the store come back from the copy after it was away for a moment. It returns the function that writes
+// again what the operator wrote.
+func (d *drill) goBack() (writeAgain func()) {
 	d.store.SetDown(true)
 	time.Sleep(settleTime)
-	d.store.GoBack(time.Since(d.copiedAt))
+	writeAgain = d.store.GoBack(time.Since(d.copiedAt))
 	d.store.SetDown(false)
+	return writeAgain
+}
+
+// callsOver returns the number of calls of the store in a time.
+func (d *drill) callsOver(span time.Duration) int {
+	before := d.store.Calls()
+	time.Sleep(span)
+	return d.store.Calls() - before
+}
+
+// endAll ends all instances.
+func (d *drill) endAll() {
+	for _, i := range d.instances {
+		i.stop()
+	}
+	d.instances = nil
+}
+
+// start starts an instance of the fleet that has run before, and waits until it serves.
+func (d *drill) start(t *testing.T, name, key string) {
+	t.Helper()
+	d.startInstance(t, name, false)
+	i := d.instances[len(d.instances)-1]
+	waitFor(t, func() bool { return i.statusOf("start-"+name, key) == http.StatusOK })
 }
 
 // statusOf returns the status of a request with a key, or 0 without an answer.
@@ -101,7 +128,11 @@
 				d.publish("k")
 			}
 			time.Sleep(settleTime)
+			calm := d.callsOver(countTime)
 			d.goBack()
+			time.Sleep(settleTime)
+			after := d.callsOver(countTime)
+			assert.Assert(t, after <= 2*calm, "%d calls of the store in %v, %d before it came back", after, countTime, calm)
 			d.publish("k", "other")
 			time.Sleep(settleTime)
 			d.publish("other")
@@ -179,6 +210,58 @@
 	assert.Equal(t, len(at), 2, "runs: %v", at)
 }
 
+// Guards against instances that stand still because they have read the topic before the store came back, although all
+// others that did have ended.
+func TestAllInstancesEndBesideTheStore(t *testing.T) {
+	t.Parallel()
+	d := newDrill(t, 3, 1)
+	d.copyNow()
+	for range 3 {
+		d.publish("k", "other")
+	}
+	d.endAll()
+	d.start(t, "a", "other")
+	d.start(t, "b", "other")
+	writeAgain := d.goBack()
+	d.startInstance(t, "c", false)
+	writeAgain()
+	d.publish("other")
+	d.checkRefused(t, "k", "other")
+	d.copyNow()
+	d.publish("third")
+	d.store.SetDown(true)
+	d.endAll()
+	writeAgain = d.goBack()
+	d.startInstance(t, "d", false)
+	writeAgain()
+	d.startInstance(t, "e", false)
+	d.checkRefused(t, "other", "third")
+}
+
+// Guards against an evacuation that ends because the store has lost it.
+func TestEvacuationOutlivesTheStore(t *testing.T) {
+	t.Parallel()
+	d := newDrill(t, 3, 0)
+	d.copyNow()
+	d.store.Evacuate("z", true)
+	for _, i := range d.instances {
+		waitFor(t, func() bool { return i.statusOf("e-"+i.settings.Instance, "k") == http.StatusServiceUnavailable })
+	}
+	writeAgain := d.goBack()
+	d.startInstance(t, "late", false)
+	for n := range 100 {
+		for _, i := range d.instances {
+			assert.Assert(t, i.statusOf(fmt.Sprintf("l-%s-%d", i.settings.Instance, n), "k") != http.StatusOK, "%s uses an evacuated data centre", i.settings.Instance)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	writeAgain()
+	d.store.Evacuate("z", false)
+	for _, i := range d.instances {
+		waitFor(t, func() bool { return i.statusOf("v-"+i.settings.Instance, "k") == http.StatusOK })
+	}
+}
+
 // Guards against a second id of the fleet, with which the quotas of both parts would be spent, if the copy is older
 // than the first.
 func TestFleetIDOutlivesTheStore(t *testing.T) {
--- a/instance/routed/partition_test.go
+++ b/instance/routed/partition_test.go
@@ -40,6 +40,8 @@
 	settings settings.Routed
 	client   *http.Client
 	links    *standin.LinkSet
+	// stop ends the instance.
+	stop func()
 }
 
 func newPartitionFleet(t *testing.T, size int) *partitionFleet {
@@ -110,8 +112,8 @@
 
 func (f *partitionFleet) addInstance(t *testing.T, name string) { f.startInstance(t, name, true) }
 
-// startInstance starts an instance. firstStart is set if the fleet has not run before. It returns the function that stops it.
-func (f *partitionFleet) startInstance(t *testing.T, name string, firstStart bool) (stop func()) {
+// startInstance starts an instance. firstStart is set if the fleet has not run before.
+func (f *partitionFleet) startInstance(t *testing.T, name string, firstStart bool) {
 	t.Helper()
 	i := &linkedInstance{links: standin.NewLinkSet(), client: &http.Client{Transport: &http.Transport{}}}
 	view := httptest.NewServer(standin.View{Store: f.store, EngineAddress: i.links.EngineAddress})
@@ -131,15 +133,14 @@
 		defer close(ended)
 		_ = run.Run(ctx) // The test notices an instance that does not serve.
 	}()
-	stop = func() {
+	i.stop = func() {
 		cancel()
 		<-ended
 	}
 	t.Cleanup(func() {
-		stop()
+		i.stop()
 		i.links.Close()
 	})
-	return stop
 }
 
 func waitFor(t *testing.T, condition func() bool) {
