review: bytes that are no response end a daemon

The head of a response is read without a limit, so that one answer of a faulty engine exceeds the memory of the daemon that waits for it.

--- a/review/drive/extra.go
+++ b/review/drive/extra.go
@@ -25,10 +25,10 @@
 	extraFor      = 5 * time.Second
 	extraPause    = time.Second
 	extraWindows  = 17
-	extraClients  = 110
+	extraClients  = 170
 	extraDeadline = 14 * time.Second
 	promptTokens  = 2000
-	outputTokens  = 20 * eventTokens
+	outputTokens  = 14 * eventTokens
 )
 
 // outcomes are what clients were answered and what engines have run.
--- a/review/drive/fleet.go
+++ b/review/drive/fleet.go
@@ -97,8 +97,8 @@
 		"version": 7,
 		"routes": []object{
 			route("handover-draft", draftPath, "streaming", modelService, 14000, 900, 1),
-			route("swap-confirm", swapPath, "unsafe", plainService, 4000, 300, 1),
-			route("roster-read", readPath, "safe", plainService, 4000, 300, 2),
+			route("swap-confirm", swapPath, "unsafe", plainService, 2000, 300, 1),
+			route("roster-read", readPath, "safe", plainService, 2000, 300, 2),
 		},
 		"services": []object{
 			{"name": modelService, "health-path": "/health", "max-conns": 310, "engine": object{
--- a/review/drive/main.go
+++ b/review/drive/main.go
@@ -22,7 +22,7 @@
 		fmt.Fprintln(os.Stderr, "usage: review-drive CASE DIR")
 		os.Exit(failed)
 	}
-	cases := map[string]func(*record, bool) (bool, error){"extra": playExtra, "bodies": playBodies, "unframed": playUnframed}
+	cases := map[string]func(*record, bool) (bool, error){"extra": playExtra, "bodies": playBodies, "unframed": playUnframed, "flood": playFlood}
 	play, known := cases[os.Args[1]]
 	if !known {
 		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
