--- a/review/drive/fleet.go
+++ b/review/drive/fleet.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"sync"
@@ -28,12 +29,14 @@
 	heartbeat     = 1200 * time.Millisecond
 	restartDelay  = 300 * time.Millisecond
 	probeInterval = time.Second
-	host          = "jadran.example"
-	apiKey        = "3d3zji9n73hh2b9wu3fe"
-	tenant        = "huka270"
-	modelService  = "pisar"
-	plainService  = "dezurstva"
-	zone          = "split-a"
+	// startTenths is how long a daemon may take to become ready, in tenths of a second.
+	startTenths  = 100
+	host         = "jadran.example"
+	apiKey       = "3d3zji9n73hh2b9wu3fe"
+	tenant       = "huka270"
+	modelService = "pisar"
+	plainService = "dezurstva"
+	zone         = "split-a"
 )
 
 // Path prefixes of the routes.
@@ -138,8 +141,19 @@
 	starts  int
 }
 
+// closeOnSignal ends all processes that were started if this one is told to end.
+func (f *fleet) closeOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	<-signals
+	f.addf("cannot run: told to end")
+	f.close()
+	os.Exit(failed)
+}
+
 // startDaemons starts instances as the deploy file says.
 func (f *fleet) startDaemons(n int) error {
+	go f.closeOnSignal()
 	for i := range n {
 		d := &daemon{fleet: f, name: fmt.Sprintf("edge-%s-%d", zone, i+1)}
 		addresses := make([]string, 4)
@@ -157,7 +171,7 @@
 	}
 	for _, d := range f.daemons {
 		for waited := 0; !d.up(); waited++ {
-			if waited > 200 {
+			if waited > startTenths {
 				return fmt.Errorf("%s does not become ready", d.name)
 			}
 			time.Sleep(100 * time.Millisecond)
