--- a/review/drive/flood.go
+++ b/review/drive/flood.go
@@ -13,8 +13,8 @@
 	"time"
 )
 
-// Figures of the case of bytes that are no response. The share of the answers, of the engines and the duration are those
-// of the site's entry { kind = "garble", share = 0.35, x = 0.02, for_s = 5.5 }, which means one engine of three.
+// Figures of the case of bytes that are no response. The shares of the answers and of the engines and the duration are
+// those of the site's entry of garble with share = 0.35, x = 0.02 and for_s = 5.5, which means one engine of three.
 const (
 	floodEngines = 3
 	floodShare   = 0.02
