Responses: the heads of an exchange are limited to 32 KB

Callers saw: connections to one instance closed at once, also those whose requests ran at sound upstreams, whenever another upstream sent bytes that are no response.

Cause: http.ReadResponse read from the bare connection. It collects a line, and all header lines, without a limit, so that a head without an end is held in memory until the deadline of the request; 1xx heads and the bodies of responses to other requests were skipped without a limit as well. At 1,000 Mbit/s, 0.6 s of such bytes exceed the memory of an instance.

Change: while heads are read, the connection's reader has an allowance for the whole exchange; a response to another request is skipped only if its body has a length of at most 1 MB. The error names the address, the kind of fault and the bytes read, its text is short although parsers quote what they read, and each is counted and logged. Responses relayed for other instances and those of the store are read by the same code.

--- a/httpconn/conn.go
+++ b/httpconn/conn.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"io"
+	"math"
 	"net"
 	"syscall"
 	"time"
@@ -14,12 +16,40 @@
 	net.Conn
 	address string
 	reader  *bufio.Reader
+	source  *source
 	// idleUntil is the time after which the idle connection must not be used, from
 	// the upstream's Keep-Alive header or DefaultIdle.
 	idleUntil time.Time
 	idleSince time.Time
 }
 
+// newConn returns the connection of the pool for an open one.
+func newConn(raw net.Conn, address string) *conn {
+	from := &source{from: raw, left: unlimited}
+	return &conn{Conn: raw, address: address, source: from, reader: bufio.NewReaderSize(from, readBuffer)}
+}
+
+// unlimited is the allowance of a source that may read any number of bytes.
+const unlimited = math.MaxInt64
+
+// source reads from a connection and fails with errHeadTooLarge once its allowance is used up.
+type source struct {
+	from io.Reader
+	left int64
+}
+
+// Read implements io.Reader.
+func (s *source) Read(to []byte) (int, error) {
+	if s.left <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := s.from.Read(to[:min(int64(len(to)), s.left)])
+	if s.left != unlimited {
+		s.left -= int64(n)
+	}
+	return n, err
+}
+
 // readBuffer is the size of a connection's read buffer in bytes. Responses of plain
 // services have about a kilobyte and events a few hundred bytes; a larger buffer
 // costs memory on each of hundreds of connections.
--- a/httpconn/exchange.go
+++ b/httpconn/exchange.go
@@ -111,9 +111,16 @@
 	return true
 }
 
-// maxMismatched is how many responses to other requests are skipped before the
-// connection is closed.
-const maxMismatched = 2
+// Limits of what is read before the body of a response.
+const (
+	// maxHeadBytes limits the heads that are read in one exchange, including those of interim responses
+	// and of responses to other requests.
+	maxHeadBytes = 32 << 10
+	// maxMismatched is how many responses to other requests are skipped before the connection is closed.
+	maxMismatched = 2
+	// maxSkippedBytes limits the body of a response that is skipped.
+	maxSkippedBytes = 1 << 20
+)
 
 // largeBody is the size in bytes above which a body is written concurrently with
 // reading the response. An upstream may respond before it has read the whole body;
@@ -123,8 +130,6 @@
 // errTooLate is the error of a request whose SendBefore has passed.
 var errTooLate = errors.New("the request waited too long to be sent")
 
-var errMismatched = errors.New("connection carries responses to other requests")
-
 // Do sends a request at most once and returns the response once its headers have
 // been read. Cancelling ctx closes the connection, also while the body is being read.
 func (p *Pool) Do(ctx context.Context, address string, r *Request) (*Response, error) {
@@ -212,8 +217,9 @@
 
 // read returns the first response that belongs to the request.
 func (x *exchange) read(r *Request) (*Response, error) {
+	allowed := int64(maxHeadBytes)
 	for mismatched := 0; ; {
-		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: r.Method})
+		resp, err := x.readHead(r, &allowed)
 		if err != nil {
 			return nil, err
 		}
@@ -223,8 +229,8 @@
 		if r.matches(resp.Header) {
 			return x.response(resp), nil
 		}
-		if mismatched++; mismatched > maxMismatched || resp.ContentLength < 0 {
-			return nil, errMismatched
+		if mismatched++; mismatched > maxMismatched || resp.ContentLength < 0 || resp.ContentLength > maxSkippedBytes {
+			return nil, x.malformed(FaultForeignResponse, maxHeadBytes-allowed, errMismatched)
 		}
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return nil, err
@@ -232,6 +238,32 @@
 	}
 }
 
+// readHead reads the head of a response, which may take the allowed bytes, and reduces them by those it has read.
+func (x *exchange) readHead(r *Request, allowed *int64) (*http.Response, error) {
+	source, buffered := x.conn.source, int64(x.conn.reader.Buffered())
+	source.left = *allowed - buffered
+	resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: r.Method})
+	// What is buffered now belongs to the body or to what follows.
+	*allowed = source.left + int64(x.conn.reader.Buffered())
+	source.left = unlimited
+	if err == nil {
+		return resp, nil
+	}
+	if fault, is := faultOf(err); is {
+		return nil, x.malformed(fault, maxHeadBytes-*allowed, err)
+	}
+	return nil, err
+}
+
+// malformed returns the error of a response that cannot be used, and reports it.
+func (x *exchange) malformed(fault Fault, bytes int64, cause error) error {
+	err := &MalformedError{Address: x.conn.address, Fault: fault, Bytes: bytes, Err: cause}
+	if x.pool.OnMalformed != nil {
+		x.pool.OnMalformed(err)
+	}
+	return err
+}
+
 func (x *exchange) response(resp *http.Response) *Response {
 	idle := idleTime(resp)
 	return &Response{
--- /dev/null
+++ b/httpconn/malformed.go
@@ -0,0 +1,57 @@
+package httpconn
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+)
+
+// Fault is a kind of malformed response.
+type Fault string
+
+// Kinds of malformed responses.
+const (
+	// FaultHeadTooLarge is a head, or a series of heads, without an end within maxHeadBytes.
+	FaultHeadTooLarge Fault = "head_too_large"
+	// FaultNoResponse is a head that is not one of an HTTP response.
+	FaultNoResponse Fault = "no_response"
+	// FaultForeignResponse is a response to another request that is not skipped.
+	FaultForeignResponse Fault = "foreign_response"
+)
+
+// MalformedError is the error of an upstream that sent something else than the response to a request.
+type MalformedError struct {
+	// Address is the upstream's address.
+	Address string
+	Fault   Fault
+	// Bytes is the number of bytes of heads that were read in the exchange.
+	Bytes int64
+	Err   error
+}
+
+// Error implements error. The parsers quote what they cannot read, so their texts are shortened.
+func (e *MalformedError) Error() string {
+	return fmt.Sprintf("%s from %s after %d bytes: %.120s", e.Fault, e.Address, e.Bytes, e.Err)
+}
+
+// Unwrap returns the underlying error.
+func (e *MalformedError) Unwrap() error { return e.Err }
+
+var (
+	errHeadTooLarge = errors.New("the head of the response is too large")
+	errMismatched   = errors.New("connection carries responses to other requests")
+)
+
+// faultOf returns the fault of an error of reading a head. It returns false if the connection ended or failed.
+func faultOf(err error) (Fault, bool) {
+	var failed net.Error
+	switch {
+	case errors.Is(err, errHeadTooLarge):
+		return FaultHeadTooLarge, true
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed), errors.As(err, &failed):
+		return "", false
+	default:
+		return FaultNoResponse, true
+	}
+}
--- a/httpconn/pool.go
+++ b/httpconn/pool.go
@@ -1,7 +1,6 @@
 package httpconn
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"sync"
@@ -50,6 +49,9 @@
 	dial func(ctx context.Context, address string) (net.Conn, error)
 	// opened counts the connections opened by the pool.
 	opened uint64
+	// OnMalformed, if set, is called when an upstream has sent something else than a response. It must be set
+	// before the pool is used.
+	OnMalformed func(*MalformedError)
 }
 
 // NewPool returns an empty pool.
@@ -131,7 +133,7 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
+	return newConn(raw, address), nil
 }
 
 // Connect opens a connection and adds it to the pool. It fails if the upstream does
--- a/instance/routed/routed.go
+++ b/instance/routed/routed.go
@@ -37,8 +37,9 @@
 	Codec     gateway.Codec
 	Upstreams gateway.Upstreams
 	Engines   gateway.EngineController
-	Pool      *httpconn.Pool
-	Transport *relay.Transport
+	// Pool and StorePool hold the connections to upstreams and to the platform's store.
+	Pool, StorePool *httpconn.Pool
+	Transport       *relay.Transport
 	// Configuration decodes a record. ok is false if the record contains no configuration.
 	Configuration func(port.KeyedRecord) (c Configuration, ok bool, err error)
 	// Evacuation decodes a record of the same topic that starts or ends the evacuation of a data
@@ -127,6 +128,8 @@
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryLimitFraction * 1e6))
 	}
+	adapters.Pool.OnMalformed = i.malformedReporter("upstream")
+	adapters.StorePool.OnMalformed = i.malformedReporter("store")
 	i.state = gateway.NewState(boottime.Now, time.Duration(float64(s.RevokeMS)*refuseAgeFraction)*time.Millisecond)
 	self := fleet.Member{
 		Name: s.Instance, Incarnation: fleet.NewIncarnation(i.createdAt), Address: s.Reports,
@@ -211,6 +214,15 @@
 	return int64(float64(mb) * fraction * 1e6)
 }
 
+// malformedReporter returns the function that records malformed responses of a sender.
+func (i *Instance) malformedReporter(sender string) func(*httpconn.MalformedError) {
+	return func(e *httpconn.MalformedError) {
+		i.metrics.CountMalformedResponse(sender, string(e.Fault))
+		i.log.Warn("malformed response", zap.String("sender", sender), zap.String("address", e.Address), zap.String("fault", string(e.Fault)),
+			zap.Int64("bytes", e.Bytes))
+	}
+}
+
 func (i *Instance) triggerReport() {
 	if i.exchange != nil {
 		i.exchange.TriggerReport()
--- a/observe/metrics.go
+++ b/observe/metrics.go
@@ -244,6 +244,11 @@
 // CountStoreEra counts that the store has come back from a copy.
 func (m *Metrics) CountStoreEra() { m.Scope.Counter("store_eras").Inc(1) }
 
+// CountMalformedResponse counts a response of an upstream or of the store that could not be used.
+func (m *Metrics) CountMalformedResponse(sender, fault string) {
+	m.Scope.Tagged(map[string]string{"sender": sender, "fault": fault}).Counter("malformed_responses").Inc(1)
+}
+
 // CountBudgetSpent counts a send that is not made because the service's retry budget does not allow it.
 func (m *Metrics) CountBudgetSpent(service, send string) {
 	m.Scope.Tagged(map[string]string{"service": service, "send": send}).Counter("retry_budget_spent").Inc(1)
