Streams: an event of more than 64 KB ends the attempt as truncated

Callers saw: a stream with an event that does not end was passed on until the deadline; on a resumable route it ended at 256 KB as if the caller had left, so that it was not resumed and did not count against its engine. Each such stream held up to 256 KB, which no limit counts.

Cause: only resumable routes limited an event, and write returned the engine's fault as an error of writing to the caller.

Evidence: TestEndlessEventEndsTheAttempt failed before, with 659,456 bytes read on a route that is not resumable (the end of the test's body) and 262,144 on one that is.

Change: copy follows the bytes since the last end of an event on all event streams and ends the attempt as truncated above 64 KB. A resumable stream goes on at another engine.

Measured: the test passes; ./gateway passes with the race detector for streams.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -22,8 +22,8 @@
 	// writeTimeout is how long a caller may block writes of its answer before its connection is
 	// closed. The engine memory it holds is needed by others.
 	writeTimeout = 5 * time.Second
-	// maxEventBytes limits the size of an event that is buffered until it is complete.
-	maxEventBytes = 256 << 10
+	// maxEventBytes limits the size of an event. On resumable routes an event is buffered until it is complete.
+	maxEventBytes = 64 << 10
 )
 
 // stream forwards the answer to a model request. On resumable routes it forwards only complete
@@ -40,8 +40,10 @@
 	// answer is the engine's answer that is being forwarded, and scanner its events so far.
 	answer  *Answer
 	scanner eventstream.Scanner
-	// partial holds the bytes of an incomplete event.
+	// partial holds the bytes of an incomplete event on a resumable route. unended counts the bytes since the
+	// last end of an event.
 	partial []byte
+	unended int
 	// events is the number of events of all engines' answers; onEvents, if set, is called when it grows.
 	events   int
 	onEvents func(events int)
@@ -55,6 +57,10 @@
 func (s *stream) scan(data []byte) int {
 	before := s.scanner.Events()
 	end := s.scanner.Scan(data)
+	if end > 0 {
+		s.unended = 0
+	}
+	s.unended += len(data) - end
 	ended := s.scanner.Events() - before
 	s.events += ended
 	if ended > 0 && s.onEvents != nil {
@@ -77,7 +83,8 @@
 	if s.started && answer.Status != http.StatusOK {
 		return verdict.Fail(verdict.HasRun, verdict.ReasonUpstreamRefused, nil, "the engine that was to resume the stream answered %d", answer.Status)
 	}
-	s.answer, s.scanner, s.partial, s.buffer = answer, eventstream.Scanner{}, s.partial[:0], nil
+	s.answer, s.scanner, s.partial, s.unended, s.buffer = answer, eventstream.Scanner{}, s.partial[:0], 0, nil
+	eventStream := s.isEventStream()
 	defer func() {
 		if s.buffer != nil {
 			s.buffer.close(s.interrupt)
@@ -87,7 +94,11 @@
 	for {
 		n, err := s.read(buffer)
 		if n > 0 {
-			if failed := s.write(buffer[:n]); failed != nil {
+			end := s.scan(buffer[:n])
+			if s.unended > maxEventBytes && (eventStream || s.admitted.route.Resumable) {
+				return verdict.Fail(verdict.HasRun, verdict.ReasonTruncated, errEventTooLarge, "the engine's stream has an event of more than %d bytes", maxEventBytes)
+			}
+			if failed := s.write(buffer[:n], end); failed != nil {
 				return verdict.Fail(verdict.HasRun, verdict.ReasonCancelled, failed, "the caller disconnected")
 			}
 		}
@@ -135,6 +146,9 @@
 	}
 }
 
+// errEventTooLarge is the error of a stream with an event of more than maxEventBytes.
+var errEventTooLarge = errors.New("an event of the stream is too large")
+
 // errInsideEvent is the error of a stream that ended inside an event or before the first one.
 var errInsideEvent = errors.New("the stream ended inside an event")
 
@@ -197,17 +211,14 @@
 	s.w.WriteHeader(s.answer.Status)
 }
 
-// write forwards data immediately, or by complete events on resumable routes.
-func (s *stream) write(data []byte) error {
-	end := s.scan(data)
+// write forwards data immediately, or by complete events on resumable routes. end is the number of bytes up to the
+// end of the last event in data.
+func (s *stream) write(data []byte, end int) error {
 	if !s.admitted.route.Resumable {
 		return s.flush(data)
 	}
 	if end == 0 {
 		s.partial = append(s.partial, data...)
-		if len(s.partial) > maxEventBytes {
-			return errors.New("event too large")
-		}
 		return nil
 	}
 	complete := append(s.partial, data[:end]...)
