Links between instances: heads and messages of responses are limited

Callers would see: an instance that ends, with all requests that it holds, because bytes without an end come from the address of another instance, as when the address has passed to something else. Not seen in operation; found by looking for the cause of the last fault on related paths.

Cause: net/http accepts heads of 10 MB by default, and a message of the relay's responses had no limit, although its length is read from the bytes.

Evidence: TestEndlessResponseOfAPeerIsBounded failed before: one response allocated 73 MB for a head of 10 MB, and 67 MB for a message that ended after 16 MB.

Change: heads of responses between instances are limited to 64 KB, messages of relayed responses to 128 KB; the largest of those carries the head of an upstream's response, which is limited to 32 KB.

Measured: the test passes (below 4 MB); ./relay, ./fleet, ./peer, ./once pass.

--- a/fleet/records.go
+++ b/fleet/records.go
@@ -134,7 +134,7 @@
 
 // recordClient is the HTTP client for fetches. They are rare, and a connection that was kept could be
 // dead.
-var recordClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+var recordClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: transport.MaxHeadBytes}}
 
 // Fetch implements follow.Fetcher. The address is that of the instance's reports.
 func (x *Exchange) Fetch(ctx context.Context, address string, topic port.Topic, from uint64) (follow.Note, error) {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -39,7 +39,7 @@
 	return &Transport{
 		scheme: scheme, credentials: newCredentials(secret, options),
 		client: &http.Client{Transport: &http.Transport{
-			TLSClientConfig: config, Protocols: protocols, IdleConnTimeout: time.Minute,
+			TLSClientConfig: config, Protocols: protocols, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: MaxHeadBytes,
 			HTTP2: &http.HTTP2Config{SendPingTimeout: pingAfterIdle, PingTimeout: pingTimeout},
 		}},
 	}
--- a/relay/client.go
+++ b/relay/client.go
@@ -29,6 +29,8 @@
 	peerIdleTimeout = 2 * time.Second
 	// maxIdlePerPeer limits the idle connections to an instance.
 	maxIdlePerPeer = 32
+	// maxPartBytes limits the size of a message of a response. The largest has the head of an upstream's response.
+	maxPartBytes = 128 << 10
 )
 
 // client calls other instances.
@@ -47,7 +49,7 @@
 			}
 			return conn, nil
 		},
-		DisableCompression: true, IdleConnTimeout: peerIdleTimeout, MaxIdleConnsPerHost: maxIdlePerPeer,
+		DisableCompression: true, IdleConnTimeout: peerIdleTimeout, MaxIdleConnsPerHost: maxIdlePerPeer, MaxResponseHeaderBytes: peer.MaxHeadBytes,
 	}}}
 }
 
@@ -55,7 +57,7 @@
 type dialError struct{ error }
 
 func (c *client) service(p Peer) relayv1connect.RelayServiceClient {
-	return relayv1connect.NewRelayServiceClient(c.http, "http://"+p.Address, peer.ClientOptions())
+	return relayv1connect.NewRelayServiceClient(c.http, "http://"+p.Address, connect.WithReadMaxBytes(maxPartBytes), peer.ClientOptions())
 }
 
 // send lets an instance send a request.
