Own interface: heads and results of engines are limited

Found by looking for the cause on related paths.

Cause: net/http accepts heads of 10 MB by default, and the result of an engine call was decoded from the bare body, so that a JSON text without an end is held in memory. A response that is not used was read to its end, however long.

Change: heads are limited to 32 KB, results to 16 MB.

--- a/port/httpport/client.go
+++ b/port/httpport/client.go
@@ -27,6 +27,10 @@
 	// idlePerHost covers the twenty streams of a decode engine, with room for queries.
 	idlePerHost = 64
 	idleTimeout = 30 * time.Second
+	// maxHeadBytes limits the head of a response, including interim responses.
+	maxHeadBytes = 32 << 10
+	// maxResultBytes limits the body of the response to a call. The largest lists the events of an engine's cache.
+	maxResultBytes = 16 << 20
 	// maxErrorBytes limits how much of an error response's body is read.
 	maxErrorBytes = 8 << 10
 )
@@ -39,7 +43,8 @@
 		MaxIdleConnsPerHost: idlePerHost,
 		IdleConnTimeout:     idleTimeout,
 		// Bodies are passed on unchanged.
-		DisableCompression: true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}}
 }
 
@@ -127,12 +132,13 @@
 	if resp.StatusCode != http.StatusOK {
 		return responseVerdict(r.address, resp)
 	}
+	limited := http.MaxBytesReader(nil, resp.Body, maxResultBytes)
 	if out == nil {
 		// Reading to the end detects a truncated response and lets the connection be
 		// reused.
-		_, err = io.Copy(io.Discard, resp.Body)
+		_, err = io.Copy(io.Discard, limited)
 	} else {
-		err = json.NewDecoder(resp.Body).Decode(out)
+		err = json.NewDecoder(limited).Decode(out)
 	}
 	if err != nil {
 		return r.transportVerdict(ctx, true, err)
