Soak: engines send bytes without an end; instances are held to 112 MB

The stand-ins ended every answer, and the soak did not look at the memory of instances, so neither could meet a head without an end. Instances are given 112 MB in place of 200.

--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -45,6 +45,8 @@
 	faultPeriods []faultPeriod
 	orders       []standin.Order
 	limits       []engineLimit
+	// memory are the processes that were ended because of their memory.
+	memory []Finding
 	// statements are the requests that engines answered with a statement about themselves.
 	statements []standin.Arrival
 	// arrivals are the requests that arrived at engines.
@@ -154,6 +156,7 @@
 	for id, runs := range l.runs {
 		out = append(out, l.checkRuns(id, runs)...)
 	}
+	out = append(out, l.memory...)
 	out = append(out, l.checkQuota()...)
 	out = append(out, l.checkOrders()...)
 	out = append(out, l.checkPartitions()...)
--- a/soak/run.go
+++ b/soak/run.go
@@ -35,7 +35,8 @@
 	undisturbedTime = 3 * time.Second
 	// engineDrainTime is the minimum time that an engine serves after it announced that it leaves.
 	engineDrainTime = 3 * time.Second
-	memoryMB        = 200
+	// memoryMB is the memory of the smallest machine.
+	memoryMB = 112
 
 	quotaWindow = 8 * time.Second
 	quotaRate   = 10 * standin.DraftTokens
@@ -225,6 +226,7 @@
 	for _, i := range r.instances {
 		processes.Go(func() error { return i.run(r.Daemon, r.Dir, stop) })
 		go i.pollReadiness(stop)
+		go r.watchMemory(i, stop)
 	}
 	processes.Go(func() error { return r.foreign.instance.run(r.Daemon, r.Dir, stop) })
 	processes.Go(func() error { return r.foreign.relistInstances(r.store, r.instances, stop) })
@@ -367,6 +369,9 @@
 	return r.key, r.staleKey
 }
 
+// maxAnswerBytes is more than any answer has.
+const maxAnswerBytes = 1 << 20
+
 // requestTimeout bounds how long a caller waits for an answer.
 const requestTimeout = 5 * time.Second
 
@@ -434,7 +439,7 @@
 		r.ledger.recordAnswer(id, 0, "", "", true)
 		return
 	}
-	body, err := io.ReadAll(resp.Body)
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	_ = resp.Body.Close()
 	r.ledger.recordAnswer(id, resp.StatusCode, resp.Header.Get("X-Response-Signature"), string(body), err != nil)
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -391,3 +391,17 @@
 	withdrawn.withdrawnAt["k"] = now.Add(late - time.Second)
 	assert.Equal(t, len(withdrawn.checkAddedKeys()), 0)
 }
+
+// Guards against a check of memory that reads nothing or misses a process over the limit.
+func TestCheckFindsExceededMemory(t *testing.T) {
+	self, err := os.FindProcess(os.Getpid())
+	assert.NilError(t, err)
+	i := &instance{cmd: &exec.Cmd{Process: self}}
+	assert.Assert(t, i.anonymousMB() > 1)
+	assert.Equal(t, (&instance{}).anonymousMB(), 0.0)
+	l := newLedger(4)
+	l.addMemoryExceeded("a", memoryMB+1, time.Now())
+	findings := l.check()
+	assert.Equal(t, len(findings), 1)
+	assert.Equal(t, findings[0].Guarantee, "memory")
+}
--- a/soak/statements.go
+++ b/soak/statements.go
@@ -7,11 +7,12 @@
 	"github.com/cairnworks/cairnworks/platform/standin"
 )
 
-// statementKinds let engines end answers without a frame, break them off, and say in answers that they leave or
+// statementKinds let engines end answers without a frame, break them off, send bytes without an end in their place, and say in answers that they leave or
 // request a backoff. They are drawn separately, like delayKinds.
 var statementKinds = []faultKind{
 	{"engine without frames", 2, func(r *run, f fault) { r.endAnswers(f, standin.Unframed) }},
 	{"engine breaks off", 2, func(r *run, f fault) { r.endAnswers(f, standin.BrokenOff) }},
+	{"engine sends without end", 2, func(r *run, f fault) { r.endAnswers(f, standin.Endless) }},
 	{"engine says it leaves", 2, func(r *run, f fault) {
 		e := r.targetEngine(f)
 		e.engine.SayLeaving()
