--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -195,52 +193,6 @@
 	g.refuse(w, a.call, v)
 }
 
-// bodyChunk is the number of bytes initially accounted for a body of unknown length.
-const bodyChunk = 64 << 10
-
-// readBody buffers the request's body, because it may be sent to several upstreams. The total of
-// all buffered bodies is limited: bodies of several megabytes on thousands of connections would
-// exhaust the process's memory. The returned function releases the accounted bytes and is never
-// nil.
-func (g *Gateway) readBody(r *http.Request, a *admittedCall) (func(), *verdict.Verdict) {
-	if r.ContentLength == 0 {
-		return func() {}, nil
-	}
-	limit := maxBody(a)
-	if r.ContentLength > limit {
-		return func() {}, verdict.Refuse(verdict.ReasonBodyTooLarge, 0, "the body has %d bytes; the limit is %d", r.ContentLength, limit)
-	}
-	counted := r.ContentLength
-	if counted < 0 {
-		counted = bodyChunk
-	}
-	g.bufferedBodyBytes.Add(counted)
-	release := func() { g.bufferedBodyBytes.Add(-counted) }
-	if g.bufferedBodyBytes.Load() > g.MaxBufferedBodyBytes {
-		return release, verdict.Refuse(verdict.ReasonQueueTimeout, time.Second, "too many buffered request bodies")
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
-		return release, g.bodyReadError(err)
-	}
-	if int64(len(body)) > limit {
-		return release, verdict.Refuse(verdict.ReasonBodyTooLarge, 0, "the body has more than %d bytes", limit)
-	}
-	if extra := int64(len(body)) - counted; extra > 0 {
-		g.bufferedBodyBytes.Add(extra)
-		counted += extra
-	}
-	a.call.Body = body
-	return release, nil
-}
-
-func (g *Gateway) bodyReadError(err error) *verdict.Verdict {
-	if errors.Is(err, context.Canceled) {
-		return verdict.Refuse(verdict.ReasonCancelled, 0, "the caller disconnected")
-	}
-	return &verdict.Verdict{Ran: verdict.NotRun, Reason: verdict.ReasonBadRequest, Detail: "the body cannot be read", Cause: err}
-}
-
 // maxBody returns the body size limit of the request's service in bytes.
 func maxBody(a *admittedCall) int64 { return a.service.MaxBodyBytes }
 
