Bodies: a body that stops arriving is refused, and holds back no refusal

Callers saw: no answer to a request whose body stopped arriving, until they left; its memory was held as long. Also refusals that need no body, such as that of an unknown key, were not sent.

Cause: the server sets no limit for reading a body, and net/http reads up to 256 KB of the rest of a body before it sends an answer.

Change: a body must arrive by the deadline of its request, and is refused as not run otherwise. After a refusal the rest of a body is read for 250 ms.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -5,14 +5,19 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/cairnworks/cairnworks/verdict"
 )
 
 const (
 	// bodyChunk is the size of the first buffer for a body of unknown length. It doubles as the body arrives.
 	bodyChunk = 16 << 10
+	// unreadBodyTime limits the time in which the rest of a refused request's body is read.
+	unreadBodyTime = 250 * time.Millisecond
 	// bodyRetryAfter is when a caller may come back whose body was refused for lack of memory.
 	bodyRetryAfter = time.Second
 )
@@ -73,9 +78,10 @@
 	}
 }
 
-// readBody buffers the request's body, because it may be sent to several upstreams. The total of all buffered bodies is limited: bodies of several megabytes on thousands of
+// readBody buffers the request's body, because it may be sent to several upstreams. It must have arrived by the
+// request's deadline. The total of all buffered bodies is limited: bodies of several megabytes on thousands of
 // connections would exhaust the process's memory. The returned function releases the memory and is never nil.
-func (g *Gateway) readBody(r *http.Request, a *admittedCall) (func(), *verdict.Verdict) {
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, a *admittedCall) (func(), *verdict.Verdict) {
 	if r.ContentLength == 0 {
 		return func() {}, nil
 	}
@@ -83,6 +89,7 @@
 	if r.ContentLength > limit {
 		return func() {}, verdict.Refuse(verdict.ReasonBodyTooLarge, 0, "the body has %d bytes; the limit is %d", r.ContentLength, limit)
 	}
+	g.setReadDeadline(w, a.call.Deadline)
 	body := &heldBody{gateway: g}
 	var err error
 	if r.ContentLength > 0 {
@@ -98,14 +105,33 @@
 	case int64(len(body.data)) > limit:
 		return body.release, verdict.Refuse(verdict.ReasonBodyTooLarge, 0, "the body has more than %d bytes", limit)
 	}
+	// The server reads on to notice that the caller has left.
+	g.setReadDeadline(w, time.Time{})
 	a.call.Body = body.data
 	return body.release, nil
 }
 
+// setReadDeadline sets the time by which the caller's bytes must arrive. The zero time removes it.
+func (g *Gateway) setReadDeadline(w http.ResponseWriter, at time.Time) {
+	err := http.NewResponseController(w).SetReadDeadline(at)
+	if err != nil && !errors.Is(err, http.ErrNotSupported) {
+		g.log.Debug("cannot set read deadline", zap.Error(err))
+	}
+}
+
+// refuseUnread refuses a request whose body has not been read to its end. net/http reads up to 256 KB of the rest before
+// it sends the answer, so that a body that does not arrive would hold the answer back.
+func (g *Gateway) refuseUnread(w http.ResponseWriter, c *Call, v *verdict.Verdict) {
+	g.setReadDeadline(w, time.Now().Add(unreadBodyTime))
+	g.refuse(w, c, v)
+}
+
 func (g *Gateway) bodyReadError(err error) *verdict.Verdict {
 	switch {
 	case errors.Is(err, context.Canceled):
 		return verdict.Refuse(verdict.ReasonCancelled, 0, "the caller disconnected")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return verdict.Refuse(verdict.ReasonTimeout, 0, "the body did not arrive before the deadline")
 	default:
 		return &verdict.Verdict{Ran: verdict.NotRun, Reason: verdict.ReasonBadRequest, Detail: "the body cannot be read", Cause: err}
 	}
--- a/gateway/body_test.go
+++ b/gateway/body_test.go
@@ -1,12 +1,16 @@
 package gateway
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -50,3 +54,50 @@
 	}
 	assert.Equal(t, gw.gateway.bufferedBodyBytes.Load(), int64(0))
 }
+
+// Guards against a body that stops arriving and holds its memory until its caller leaves.
+func TestStalledBodyIsRefusedAtTheDeadline(t *testing.T) {
+	for _, framing := range []string{"Content-Length: 1000", "Transfer-Encoding: chunked"} {
+		t.Run(framing, func(t *testing.T) {
+			gw := newTestGateway(t)
+			resp, body := gw.postStalled(t, framing, "key")
+			assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+			assert.Assert(t, strings.Contains(body, `"not_run"`), "%s", body)
+			assert.Equal(t, len(gw.sends), 0)
+		})
+	}
+}
+
+// Guards against a refusal that is held back until a body that it does not need has arrived.
+func TestRefusalDoesNotWaitForTheBody(t *testing.T) {
+	for name, c := range map[string]struct {
+		key    string
+		memory int64
+		status int
+	}{"unknown key": {"none", 1 << 20, http.StatusUnauthorized}, "no memory": {"key", 10, http.StatusServiceUnavailable}} {
+		t.Run(name, func(t *testing.T) {
+			gw := newTestGateway(t)
+			gw.gateway.MaxBufferedBodyBytes = c.memory
+			resp, _ := gw.postStalled(t, "Content-Length: 1000", c.key)
+			assert.Equal(t, resp.StatusCode, c.status)
+		})
+	}
+}
+
+// postStalled sends a request whose body stops arriving, and returns the answer.
+func (gw *testGateway) postStalled(t *testing.T, framing, key string) (resp *http.Response, body string) {
+	t.Helper()
+	server := httptest.NewServer(gw.gateway)
+	t.Cleanup(server.Close)
+	conn, err := net.Dial("tcp4", server.Listener.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	_, err = io.WriteString(conn, "POST /book/1 HTTP/1.1\r\nHost: h\r\nKey: "+key+"\r\nId: 1\r\n"+framing+"\r\n\r\n5\r\nabcde\r\n")
+	assert.NilError(t, err)
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
+	resp, err = http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	data, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	return resp, string(data)
+}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -145,19 +145,19 @@
 	}
 	call, key, err := g.Codec.Decode(r)
 	if err != nil {
-		g.refuse(w, nil, verdict.From(err))
+		g.refuseUnread(w, nil, verdict.From(err))
 		return
 	}
 	call.Arrived = arrived
 	a, v := g.resolveCall(call, key)
 	if v != nil {
-		g.refuse(w, call, v)
+		g.refuseUnread(w, call, v)
 		return
 	}
-	release, v := g.readBody(r, a)
+	release, v := g.readBody(w, r, a)
 	defer release()
 	if v != nil {
-		g.refuse(w, call, v)
+		g.refuseUnread(w, call, v)
 		return
 	}
 	if v := g.crashes.refusal(call); v != nil {
