Soak: an answer that its caller gives up after 1 MB is not whole

The check was wrong: callers read 1 MB of an answer at most since engines send bytes without an end, and took what they had for a complete answer.

Change: an answer of 1 MB counts as broken off, like one whose connection was aborted. No answer of the stand-ins has as many bytes, so that nothing else is judged otherwise.

--- a/soak/run.go
+++ b/soak/run.go
@@ -369,7 +369,7 @@
 	return r.key, r.staleKey
 }
 
-// maxAnswerBytes is more than any answer has.
+// maxAnswerBytes is more than any answer has. A caller that has read as many leaves.
 const maxAnswerBytes = 1 << 20
 
 // requestTimeout bounds how long a caller waits for an answer.
@@ -441,5 +441,6 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	_ = resp.Body.Close()
-	r.ledger.recordAnswer(id, resp.StatusCode, resp.Header.Get("X-Response-Signature"), string(body), err != nil)
+	whole := err == nil && len(body) < maxAnswerBytes
+	r.ledger.recordAnswer(id, resp.StatusCode, resp.Header.Get("X-Response-Signature"), string(body), !whole)
 }
