review: an answer that a killed process cuts looks complete

Answers without a length that were read to their end are forwarded without a frame, so that the end of the process ends them.

--- a/review/drive2/main.go
+++ b/review/drive2/main.go
@@ -33,6 +33,7 @@
 	"decode-lost": decodeLost,
 	"limits":      limits,
 	"quota":       quota,
+	"unframed":    unframed,
 }
 
 func main() {
