--- a/review/drive2/engine.go
+++ b/review/drive2/engine.go
@@ -22,6 +22,8 @@
 	// roleSwitch is how long an engine is away after an order, and handleLife how long it keeps the memory of a prompt.
 	roleSwitch = time.Second
 	handleLife = 4 * time.Second
+	// memoryTokens is the memory of a model engine.
+	memoryTokens = 107196
 )
 
 // engine is a server of a service: a plain one without a stage, or a model engine.
@@ -155,7 +157,7 @@
 	}
 	switch {
 	case r.URL.Path == "/api/hold-take":
-		e.serveHold(w)
+		e.serveHold(w, r)
 	case r.URL.Path == "/api/report":
 		e.mu.Lock()
 		defer e.mu.Unlock()
@@ -177,13 +179,20 @@
 	}
 }
 
-func (e *engine) serveHold(w http.ResponseWriter) {
+func (e *engine) serveHold(w http.ResponseWriter, r *http.Request) {
+	var hold struct {
+		Tokens int `json:"tokens"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&hold); err != nil || hold.Tokens > memoryTokens {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.made++
-	hold := fmt.Sprintf("%s-hold-%d", e.id, e.made)
-	e.holds[hold] = time.Now()
-	_ = json.NewEncoder(w).Encode(map[string]string{"hold": hold})
+	name := fmt.Sprintf("%s-hold-%d", e.id, e.made)
+	e.holds[name] = time.Now()
+	_ = json.NewEncoder(w).Encode(map[string]string{"hold": name})
 }
 
 func (e *engine) serveOrder(w http.ResponseWriter, r *http.Request) {
