--- a/review/drive2/decodelost.go
+++ b/review/drive2/decodelost.go
@@ -14,7 +14,7 @@
 func decodeLost(w *world) (int, error) {
 	const (
 		engines   = 4
-		perSecond = 8
+		perSecond = 10
 		before    = 16 * time.Second
 		crashLead = 700 * time.Millisecond
 		down      = 900 * time.Millisecond
