review: entries of removed machines keep restarted daemons from serving; the report

Daemons that start count every entry of keyed.instances as a member for 12 s and more, and nothing deletes those of machines that were removed without SIGTERM.

--- a/review/drive2/decodelost.go
+++ b/review/drive2/decodelost.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"os"
-	"sync"
 	"time"
 )
 
@@ -46,27 +45,7 @@
 	}
 	w.rec.say("3 daemons are ready")
 
-	c := newCaller(w.rec)
-	var mu sync.Mutex
-	var results []result
-	var sending sync.WaitGroup
-	stop := make(chan struct{})
-	go func() {
-		for n := 0; ; n++ {
-			select {
-			case <-stop:
-				return
-			case <-time.After(time.Second / perSecond):
-			}
-			to := w.daemons[n%len(w.daemons)].callers
-			sending.Go(func() {
-				r := c.draft(to, 10)
-				mu.Lock()
-				defer mu.Unlock()
-				results = append(results, r)
-			})
-		}
-	}()
+	l := startLoad(w, perSecond)
 	time.Sleep(before)
 	fault := time.Now()
 	decoding := inStage(all, "decode")
@@ -94,41 +73,12 @@
 	back := time.Now()
 	w.rec.say("all daemons run")
 	time.Sleep(recovery + measured)
-	close(stop)
-	sending.Wait()
-	mu.Lock()
-	defer mu.Unlock()
-	var early, earlyOK, late, lateOK int
-	var last result
-	for _, r := range results {
-		switch {
-		case r.sent.Before(fault):
-			early++
-			if r.ok() {
-				earlyOK++
-			}
-		case r.sent.After(back.Add(recovery)):
-			late++
-			if r.ok() {
-				lateOK++
-			}
-			last = r
-		}
-	}
 	for _, e := range all {
 		e.mu.Lock()
 		w.rec.say("engine %s: stage %s, lost: %v, orders accepted: %d", e.id, e.stage, e.gone, e.orders)
 		e.mu.Unlock()
 	}
-	w.rec.say("before the final fault %d of %d requests were served; later than 12 s after the machines were back %d of %d; the last: %v", earlyOK, early, lateOK, late, last)
-	if early == 0 || late == 0 || 4*earlyOK < early {
-		return failed, fmt.Errorf("too little was served before the fault")
-	}
-	if 4*lateOK < late {
-		w.rec.say("RECOVER is broken")
-		return broken, nil
-	}
-	return held, nil
+	return l.judgeRecovery(fault, back.Add(recovery))
 }
 
 // inStage returns the engines that are in a stage.
--- a/review/drive2/main.go
+++ b/review/drive2/main.go
@@ -34,6 +34,7 @@
 	"limits":      limits,
 	"quota":       quota,
 	"unframed":    unframed,
+	"removed":     removed,
 }
 
 func main() {
