Responses: a reset that meets the upload of a request breaks the response off

Callers saw: an engine answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written; the part arrived as a complete answer.

Cause: the system returns the error of a connection once, to the first of the calls that meet it. A body of more than 32 KB is written while the response is read. If the write gets ECONNRESET, the read returns io.EOF, as after an orderly close, and the end of a connection is the end of a response without a length.

Change: connections to upstreams remember the error of a write, and a read that meets the end waits for the write and returns that error. An orderly end that a reset follows gives EPIPE and stays one.

Relayed responses and those of the store are read by the same code.

--- a/httpconn/conn.go
+++ b/httpconn/conn.go
@@ -13,7 +13,7 @@
 
 // conn is a connection to an upstream. It carries one exchange at a time.
 type conn struct {
-	net.Conn
+	*resetConn
 	address string
 	reader  *bufio.Reader
 	source  *source
@@ -25,8 +25,9 @@
 
 // newConn returns the connection of the pool for an open one.
 func newConn(raw net.Conn, address string) *conn {
-	from := &source{from: raw, left: unlimited}
-	return &conn{Conn: raw, address: address, source: from, reader: bufio.NewReaderSize(from, readBuffer)}
+	shared := &resetConn{Conn: raw}
+	from := &source{from: shared, left: unlimited}
+	return &conn{resetConn: shared, address: address, source: from, reader: bufio.NewReaderSize(from, readBuffer)}
 }
 
 // unlimited is the allowance of a source that may read any number of bytes.
