Own interface: a reset that meets the upload of a request breaks the answer off

Callers would see the same as with routed requests. Found by looking for the cause on other paths.

Cause: net/http, too, writes the request while it reads the response, and reads io.EOF if the write has got the error of the connection.

Change: the client's connections are those of httpconn.KeepReset.

--- a/port/httpport/client.go
+++ b/port/httpport/client.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cairnworks/cairnworks/httpconn"
 	"github.com/cairnworks/cairnworks/port/httpport/wire"
 	"github.com/cairnworks/cairnworks/verdict"
 )
@@ -38,8 +39,15 @@
 // NewClient returns an HTTP client for the adapters. It has no overall timeout:
 // each call's context sets the deadline, and streams are long-lived.
 func NewClient() *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return httpconn.KeepReset(conn), nil
+		},
 		MaxIdleConnsPerHost: idlePerHost,
 		IdleConnTimeout:     idleTimeout,
 		// Bodies are passed on unchanged.
