Responses: a status that is none of HTTP/1.1 makes a response malformed

Callers saw, on other systems, an answer with status 000. Here a status below 100 ended the caller's connection without an answer, and one above 599 was passed on with its body.

Cause: http.ReadResponse accepts every three characters that are a number ("000", "+20", "600") and every version ("HTTP/2.0"); the gateway then writes the status, and net/http panics below 100. 101 was skipped as an interim response, though another protocol follows it.

Change: CheckHead rejects them after the parser, for final and interim responses; they are reported as malformed (no_response), and their connection is closed.

--- a/httpconn/exchange.go
+++ b/httpconn/exchange.go
@@ -246,6 +246,9 @@
 	// What is buffered now belongs to the body or to what follows.
 	*allowed = source.left + int64(x.conn.reader.Buffered())
 	source.left = unlimited
+	if err == nil {
+		err = CheckHead(resp)
+	}
 	if err == nil {
 		return resp, nil
 	}
--- a/httpconn/malformed.go
+++ b/httpconn/malformed.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 )
 
 // Fault is a kind of malformed response.
@@ -38,6 +39,19 @@
 // Unwrap returns the underlying error.
 func (e *MalformedError) Unwrap() error { return e.Err }
 
+// CheckHead returns an error if the head of a response is none of HTTP/1.1. The parser of net/http accepts more.
+func CheckHead(resp *http.Response) error {
+	switch {
+	case resp.ProtoMajor != 1:
+		return fmt.Errorf("the response is one of %s", resp.Proto)
+	case resp.StatusCode < 100 || resp.StatusCode > 599:
+		return fmt.Errorf("invalid status %q", resp.Status)
+	case resp.StatusCode == http.StatusSwitchingProtocols:
+		return errors.New("the protocol was switched without a request")
+	}
+	return nil
+}
+
 var (
 	errHeadTooLarge = errors.New("the head of the response is too large")
 	errMismatched   = errors.New("connection carries responses to other requests")
