Responses: a field whose name holds a blank makes a response malformed

Callers saw, on other systems, an answer in whose head the name of a field held a blank or a control byte, with that line or with a body that was not the engine's. Here: a 200 with the line left out, or "Transfer-Encoding : chunked" not understood, so that the chunks' frame was passed on as the body; a line that begins with a blank was passed on as part of the value before it.

Cause: net/textproto accepts a blank in a name and does not canonicalise the name, so that no other code finds the field, and joins continued lines without a sign.

Evidence: TestMalformedFieldIsError failed before in 16 of 36 cases: 200 without an error for eight kinds of lines, in final and interim heads. The other ten kinds, control bytes among them, were errors before; these cases are kept.

Change: CheckHead rejects names with a blank. The bytes of a head are recorded while the parser reads them, and a line that begins with white space makes the response malformed, which RFC 9112, 5.2 allows a gateway.

TestBlanksOutsideOfHeadsAreAllowed reads sound responses with such lines in their bodies over one connection.

--- a/httpconn/conn.go
+++ b/httpconn/conn.go
@@ -5,6 +5,7 @@
 	"io"
 	"math"
 	"net"
+	"slices"
 	"syscall"
 	"time"
 
@@ -37,6 +38,19 @@
 type source struct {
 	from io.Reader
 	left int64
+	// recording is set while a head is read, whose bytes and what is read behind them are appended to head.
+	recording bool
+	head      []byte
+}
+
+// record starts to record a head, of which some bytes may be buffered already.
+func (s *source) record(buffered []byte) { s.recording, s.head = true, slices.Clone(buffered) }
+
+// recorded ends the recording and returns the bytes of the head. after is the number of bytes that were read behind it.
+func (s *source) recorded(after int) []byte {
+	head := s.head[:len(s.head)-after]
+	s.recording, s.head = false, nil
+	return head
 }
 
 // Read implements io.Reader.
@@ -48,6 +62,9 @@
 	if s.left != unlimited {
 		s.left -= int64(n)
 	}
+	if s.recording {
+		s.head = append(s.head, to[:n]...)
+	}
 	return n, err
 }
 
--- a/httpconn/exchange.go
+++ b/httpconn/exchange.go
@@ -240,15 +240,24 @@
 
 // readHead reads the head of a response, which may take the allowed bytes, and reduces them by those it has read.
 func (x *exchange) readHead(r *Request, allowed *int64) (*http.Response, error) {
-	source, buffered := x.conn.source, int64(x.conn.reader.Buffered())
-	source.left = *allowed - buffered
-	resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: r.Method})
+	source, reader := x.conn.source, x.conn.reader
+	buffered, err := reader.Peek(reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	source.left = *allowed - int64(len(buffered))
+	source.record(buffered)
+	resp, err := http.ReadResponse(reader, &http.Request{Method: r.Method})
 	// What is buffered now belongs to the body or to what follows.
-	*allowed = source.left + int64(x.conn.reader.Buffered())
+	*allowed = source.left + int64(reader.Buffered())
 	source.left = unlimited
+	head := source.recorded(reader.Buffered())
 	if err == nil {
 		err = CheckHead(resp)
 	}
+	if err == nil && hasContinuedLine(head) {
+		err = errContinuedLine
+	}
 	if err == nil {
 		return resp, nil
 	}
--- a/httpconn/malformed.go
+++ b/httpconn/malformed.go
@@ -1,11 +1,13 @@
 package httpconn
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 )
 
 // Fault is a kind of malformed response.
@@ -49,9 +51,24 @@
 	case resp.StatusCode == http.StatusSwitchingProtocols:
 		return errors.New("the protocol was switched without a request")
 	}
+	for name := range resp.Header {
+		// The parser accepts a blank, and rejects all else that cannot be part of a name.
+		if strings.Contains(name, " ") {
+			return fmt.Errorf("invalid name of a field: %q", name)
+		}
+	}
 	return nil
 }
 
+// hasContinuedLine reports whether a line of a head begins with white space. The parser of net/http joins such a line
+// with the value before it, so that a malformed name becomes part of that value. RFC 9112, 5.2, lets gateways reject it.
+func hasContinuedLine(head []byte) bool {
+	return bytes.Contains(head, []byte("\n ")) || bytes.Contains(head, []byte("\n\t"))
+}
+
+// errContinuedLine is the error of a head with a line that begins with white space.
+var errContinuedLine = errors.New("a line of the head begins with white space")
+
 var (
 	errHeadTooLarge = errors.New("the head of the response is too large")
 	errMismatched   = errors.New("connection carries responses to other requests")
--- a/httpconn/malformed_test.go
+++ b/httpconn/malformed_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"io"
 	"net"
+	"strconv"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -46,3 +48,57 @@
 		})
 	}
 }
+
+// malformedFields are the fields of a response, with a body of three bytes, that are none of HTTP/1.1.
+var malformedFields = map[string]string{
+	"blank in a name":          "X Odd: 1\r\nContent-Length: 3\r\n",
+	"blank before a colon":     "Content-Length : 3\r\n",
+	"blank before a name":      "X-Other: 1\r\n X-Odd: 1\r\nContent-Length: 3\r\n",
+	"tab before a name":        "X-Other: 1\r\n\tX-Odd: 1\r\nContent-Length: 3\r\n",
+	"blank before a length":    "X-Other: 1\n Content-Length: 3\r\n",
+	"blank as a name":          "X-Other: 1\r\n : 1\r\nContent-Length: 3\r\n",
+	"line of a blank":          "Content-Length: 3\r\n \r\n",
+	"tab before a colon":       "Content-Length\t: 3\r\n",
+	"control byte in a name":   "X-\x01Odd: 1\r\nContent-Length: 3\r\n",
+	"NUL in a name":            "X-Odd\x00: 1\r\nContent-Length: 3\r\n",
+	"DEL in a name":            "X-Odd\x7f: 1\r\nContent-Length: 3\r\n",
+	"CR in a name":             "X-\rOdd: 1\r\nContent-Length: 3\r\n",
+	"byte above 127 in a name": "X-\xe9Odd: 1\r\nContent-Length: 3\r\n",
+	"empty name":               ": 1\r\nContent-Length: 3\r\n",
+	"no colon":                 "X-Odd\r\nContent-Length: 3\r\n",
+	"control byte in a value":  "X-Odd: \x01\r\nContent-Length: 3\r\n",
+	"CR in a value":            "X-Odd: a\rX-Other: b\r\nContent-Length: 3\r\n",
+	"large head":               "X-Other: " + strings.Repeat("y", 3*readBuffer) + "\r\n X-Odd: 1\r\nContent-Length: 3\r\n",
+}
+
+// Guards against passing on a response with a malformed field, whose frame may be another one than its upstream meant.
+func TestMalformedFieldIsError(t *testing.T) {
+	heads := make(map[string]string)
+	for name, fields := range malformedFields {
+		heads[name] = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n" + fields + "\r\n"
+		heads[name+", interim"] = "HTTP/1.1 103 Early Hints\r\n" + fields + "\r\nHTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 3\r\n\r\n"
+	}
+	checkMalformed(t, heads)
+}
+
+// Guards against sound responses that are malformed by what surrounds their heads on a connection that is used again.
+func TestBlanksOutsideOfHeadsAreAllowed(t *testing.T) {
+	const body = "\n a\r\n\tb : c\n"
+	for _, chunked := range []bool{false, true} {
+		address, _ := serve(t, func(c net.Conn, _ *bufio.Reader, _ int32) {
+			head := "HTTP/1.1 103 Early Hints\r\nLink: 1\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Empty:\r\nX-Blanks: \t a b \t\r\n"
+			if chunked {
+				_, _ = io.WriteString(c, head+"Transfer-Encoding: chunked\r\n\r\n"+strconv.FormatInt(int64(len(body)), 16)+"\r\n"+body+"\r\n0\r\n\r\n")
+				return
+			}
+			_, _ = io.WriteString(c, head+"Content-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
+		})
+		pool := NewPool()
+		for range 3 {
+			resp, err := pool.Do(t.Context(), address, newGet("1"))
+			assert.NilError(t, err)
+			assert.Equal(t, readBody(t, resp), body)
+		}
+		assert.Equal(t, pool.Opened(), uint64(1))
+	}
+}
