Own interface: an answer with a malformed head is a failure that may have run

Callers would see the same as with routed requests: an answer with a status that is none of HTTP/1.1, or a body whose length was not understood. Found by looking for the cause on other paths.

Cause: net/http reads the heads with the same parser.

Evidence: TestMalformedHeadIsFailure failed before in five of six cases (status 0, 600 and 101, and two of 200, each without an error); the control byte was an error before.

Change: responses pass CheckHead. Of the fields of a service's answer, only its type is passed on, so continued lines need no check here.

Measured: the test passes; ./port/httpport passes with the race detector.

--- a/port/httpport/client.go
+++ b/port/httpport/client.go
@@ -85,6 +85,10 @@
 	if err != nil {
 		return nil, r.transportVerdict(ctx, connected.Load(), err)
 	}
+	if err := httpconn.CheckHead(resp); err != nil {
+		_ = resp.Body.Close()
+		return nil, r.transportVerdict(ctx, true, err)
+	}
 	return resp, nil
 }
 
