Shutdown: requests that are open at its end are answered, late ones refused

Callers saw, on another system: in a planned stop of one instance, requests that came late in the grace were taken, passed on, and cut at its end without an answer, among them requests that may not be repeated.

Cause: requests are taken for the first third of the grace and run to their own deadlines, which may lie beyond its end; the process then ended with their connections open. A request whose body became whole later than that was passed on as well.

Evidence: before, TestRequestOpenAtTheEndOfShutdownIsAnswered had two requests without an answer when Run returned, and TestRequestReadLateInShutdownIsRefused a request that was passed on late and not answered by then (504 at its own timeout, when the process would have been gone). TestRequestLateInShutdownIsNotPassedOn held before: net/http closes a connection whose request it reads later than that third.

Change: the gateway is told the end of the shutdown, 0.8 s before that of the grace. Open calls are answered then (504, 502, or 503 if not sent), since their contexts end; calls that arrive in the shutdown have it as their deadline, also at the engine; a request that is whole late and whose deadline lies beyond it is refused as not run (reason "stopping"). The log names how many were cut.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -71,12 +71,12 @@
 	placementHomes    PlacementHomes
 	bufferedBodyBytes atomic.Int64
 	answerMemory      *answerMemory
-	draining          atomic.Bool
+	shutdown          *shutdown
 }
 
 // New returns a gateway. Call Close to release its resources.
 func New(o Options) *Gateway {
-	g := &Gateway{Options: o, state: o.State, quotas: o.Quotas, log: o.Log, answerMemory: &answerMemory{limit: o.MaxReadAheadBytes}}
+	g := &Gateway{Options: o, state: o.State, quotas: o.Quotas, log: o.Log, answerMemory: &answerMemory{limit: o.MaxReadAheadBytes}, shutdown: newShutdown()}
 	if g.quotas != nil {
 		g.quotas.SetInOrder(o.Features.QuotaOrder)
 	}
@@ -100,9 +100,6 @@
 // Close stops the dispatchers.
 func (g *Gateway) Close() { g.dispatchers.close() }
 
-// Drain makes all further responses close their connections, so that callers reconnect elsewhere.
-func (g *Gateway) Drain() { g.draining.Store(true) }
-
 // triggerReport requests a report to the other instances.
 func (g *Gateway) triggerReport() {
 	if g.TriggerReport != nil {
@@ -137,7 +134,9 @@
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	if g.draining.Load() || len(r.TransferEncoding) > 0 {
+	g.shutdown.calls.Add(1)
+	defer g.shutdown.calls.Add(-1)
+	if g.shutdown.started() || len(r.TransferEncoding) > 0 {
 		// If a message has both a length and chunked encoding, net/http uses the chunks and
 		// silently drops the length. What follows the chunks may be a smuggled request, so the
 		// connection is not reused after a chunked request.
@@ -160,6 +159,10 @@
 		g.refuseUnread(w, call, v)
 		return
 	}
+	if v := g.shutdown.refusal(call); v != nil {
+		g.refuse(w, call, v)
+		return
+	}
 	if v := g.crashes.refusal(call); v != nil {
 		g.refuse(w, call, v)
 		return
@@ -169,7 +172,7 @@
 		return
 	}
 	g.Metrics.RecordStageDuration("admission", a.service.Name, time.Since(arrived))
-	ctx, cancel := context.WithDeadline(r.Context(), call.Deadline)
+	ctx, cancel := g.shutdown.context(r.Context(), call)
 	defer cancel()
 	g.serve(ctx, w, a)
 }
@@ -190,7 +193,7 @@
 	if v.Ran == verdict.NotRun {
 		g.refund(a)
 	}
-	g.refuse(w, a.call, v)
+	g.refuse(w, a.call, attributeCancel(ctx, v))
 }
 
 // maxBody returns the body size limit of the request's service in bytes.
--- a/gateway/roles.go
+++ b/gateway/roles.go
@@ -155,7 +155,7 @@
 
 // reconcile changes engines of a service if enough consecutive checks have called for it.
 func (c *roleController) reconcile(ctx context.Context, d *dispatcher) {
-	if boottime.Now() < c.pausedUntil[d.service] || c.gateway.draining.Load() {
+	if boottime.Now() < c.pausedUntil[d.service] || c.gateway.shutdown.started() {
 		return
 	}
 	to, count := c.desiredChange(d)
--- a/instance/routed/routed.go
+++ b/instance/routed/routed.go
@@ -85,7 +85,10 @@
 	// a stream that starts later may not complete within the grace period.
 	lingerFraction = 0.33
 	// exitMargin is the part of the grace period that is reserved for the exit of the process.
-	exitMargin        = 600 * time.Millisecond
+	exitMargin = 600 * time.Millisecond
+	// answerMargin is the part of the grace period before exitMargin in which the requests that are still open are
+	// answered.
+	answerMargin      = 200 * time.Millisecond
 	millicoresPerCore = 1000
 	// sweepInterval is the interval of runSweep.
 	sweepInterval = time.Second
@@ -474,15 +477,17 @@
 	i.mu.Unlock()
 	grace := seconds(i.settings.GraceS)
 	i.log.Info("draining", zap.Duration("grace", grace))
-	i.gateway.Drain()
+	i.gateway.Drain(time.Now().Add(grace - exitMargin - answerMargin))
 	i.exchange.Leave()
 	i.adapters.Transport.Drain()
 	linger := time.Duration(float64(grace) * lingerFraction)
 	time.Sleep(linger)
+	i.gateway.RefuseLate()
 	ctx, cancel := context.WithTimeout(context.Background(), grace-linger-exitMargin)
 	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
-		i.log.Warn("requests cut off at the end of the grace period", zap.Error(err))
+	err := server.Shutdown(ctx)
+	if open := i.gateway.OpenCalls(); err != nil && open > 0 {
+		i.log.Warn("requests cut off at the end of the grace period", zap.Int64("open", open), zap.Error(err))
 	}
 	i.adapters.Transport.Wait(ctx)
 	leave, done := context.WithTimeout(context.Background(), exitMargin/2)
--- a/verdict/reason.go
+++ b/verdict/reason.go
@@ -34,7 +34,9 @@
 	// to back off.
 	ReasonUpstreamBackoff Reason = "upstream_backoff"
 	// ReasonUpstreamLeaving means that the upstream, or each one that could be tried, is shutting down.
-	ReasonUpstreamLeaving      Reason = "upstream_leaving"
+	ReasonUpstreamLeaving Reason = "upstream_leaving"
+	// ReasonStopping means that this instance is shutting down.
+	ReasonStopping             Reason = "stopping"
 	ReasonSchedulerUnavailable Reason = "scheduler_unavailable"
 	ReasonQuarantined          Reason = "quarantined"
 	ReasonRetryBudgetSpent     Reason = "retry_budget_spent"
