Responses: chunks in HTTP/1.0 make a response malformed

Callers saw: nothing was reported. Found while the parser's leniency was looked through: "HTTP/1.0 200 OK" with "Transfer-Encoding: chunked" was passed on with the chunks' frame as its body.

Cause: http.ReadResponse drops the field in HTTP/1.0 without a sign, and the body ends with the connection.

Evidence: TestChunksInHTTP10AreError failed before in both cases (body "3\r\nabc\r\n0\r\n\r\nabc").

Change: the recorded bytes of the head are searched for the field. RFC 9112, 6.1 calls the framing of such a message faulty.

Measured: the test and ./httpconn pass with the race detector.

--- a/httpconn/exchange.go
+++ b/httpconn/exchange.go
@@ -255,8 +255,8 @@
 	if err == nil {
 		err = CheckHead(resp)
 	}
-	if err == nil && hasContinuedLine(head) {
-		err = errContinuedLine
+	if err == nil {
+		err = checkLines(head, resp)
 	}
 	if err == nil {
 		return resp, nil
--- a/httpconn/malformed.go
+++ b/httpconn/malformed.go
@@ -60,15 +60,20 @@
 	return nil
 }
 
-// hasContinuedLine reports whether a line of a head begins with white space. The parser of net/http joins such a line
-// with the value before it, so that a malformed name becomes part of that value. RFC 9112, 5.2, lets gateways reject it.
-func hasContinuedLine(head []byte) bool {
-	return bytes.Contains(head, []byte("\n ")) || bytes.Contains(head, []byte("\n\t"))
+// checkLines returns an error if the bytes of a head have a fault of which the parser of net/http gives no sign.
+func checkLines(head []byte, resp *http.Response) error {
+	// The parser joins a line that begins with white space with the value before it, so that a malformed name becomes
+	// part of that value. RFC 9112, 5.2, lets gateways reject such lines.
+	if bytes.Contains(head, []byte("\n ")) || bytes.Contains(head, []byte("\n\t")) {
+		return errors.New("a line of the head begins with white space")
+	}
+	// The parser drops the field in HTTP/1.0. RFC 9112, 6.1: the framing is faulty.
+	if resp.ProtoMinor == 0 && bytes.Contains(bytes.ToLower(head), []byte("\ntransfer-encoding:")) {
+		return errors.New("a response of HTTP/1.0 has a transfer encoding")
+	}
+	return nil
 }
 
-// errContinuedLine is the error of a head with a line that begins with white space.
-var errContinuedLine = errors.New("a line of the head begins with white space")
-
 var (
 	errHeadTooLarge = errors.New("the head of the response is too large")
 	errMismatched   = errors.New("connection carries responses to other requests")
--- a/httpconn/malformed_test.go
+++ b/httpconn/malformed_test.go
@@ -81,6 +81,14 @@
 	checkMalformed(t, heads)
 }
 
+// Guards against passing on the chunks of a response as its body: HTTP/1.0 has no chunks, and the parser drops the field.
+func TestChunksInHTTP10AreError(t *testing.T) {
+	checkMalformed(t, map[string]string{
+		"without a length": "HTTP/1.0 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+		"with a length":    "HTTP/1.0 200 OK\r\nX-Id: 1\r\ntransfer-encoding:chunked\r\nContent-Length: 3\r\n\r\n",
+	})
+}
+
 // Guards against sound responses that are malformed by what surrounds their heads on a connection that is used again.
 func TestBlanksOutsideOfHeadsAreAllowed(t *testing.T) {
 	const body = "\n a\r\n\tb : c\n"
