Wording: usual terms for response heads, list entries and the shutdown

Renamed tests: TestOddEntriesDoNoHarm is TestInvalidEntriesAreIgnored, TestOddEntriesCountAsNoEngine is TestInvalidEntriesAreNotPlanned, TestMalformedFieldIsError is TestMalformedHeaderIsError, and TestBlanksOutsideOfHeadsAreAllowed is TestSpacesAfterHeadsAreAllowed. No check is changed.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -172,7 +172,7 @@
 		return
 	}
 	g.Metrics.RecordStageDuration("admission", a.service.Name, time.Since(arrived))
-	ctx, cancel := g.shutdown.context(r.Context(), call)
+	ctx, cancel := g.shutdown.callContext(r.Context(), call)
 	defer cancel()
 	g.serve(ctx, w, a)
 }
--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -23,29 +23,28 @@
 	late atomic.Bool
 	// calls is the number of calls that are open.
 	calls atomic.Int64
-	// running is done at the end of the shutdown; its cause is errStopping.
-	running context.Context
+	// serving ends with the shutdown; its cause is errStopping.
+	serving context.Context
 	stop    context.CancelCauseFunc
 }
 
 func newShutdown() *shutdown {
 	s := &shutdown{}
-	s.running, s.stop = context.WithCancelCause(context.Background())
+	s.serving, s.stop = context.WithCancelCause(context.Background())
 	return s
 }
 
 // started reports whether the instance is shutting down.
 func (s *shutdown) started() bool { return s.end.Load() != nil }
 
-// Drain makes all further responses close their connections, so that callers reconnect elsewhere. Calls that their upstreams
-// have not answered by end are answered then, and those whose answers have begun are broken off.
+// Drain makes all further responses close their connections, so that callers reconnect elsewhere. At end, calls that are
+// still open are cancelled: callers get an error response, or a truncated one if the answer has begun.
 func (g *Gateway) Drain(end time.Time) {
 	g.shutdown.end.Store(&end)
 	time.AfterFunc(time.Until(end), func() { g.shutdown.stop(errStopping) })
 }
 
-// RefuseLate refuses the requests that are read from now on, unless their deadlines pass before the end of the shutdown.
-// Drain must have been called.
+// RefuseLate refuses further requests whose deadlines are after the end of the shutdown. Drain must have been called.
 func (g *Gateway) RefuseLate() { g.shutdown.late.Store(true) }
 
 // OpenCalls returns the number of requests that are being handled.
@@ -59,14 +58,15 @@
 	return verdict.Refuse(verdict.ReasonStopping, stoppingRetry, "the instance is shutting down")
 }
 
-// context returns a context for a call, which ends at its deadline or at the end of the shutdown, whichever is first.
-func (s *shutdown) context(parent context.Context, c *Call) (context.Context, context.CancelFunc) {
+// callContext returns a context that ends at the deadline of a call or at the end of the shutdown. A call that begins during
+// the shutdown gets its end as the deadline, which is sent to upstreams.
+func (s *shutdown) callContext(parent context.Context, c *Call) (context.Context, context.CancelFunc) {
 	if end := s.end.Load(); end != nil && end.Before(c.Deadline) {
 		c.Deadline = *end
 	}
 	bounded, release := context.WithDeadline(parent, c.Deadline)
 	ctx, cancel := context.WithCancelCause(bounded)
-	forget := context.AfterFunc(s.running, func() { cancel(errStopping) })
+	forget := context.AfterFunc(s.serving, func() { cancel(errStopping) })
 	return ctx, func() {
 		forget()
 		cancel(nil)
@@ -74,7 +74,7 @@
 	}
 }
 
-// attributeCancel returns the verdict of a call whose context has ended. If the shutdown has ended it, its caller is still there.
+// attributeCancel replaces the verdict of a cancelled call if the shutdown, and not the caller, has cancelled it.
 func attributeCancel(ctx context.Context, v *verdict.Verdict) *verdict.Verdict {
 	if v.Reason != verdict.ReasonCancelled || !errors.Is(context.Cause(ctx), errStopping) {
 		return v
--- a/httpconn/conn.go
+++ b/httpconn/conn.go
@@ -26,9 +26,9 @@
 
 // newConn returns the connection of the pool for an open one.
 func newConn(raw net.Conn, address string) *conn {
-	shared := &resetConn{Conn: raw}
-	from := &source{from: shared, left: unlimited}
-	return &conn{resetConn: shared, address: address, source: from, reader: bufio.NewReaderSize(from, readBuffer)}
+	tracked := &resetConn{Conn: raw}
+	from := &source{from: tracked, left: unlimited}
+	return &conn{resetConn: tracked, address: address, source: from, reader: bufio.NewReaderSize(from, readBuffer)}
 }
 
 // unlimited is the allowance of a source that may read any number of bytes.
@@ -38,17 +38,17 @@
 type source struct {
 	from io.Reader
 	left int64
-	// recording is set while a head is read, whose bytes and what is read behind them are appended to head.
+	// recording is set while a head is read. head holds its bytes and those that were read with them.
 	recording bool
 	head      []byte
 }
 
-// record starts to record a head, of which some bytes may be buffered already.
+// record starts to record a head. buffered are the bytes of it that were read before.
 func (s *source) record(buffered []byte) { s.recording, s.head = true, slices.Clone(buffered) }
 
-// recorded ends the recording and returns the bytes of the head. after is the number of bytes that were read behind it.
-func (s *source) recorded(after int) []byte {
-	head := s.head[:len(s.head)-after]
+// recorded ends the recording and returns the bytes of the head, without the last ones that follow it.
+func (s *source) recorded(following int) []byte {
+	head := s.head[:len(s.head)-following]
 	s.recording, s.head = false, nil
 	return head
 }
--- a/httpconn/malformed.go
+++ b/httpconn/malformed.go
@@ -41,35 +41,35 @@
 // Unwrap returns the underlying error.
 func (e *MalformedError) Unwrap() error { return e.Err }
 
-// CheckHead returns an error if the head of a response is none of HTTP/1.1. The parser of net/http accepts more.
+// CheckHead returns an error if a response has an invalid status line or header name that the parser of net/http accepts.
 func CheckHead(resp *http.Response) error {
 	switch {
 	case resp.ProtoMajor != 1:
-		return fmt.Errorf("the response is one of %s", resp.Proto)
+		return fmt.Errorf("unsupported protocol version %q", resp.Proto)
 	case resp.StatusCode < 100 || resp.StatusCode > 599:
-		return fmt.Errorf("invalid status %q", resp.Status)
+		return fmt.Errorf("invalid status code %q", resp.Status)
 	case resp.StatusCode == http.StatusSwitchingProtocols:
-		return errors.New("the protocol was switched without a request")
+		return errors.New("the protocol was switched although no upgrade was requested")
 	}
 	for name := range resp.Header {
-		// The parser accepts a blank, and rejects all else that cannot be part of a name.
+		// The parser accepts spaces in names and rejects all other invalid characters.
 		if strings.Contains(name, " ") {
-			return fmt.Errorf("invalid name of a field: %q", name)
+			return fmt.Errorf("invalid header name %q", name)
 		}
 	}
 	return nil
 }
 
-// checkLines returns an error if the bytes of a head have a fault of which the parser of net/http gives no sign.
+// checkLines returns an error if the bytes of a head have a fault that does not show in the parsed response.
 func checkLines(head []byte, resp *http.Response) error {
-	// The parser joins a line that begins with white space with the value before it, so that a malformed name becomes
-	// part of that value. RFC 9112, 5.2, lets gateways reject such lines.
+	// The parser appends a folded line to the previous value, so that a header whose name begins with a space becomes part
+	// of that value. RFC 9112, section 5.2, allows gateways to reject folded lines.
 	if bytes.Contains(head, []byte("\n ")) || bytes.Contains(head, []byte("\n\t")) {
-		return errors.New("a line of the head begins with white space")
+		return errors.New("a header line begins with white space")
 	}
-	// The parser drops the field in HTTP/1.0. RFC 9112, 6.1: the framing is faulty.
+	// The parser drops this header in HTTP/1.0. RFC 9112, section 6.1, calls such framing faulty.
 	if resp.ProtoMinor == 0 && bytes.Contains(bytes.ToLower(head), []byte("\ntransfer-encoding:")) {
-		return errors.New("a response of HTTP/1.0 has a transfer encoding")
+		return errors.New("an HTTP/1.0 response has a transfer encoding")
 	}
 	return nil
 }
--- a/httpconn/malformed_test.go
+++ b/httpconn/malformed_test.go
@@ -12,7 +12,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// invalidStatusLines are responses to a request whose status line is none of HTTP/1.1.
+// invalidStatusLines are responses with a status line that is not valid in HTTP/1.1.
 var invalidStatusLines = map[string]string{
 	"status 000":         "HTTP/1.1 000 \r\nX-Id: 1\r\nContent-Length: 3\r\n\r\n",
 	"status below 100":   "HTTP/1.1 099 x\r\nX-Id: 1\r\nContent-Length: 3\r\n\r\n",
@@ -24,7 +24,7 @@
 	"another version":    "HTTP/2.0 200 OK\r\nX-Id: 1\r\nContent-Length: 3\r\n\r\n",
 }
 
-// Guards against passing on a response whose status is none of HTTP/1.1.
+// Guards against passing on a response with an invalid status.
 func TestInvalidStatusIsError(t *testing.T) { checkMalformed(t, invalidStatusLines) }
 
 // checkMalformed checks that responses with the given heads, and a body of three bytes, are errors.
@@ -49,15 +49,15 @@
 	}
 }
 
-// malformedFields are the fields of a response, with a body of three bytes, that are none of HTTP/1.1.
-var malformedFields = map[string]string{
-	"blank in a name":          "X Odd: 1\r\nContent-Length: 3\r\n",
-	"blank before a colon":     "Content-Length : 3\r\n",
-	"blank before a name":      "X-Other: 1\r\n X-Odd: 1\r\nContent-Length: 3\r\n",
+// malformedHeaders are headers, of a response with a body of three bytes, that are not valid in HTTP/1.1.
+var malformedHeaders = map[string]string{
+	"space in a name":          "X Odd: 1\r\nContent-Length: 3\r\n",
+	"space before a colon":     "Content-Length : 3\r\n",
+	"space before a name":      "X-Other: 1\r\n X-Odd: 1\r\nContent-Length: 3\r\n",
 	"tab before a name":        "X-Other: 1\r\n\tX-Odd: 1\r\nContent-Length: 3\r\n",
-	"blank before a length":    "X-Other: 1\n Content-Length: 3\r\n",
-	"blank as a name":          "X-Other: 1\r\n : 1\r\nContent-Length: 3\r\n",
-	"line of a blank":          "Content-Length: 3\r\n \r\n",
+	"space before a length":    "X-Other: 1\n Content-Length: 3\r\n",
+	"space as a name":          "X-Other: 1\r\n : 1\r\nContent-Length: 3\r\n",
+	"line of a space":          "Content-Length: 3\r\n \r\n",
 	"tab before a colon":       "Content-Length\t: 3\r\n",
 	"control byte in a name":   "X-\x01Odd: 1\r\nContent-Length: 3\r\n",
 	"NUL in a name":            "X-Odd\x00: 1\r\nContent-Length: 3\r\n",
@@ -71,17 +71,17 @@
 	"large head":               "X-Other: " + strings.Repeat("y", 3*readBuffer) + "\r\n X-Odd: 1\r\nContent-Length: 3\r\n",
 }
 
-// Guards against passing on a response with a malformed field, whose frame may be another one than its upstream meant.
-func TestMalformedFieldIsError(t *testing.T) {
+// Guards against passing on a response with a malformed header, which may hide the length of its body.
+func TestMalformedHeaderIsError(t *testing.T) {
 	heads := make(map[string]string)
-	for name, fields := range malformedFields {
+	for name, fields := range malformedHeaders {
 		heads[name] = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n" + fields + "\r\n"
 		heads[name+", interim"] = "HTTP/1.1 103 Early Hints\r\n" + fields + "\r\nHTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 3\r\n\r\n"
 	}
 	checkMalformed(t, heads)
 }
 
-// Guards against passing on the chunks of a response as its body: HTTP/1.0 has no chunks, and the parser drops the field.
+// Guards against passing on chunk sizes as part of the body: HTTP/1.0 has no chunks, and the parser drops the header.
 func TestChunksInHTTP10AreError(t *testing.T) {
 	checkMalformed(t, map[string]string{
 		"without a length": "HTTP/1.0 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
@@ -89,12 +89,12 @@
 	})
 }
 
-// Guards against sound responses that are malformed by what surrounds their heads on a connection that is used again.
-func TestBlanksOutsideOfHeadsAreAllowed(t *testing.T) {
+// Guards against rejecting a valid response because of its body or of other responses on the connection.
+func TestSpacesAfterHeadsAreAllowed(t *testing.T) {
 	const body = "\n a\r\n\tb : c\n"
 	for _, chunked := range []bool{false, true} {
 		address, _ := serve(t, func(c net.Conn, _ *bufio.Reader, _ int32) {
-			head := "HTTP/1.1 103 Early Hints\r\nLink: 1\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Empty:\r\nX-Blanks: \t a b \t\r\n"
+			head := "HTTP/1.1 103 Early Hints\r\nLink: 1\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Empty:\r\nX-Spaces: \t a b \t\r\n"
 			if chunked {
 				_, _ = io.WriteString(c, head+"Transfer-Encoding: chunked\r\n\r\n"+strconv.FormatInt(int64(len(body)), 16)+"\r\n"+body+"\r\n0\r\n\r\n")
 				return
--- a/httpconn/reset.go
+++ b/httpconn/reset.go
@@ -10,8 +10,8 @@
 	"time"
 )
 
-// resetConn is a connection whose Read returns the error with which the connection failed. The system returns that error
-// once, to the first call that meets it. If that is a Write, a Read would return io.EOF, as it does after an orderly close.
+// resetConn is a connection whose Read reports a reset. The operating system reports the error of a connection only once,
+// to the first call after it. If that is a Write, a later Read returns io.EOF as after an orderly close.
 type resetConn struct {
 	net.Conn
 	// mu is held during a Write.
@@ -19,7 +19,8 @@
 	failed error
 }
 
-// KeepReset returns a connection whose Read does not return io.EOF after a reset, whether a Read or a Write meets the reset.
+// KeepReset wraps a connection so that Read returns an error other than io.EOF after a reset, even if a Write has already
+// returned the error.
 func KeepReset(c net.Conn) net.Conn { return &resetConn{Conn: c} }
 
 // Write implements net.Conn.
@@ -33,14 +34,14 @@
 	return n, err
 }
 
-// Read implements net.Conn. At the end of what can be read, it ends a Write that is blocked.
+// Read implements net.Conn. Before it returns io.EOF, it interrupts a Write that is in progress.
 func (c *resetConn) Read(to []byte) (int, error) {
 	n, err := c.Conn.Read(to)
 	if err != io.EOF {
 		return n, err
 	}
 	if !c.mu.TryLock() {
-		// The Write that is in progress may have met the reset.
+		// The Write may already have been given the error, but not have returned.
 		if err := c.SetWriteDeadline(time.Unix(1, 0)); err != nil {
 			return n, err
 		}
@@ -53,8 +54,8 @@
 	return n, c.failed
 }
 
-// endedInOrder reports whether a Write failed on a connection whose remote side has closed it in order before. The system
-// returns EPIPE, and not ECONNRESET, if a reset follows the end of the remote side's bytes.
+// endedInOrder reports whether a Write failed although the remote side had closed the connection in order. If a reset
+// follows an orderly close, the error is EPIPE and not ECONNRESET.
 func endedInOrder(err error) bool {
 	return errors.Is(err, syscall.EPIPE) || errors.Is(err, os.ErrDeadlineExceeded)
 }
--- a/httpconn/upload_test.go
+++ b/httpconn/upload_test.go
@@ -45,8 +45,8 @@
 	return string(data), err
 }
 
-// Guards against a response without a length that looks complete although its upstream has reset the connection, since
-// the write of the request, and not the read of the response, has met the reset.
+// Guards against a truncated response without a length that looks complete, because the reset was reported to the write of
+// the request and not to the read of the response.
 func TestResetDuringUploadIsError(t *testing.T) {
 	address := endUploads(t, func(c *net.TCPConn) { _ = c.SetLinger(0) })
 	for range 10 {
@@ -55,8 +55,8 @@
 	}
 }
 
-// Guards against a response that counts as broken off although its upstream has ended it in order, before it read
-// the whole request.
+// Guards against a complete response that counts as truncated, because its upstream closed the connection before it read the
+// whole request.
 func TestResponseThatEndsDuringUploadIsComplete(t *testing.T) {
 	for name, end := range map[string]func(c *net.TCPConn){
 		"then stays open": func(c *net.TCPConn) {
--- a/instance/routed/odd_entries_test.go
+++ b/instance/routed/invalid_entries_test.go
@@ -16,8 +16,9 @@
 // nested returns JSON arrays in one another.
 func nested(levels int) string { return strings.Repeat("[", levels) + strings.Repeat("]", levels) }
 
-// oddEntries returns entries of another writer among those of the upstreams. sound is the address of an upstream.
-func oddEntries(sound string) map[string]string {
+// invalidEntries returns entries that another writer may leave in the list of upstreams, and that, but for three, describe
+// none. sound is the address of an upstream.
+func invalidEntries(sound string) map[string]string {
 	entry := func(address, slots, more string) string {
 		return fmt.Sprintf(`{"service":"s","address":"%s","zone":"z","slots":%s,"state":"ready","seq":1%s}`, address, slots, more)
 	}
@@ -47,17 +48,17 @@
 		"name":                 entry("localhost:80", "4", ""),
 		"long address":         entry(strings.Repeat("9", 300_000)+":80", "4", ""),
 		"not UTF-8":            entry("\xff\xfe:80", "4", ""),
-		"blank in the address": entry("127.0.0.1: 80", "4", ""),
+		"space in the address": entry("127.0.0.1: 80", "4", ""),
 	}
 }
 
-// Guards against an instance that ends, stops following the list of upstreams or refuses requests because of entries of
-// another writer.
-func TestOddEntriesDoNoHarm(t *testing.T) {
+// Guards against an instance that ends, stops following the list of upstreams or refuses requests because of invalid
+// entries.
+func TestInvalidEntriesAreIgnored(t *testing.T) {
 	f := prepare(t, "a", respondSigned)
 	sound := f.engine.Listener.Addr().String()
 	put := func(when string) {
-		for name, entry := range oddEntries(sound) {
+		for name, entry := range invalidEntries(sound) {
 			f.store.put("keyed.servers", name+" "+when, entry)
 		}
 	}
@@ -84,18 +85,18 @@
 	}
 }
 
-// Guards against drafts that are refused since entries whose addresses are none count as engines: sound engines are then
-// ordered to another stage.
-func TestOddEntriesCountAsNoEngine(t *testing.T) {
+// Guards against refused drafts because entries with invalid addresses count as engines, so that the engines that exist
+// are ordered to another stage.
+func TestInvalidEntriesAreNotPlanned(t *testing.T) {
 	f := newPartitionFleet(t, 2)
-	for name, entry := range oddEntries("127.0.0.1:65536") {
+	for name, entry := range invalidEntries("127.0.0.1:65536") {
 		for _, stage := range []string{standin.StagePrefill, standin.StageDecode} {
 			f.store.PutEntry(name+" "+stage, []byte(strings.Replace(entry, `"service":"s"`, fmt.Sprintf(`"service":%q,"stage":%q`, standin.ModelService, stage), 1)))
 		}
 	}
 	time.Sleep(partitionGrace) // The list is read within this time.
 	for _, i := range f.instances {
-		for _, failure := range i.sendAll("odd", 10) {
+		for _, failure := range i.sendAll("beside", 10) {
 			t.Error(failure)
 		}
 	}
--- a/instance/routed/routed.go
+++ b/instance/routed/routed.go
@@ -86,8 +86,8 @@
 	lingerFraction = 0.33
 	// exitMargin is the part of the grace period that is reserved for the exit of the process.
 	exitMargin = 600 * time.Millisecond
-	// answerMargin is the part of the grace period before exitMargin in which the requests that are still open are
-	// answered.
+	// answerMargin is the part of the grace period, before exitMargin, that is reserved for the error responses to
+	// requests that are still open.
 	answerMargin      = 200 * time.Millisecond
 	millicoresPerCore = 1000
 	// sweepInterval is the interval of runSweep.
--- a/port/httpport/malformed_test.go
+++ b/port/httpport/malformed_test.go
@@ -21,8 +21,8 @@
 		"status 000":             "HTTP/1.1 000 \r\nContent-Length: 3\r\n\r\n",
 		"status above 599":       "HTTP/1.1 600 x\r\nContent-Length: 3\r\n\r\n",
 		"another protocol":       "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n",
-		"blank in a name":        "HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 3\r\n\r\n",
-		"blank before a colon":   "HTTP/1.1 200 OK\r\nContent-Length : 3\r\n\r\n",
+		"space in a name":        "HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 3\r\n\r\n",
+		"space before a colon":   "HTTP/1.1 200 OK\r\nContent-Length : 3\r\n\r\n",
 		"control byte in a name": "HTTP/1.1 200 OK\r\nX-\x01Odd: 1\r\nContent-Length: 3\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
