Own interface: requests that outlast a limited drain get an error response

Callers would see a connection closed without an answer, or a stream cut off, when an instance with drain_seconds was stopped while they were served. Found by looking for the cause of the shutdown's cut requests on other paths.

Cause: at the limit, the drain ended and the process with it, whatever was open.

Change: at the limit, open requests are cancelled with the reason "stopping"; the servers' connections get up to a second for the responses.

--- a/e2e/drain_test.go
+++ b/e2e/drain_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/cairnworks/cairnworks/verdict"
 )
 
 // An instance receives SIGTERM while it streams and possibly also schedules services. Every stream
@@ -40,3 +42,21 @@
 		assert.Equal(t, d.exitCode(t), 0)
 	}
 }
+
+// Guards against requests that are cut off without an answer because they outlast the limit of a drain.
+func TestRequestsOpenAtTheLimitOfADrainAreAnswered(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, fleetConfig{instances: 1, prefill: 1, decode: 1, plain: 1, tokenTime: 50 * time.Millisecond, graceSeconds: 1, drainSeconds: 2})
+	d := f.instances[0]
+	started, answered := make(chan struct{}), make(chan response, 1)
+	go func() {
+		var once sync.Once
+		answered <- chat(context.Background(), d.callerAddress, f.keys["alpha"], prompt(0, 0), 400, func(int) { once.Do(func() { close(started) }) })
+	}()
+	<-started
+	d.signal(syscall.SIGTERM)
+	r := <-answered
+	assert.Assert(t, !r.complete)
+	assert.Equal(t, r.code, string(verdict.ReasonStopping), "%v", r.err)
+	assert.Equal(t, d.exitCode(t), 0)
+}
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -60,6 +60,8 @@
 	engineArgs []string
 	// graceSeconds is how long a draining instance still accepts requests.
 	graceSeconds int
+	// drainSeconds limits the time of a drain; 0 means no limit.
+	drainSeconds int
 	// seeds are additional peer addresses that each instance contacts when it starts.
 	seeds []string
 	// firstPeerAddress is the peer address of the first instance; if empty, a free port is used.
@@ -80,7 +82,7 @@
 	f.publish()
 	for n := range cfg.instances {
 		f.startInstance(n, func(s *settings.Settings) {
-			s.DrainGraceSeconds = cfg.graceSeconds
+			s.DrainGraceSeconds, s.DrainSeconds = cfg.graceSeconds, cfg.drainSeconds
 			s.Peers.Seeds = append(s.Peers.Seeds, cfg.seeds...)
 			if n == 0 && cfg.firstPeerAddress != "" {
 				s.Peers.Address = cfg.firstPeerAddress
--- a/instance/drain.go
+++ b/instance/drain.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/cairnworks/cairnworks/verdict"
 )
 
 const (
@@ -15,6 +17,10 @@
 	// leaveTimeout limits the handover of rate homes, and the announcement that the instance leaves
 	// the fleet.
 	leaveTimeout = 10 * time.Second
+	// answerTimeout limits the time for the error responses to requests that are cancelled at the end of a drain.
+	answerTimeout = time.Second
+	// stoppingRetry is the Retry-After of these responses. Other instances can serve the requests at once.
+	stoppingRetry = 50 * time.Millisecond
 )
 
 // drainState is the progress of a graceful shutdown.
@@ -68,6 +74,9 @@
 		i.log.Warn("drain incomplete", zap.Int64("open", i.callerHandler.OpenRequests()), zap.Error(err))
 	}
 	i.waitIdle(ctx)
+	if ctx.Err() != nil {
+		i.answerOpenRequests()
+	}
 	leaveCtx, stop := context.WithTimeout(context.Background(), leaveTimeout)
 	defer stop()
 	if err := i.members.Leave(leaveCtx); err != nil {
@@ -77,6 +86,18 @@
 	close(i.drain.finished)
 }
 
+// answerOpenRequests cancels the requests that are still open at the end of a drain, so that their callers get an error
+// response instead of a closed connection.
+func (i *Instance) answerOpenRequests() {
+	cancelled := i.openRequests.cancelAll(verdict.Refuse(verdict.ReasonStopping, stoppingRetry, "the instance is shutting down"))
+	i.log.Warn("requests cancelled at the end of the drain", zap.Int("requests", cancelled))
+	ctx, stop := context.WithTimeout(context.Background(), answerTimeout)
+	defer stop()
+	if err := i.listeners.callers.server.Shutdown(ctx); err != nil {
+		i.log.Warn("requests cut off at the end of the drain", zap.Int64("open", i.callerHandler.OpenRequests()), zap.Error(err))
+	}
+}
+
 // handOverHomes transfers the rate homes to other instances.
 func (i *Instance) handOverHomes(ctx context.Context) {
 	ctx, stop := context.WithTimeout(ctx, leaveTimeout)
--- a/instance/keys.go
+++ b/instance/keys.go
@@ -41,6 +41,20 @@
 	}
 }
 
+// cancelAll cancels all open requests and returns their number.
+func (o *openRequests) cancelAll(cause error) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	cancelled := 0
+	for _, requests := range o.byKey {
+		for _, cancel := range requests {
+			cancel(cause)
+			cancelled++
+		}
+	}
+	return cancelled
+}
+
 // cancelUnusable cancels the open requests of all keys that are no longer usable in the object set.
 // It returns the number of cancelled requests.
 func (o *openRequests) cancelUnusable(index *object.Index) int {
