--- a/instance/routed/routed_test.go
+++ b/instance/routed/routed_test.go
@@ -120,10 +120,16 @@
 func startNamed(t *testing.T, name string, engine http.HandlerFunc) *fixture {
 	t.Helper()
 	f := prepare(t, name, engine)
+	f.runUntilServing(t)
+	return f
+}
+
+// runUntilServing starts the instance and waits until it serves.
+func (f *fixture) runUntilServing(t *testing.T) {
+	t.Helper()
 	f.run(t)
 	f.eventually(t, func() bool { return f.ready() })
 	f.eventually(t, func() bool { status, _, err := f.request("k"); return err == nil && status == http.StatusOK })
-	return f
 }
 
 // prepare returns a fixture whose instance is not running yet.
