Roles: a role without engines gets one without measurements

Cause: the division of engines was derived from finished requests only, which the instances remember. Without a decode engine nothing finishes, without a prefill engine no prompt is observed. The log had neither "role change planned" nor "role change failed", and the engines counted no orders. Found on the same path: the instance that leads a service considered it only if it had got requests for it itself; a failed takeover of the lease was followed by three leases from the attempt, not from when the holder was first seen; a store that was away at the start kept the holder from being observed.

Change: where measurements recommend nothing, each role has at least one engine, and a lone engine decodes. Such a change takes four checks, as entries of working engines may be missing for two seconds after the store was unavailable; all engines may be asked; an engine that is already changing ends the attempt. It needs no state that an end of all processes takes away, only the list of engines.

--- a/decision/split/split.go
+++ b/decision/split/split.go
@@ -219,6 +219,17 @@
 	return min(max(prefill, minPrefill), engines-1), true
 }
 
+// BothRoles returns the division of engines closest to the current one in which both roles have an
+// engine. It needs no observations: without an engine that decodes no request finishes, and without
+// one that prefills no prompt is observed, so that Recommend would never be able to restore the
+// missing role. A lone engine decodes, since decode engines can prefill prompts themselves.
+func BothRoles(engines, current int) (prefill int) {
+	if engines == 0 {
+		return current
+	}
+	return min(max(current, min(1, engines-1)), engines-1)
+}
+
 // workload is the work of one request in each pool, in seconds of a whole engine, and the
 // number of engines that share it.
 type workload struct {
--- a/decision/split/split_test.go
+++ b/decision/split/split_test.go
@@ -208,3 +208,15 @@
 	assert.Equal(t, want, 3)
 	assert.Assert(t, a.Stats().PrefillSpeed > 26_000, "%.0f tokens a second", a.Stats().PrefillSpeed)
 }
+
+// Guards against a role without engines that is never given one, since without it nothing is observed.
+func TestBothRolesHaveEngines(t *testing.T) {
+	cases := []struct{ engines, current, want int }{
+		{0, 0, 0}, {1, 0, 0}, {1, 1, 0}, {2, 0, 1}, {2, 1, 1}, {2, 2, 1}, {3, 3, 2}, {3, 0, 1}, {9, 3, 3}, {9, 8, 8},
+	}
+	for _, c := range cases {
+		assert.Equal(t, BothRoles(c.engines, c.current), c.want, "%d engines, %d of them prefill", c.engines, c.current)
+		_, ok := New(DefaultConfig()).Recommend(c.engines, c.current)
+		assert.Assert(t, !ok)
+	}
+}
--- a/gateway/roles.go
+++ b/gateway/roles.go
@@ -10,6 +10,8 @@
 	"go.uber.org/zap"
 
 	"github.com/cairnworks/cairnworks/boottime"
+	"github.com/cairnworks/cairnworks/decision/split"
+	"github.com/cairnworks/cairnworks/object"
 	"github.com/cairnworks/cairnworks/port"
 	"github.com/cairnworks/cairnworks/upstream"
 	"github.com/cairnworks/cairnworks/verdict"
@@ -21,12 +23,17 @@
 	roleCheckInterval = time.Second
 	// roleConfirmations is the number of consecutive checks that must call for a change.
 	roleConfirmations = 2
+	// missingRoleConfirmations is the same for changes that rest on the list of engines alone. After
+	// the store was unavailable, entries of working engines may be missing for two seconds.
+	missingRoleConfirmations = 4
 	// roleSettleTime is how long no further change is made after a change, in addition to the time
 	// that the engine is unavailable, so that the pools' loads can settle.
 	roleSettleTime = 2 * time.Second
 	// unansweredOrderPause is how long no change is made after an order without an answer, which
 	// may be executed seconds later.
 	unansweredOrderPause = 20 * time.Second
+	// missingRolePause is how long no change is tried after one failed while a role has no engines.
+	missingRolePause = 2 * time.Second
 	// roleCallTimeout limits each call of a change.
 	roleCallTimeout = time.Second
 	// orderCandidates is the number of engines asked per engine to change: some may have crashed or
@@ -128,29 +135,44 @@
 		case <-ticker.C:
 		}
 		if !observed && (c.MayLead == nil || c.MayLead()) {
-			c.observeHolders(ctx)
-			observed = true
+			observed = c.observeHolders(ctx)
 		}
-		for _, d := range g.dispatchers.ofModels() {
+		for _, d := range g.modelDispatchers() {
 			c.reconcile(ctx, d)
 		}
 	}
 }
 
+// modelDispatchers returns the dispatchers of all configured model services. Requests for a service may
+// all arrive at other instances than the one that changes its engines.
+func (g *Gateway) modelDispatchers() (out []*dispatcher) {
+	index := g.state.Index()
+	if index == nil {
+		return nil
+	}
+	for _, service := range index.Set().Services {
+		if service.Kind != object.KindPlain {
+			out = append(out, g.dispatchers.get(&service))
+		}
+	}
+	return out
+}
+
 // observeHolders records the current lease holders. The earlier a holder's last renewal is
-// observed, the sooner it can be replaced after it is gone.
-func (c *roleController) observeHolders(ctx context.Context) {
+// observed, the sooner it can be replaced after it is gone. It returns false if they cannot be read.
+func (c *roleController) observeHolders(ctx context.Context) bool {
 	call, cancel := context.WithTimeout(ctx, roleCallTimeout)
 	defer cancel()
 	records, next, err := c.Log.Newest(call, port.TopicRoles)
 	if err != nil {
 		c.gateway.log.Info("cannot read role lease holders", zap.Error(err))
-		return
+		return false
 	}
 	c.era, c.eraKnown = port.EraOf(next), true
 	for _, record := range records {
 		c.canTakeOver(record)
 	}
+	return true
 }
 
 // reconcile changes engines of a service if enough consecutive checks have called for it.
@@ -158,30 +180,60 @@
 	if boottime.Now() < c.pausedUntil[d.service] || c.gateway.shutdown.started() {
 		return
 	}
-	to, count := c.desiredChange(d)
-	if count == 0 || !c.IsLeader(d.service) {
+	change := c.desiredChange(d)
+	if change.count == 0 || !c.IsLeader(d.service) {
 		c.confirmations[d.service] = 0
 		return
 	}
-	if c.confirmations[d.service]++; c.confirmations[d.service] < roleConfirmations {
+	if c.confirmations[d.service]++; c.confirmations[d.service] < change.confirmations() {
 		return
 	}
-	c.confirmations[d.service] = 0
 	work := d.workload()
-	c.gateway.log.Info("role change planned", zap.String("service", d.service), zap.Stringer("to", to), zap.Int("engines", count),
-		zap.Float64("samples", work.Samples), zap.Float64("prompt_tokens", work.MeanPrompt), zap.Float64("prefill_tokens_per_s", work.PrefillSpeed),
-		zap.Float64("decode_engine_s", work.MeanDecodeWork))
-	if err := c.applyChange(ctx, d, to, count); err != nil {
-		c.pausedUntil[d.service] = boottime.Now() + takeoverLeases*c.Lease
-		if errors.Is(err, errEraNotSettled) {
-			c.pausedUntil[d.service] = c.eraSettled
-		}
-		c.gateway.log.Info("role change failed", zap.String("service", d.service), zap.Stringer("to", to), zap.Error(err))
+	c.gateway.log.Info("role change planned", zap.String("service", d.service), zap.Stringer("to", change.to), zap.Int("engines", change.count),
+		zap.Bool("role_missing", change.roleMissing), zap.Float64("samples", work.Samples), zap.Float64("prompt_tokens", work.MeanPrompt),
+		zap.Float64("prefill_tokens_per_s", work.PrefillSpeed), zap.Float64("decode_engine_s", work.MeanDecodeWork))
+	err := c.applyChange(ctx, d, change)
+	if !errors.Is(err, errHeldByOther) && !errors.Is(err, errEraNotSettled) {
+		c.confirmations[d.service] = 0
+	}
+	if err != nil {
+		c.pausedUntil[d.service] = boottime.Now() + c.pauseAfter(d.service, change, err)
+		c.gateway.log.Info("role change failed", zap.String("service", d.service), zap.Stringer("to", change.to), zap.Error(err))
+	}
+}
+
+// pauseAfter returns how long no change is made after one failed.
+func (c *roleController) pauseAfter(service string, change roleChange, err error) time.Duration {
+	switch {
+	case errors.Is(err, errEraNotSettled):
+		return c.eraSettled - boottime.Now()
+	case errors.Is(err, errHeldByOther):
+		return c.observed[service].firstSeen + takeoverLeases*c.Lease - boottime.Now()
+	case change.roleMissing:
+		return missingRolePause
+	default:
+		return takeoverLeases * c.Lease
+	}
+}
+
+// roleChange is a number of engines that should change their role.
+type roleChange struct {
+	to    upstream.Role
+	count int
+	// roleMissing is set if the change follows from a role without engines, and not from
+	// measurements.
+	roleMissing bool
+}
+
+func (r roleChange) confirmations() int {
+	if r.roleMissing {
+		return missingRoleConfirmations
 	}
+	return roleConfirmations
 }
 
 // desiredChange returns how many engines should change, and to which role.
-func (c *roleController) desiredChange(d *dispatcher) (to upstream.Role, count int) {
+func (c *roleController) desiredChange(d *dispatcher) (change roleChange) {
 	prefill, decode := 0, 0
 	entries := c.gateway.state.Directory.Service(d.service)
 	ended := endedRuns(entries)
@@ -194,15 +246,14 @@
 			decode++
 		}
 	}
-	want, ok := d.desiredPrefill(prefill+decode, prefill)
-	switch {
-	case !ok:
-		return 0, 0
-	case want > prefill:
-		return upstream.Prefill, want - prefill
-	default:
-		return upstream.Decode, prefill - want
+	want, measured := d.desiredPrefill(prefill+decode, prefill)
+	if !measured {
+		want = split.BothRoles(prefill+decode, prefill)
 	}
+	if want > prefill {
+		return roleChange{to: upstream.Prefill, count: want - prefill, roleMissing: !measured}
+	}
+	return roleChange{to: upstream.Decode, count: prefill - want, roleMissing: !measured}
 }
 
 // endedRuns returns the entries whose process has ended, since a later run is listed at the same address. An
@@ -226,7 +277,8 @@
 }
 
 // applyChange acquires the lease and gives the orders.
-func (c *roleController) applyChange(ctx context.Context, d *dispatcher, to upstream.Role, count int) error {
+func (c *roleController) applyChange(ctx context.Context, d *dispatcher, change roleChange) error {
+	to, count := change.to, change.count
 	token, until, err := c.acquireLease(ctx, d.service)
 	if err != nil {
 		return err
@@ -236,11 +288,16 @@
 	if to == upstream.Decode {
 		from, pool = upstream.Prefill, d.prefill
 	}
+	d.sync()
 	entries := c.gateway.state.Directory.Service(d.service)
 	ejected := union(c.gateway.outliers.ejected(entries), endedRuns(entries))
 	excluded := union(union(ejected, c.gateway.unavailableUpstreams(d.service)), map[string]bool{})
 	ordered, lastErr := 0, fmt.Errorf("no %s engine can change", from)
-	for attempt := 0; ordered < count && attempt < orderCandidates*count; attempt++ {
+	candidates := orderCandidates * count
+	if change.roleMissing {
+		candidates = len(entries)
+	}
+	for attempt := 0; ordered < count && attempt < candidates; attempt++ {
 		entry, ok := pool.leastLoaded(excluded)
 		if !ok {
 			break
@@ -250,6 +307,10 @@
 		if errors.Is(err, errLeaseExpired) {
 			return err
 		}
+		if change.roleMissing && errors.Is(err, errRoleChanging) {
+			// An order of an earlier holder may be providing the missing role.
+			return nil
+		}
 		if err != nil {
 			c.gateway.log.Info("engine skipped for role change", zap.String("service", d.service), zap.String("upstream", entry.ID), zap.Error(err))
 			lastErr = err
@@ -263,8 +324,11 @@
 	return nil
 }
 
-// errLeaseExpired means that this instance may give no more orders.
-var errLeaseExpired = errors.New("the lease has expired")
+var (
+	// errLeaseExpired means that this instance may give no more orders.
+	errLeaseExpired = errors.New("the lease has expired")
+	errRoleChanging = errors.New("the engine is already changing its role")
+)
 
 // roleOrder is an order to change one engine, with its preconditions.
 type roleOrder struct {
@@ -285,7 +349,7 @@
 		return err
 	}
 	if state.Busy || state.Role != from {
-		return errors.New("the engine is already changing its role")
+		return errRoleChanging
 	}
 	if boottime.Now() >= until {
 		// Another instance may hold the lease by now if this machine was suspended or slow.
--- a/gateway/roles_test.go
+++ b/gateway/roles_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -108,12 +109,12 @@
 	crashed, _ := d.prefill.leastLoaded(nil)
 	engines := &fakeEngines{state: EngineState{Role: upstream.Prefill}, unreachable: crashed.ID}
 	c := newRoleController(gw, &memoryLog{}, engines, "a")
-	assert.NilError(t, c.applyChange(t.Context(), d, upstream.Decode, 1))
+	assert.NilError(t, c.applyChange(t.Context(), d, roleChange{to: upstream.Decode, count: 1}))
 	assert.Equal(t, len(engines.orders), 1)
 	// An engine that failed other requests is not asked.
 	gw.gateway.outliers.recordFailure(crashed)
 	engines.stateReads = nil
-	assert.NilError(t, c.applyChange(t.Context(), d, upstream.Decode, 1))
+	assert.NilError(t, c.applyChange(t.Context(), d, roleChange{to: upstream.Decode, count: 1}))
 	assert.Equal(t, len(engines.stateReads), 1)
 	assert.Assert(t, engines.stateReads[0] != crashed.ID)
 }
@@ -125,7 +126,7 @@
 	engines := &fakeEngines{state: EngineState{Role: upstream.Prefill, Orders: 3}}
 	d := modelDispatcher(gw)
 	c := newRoleController(gw, &memoryLog{}, engines, "a")
-	assert.NilError(t, c.applyChange(t.Context(), d, upstream.Decode, 1))
+	assert.NilError(t, c.applyChange(t.Context(), d, roleChange{to: upstream.Decode, count: 1}))
 	assert.DeepEqual(t, engines.orders, []Order{{Role: upstream.Decode, Holder: "a", Token: 1, Expect: 3}})
 	assert.Equal(t, len(d.prefill.withdrawn), 1)
 	var changing string
@@ -214,15 +215,15 @@
 	d := modelDispatcher(gw)
 	engines := &fakeEngines{state: EngineState{Role: upstream.Prefill}, err: verdict.Fail(verdict.MayHaveRun, verdict.ReasonTimeout, nil, "no answer")}
 	c := newRoleController(gw, &memoryLog{}, engines, "a")
-	assert.NilError(t, c.applyChange(t.Context(), d, upstream.Decode, 1))
+	assert.NilError(t, c.applyChange(t.Context(), d, roleChange{to: upstream.Decode, count: 1}))
 	assert.Assert(t, c.pausedUntil[d.service] > boottime.Now()+unansweredOrderPause/2)
 	assert.Equal(t, len(d.prefill.withdrawn), 1)
 	refusing := &fakeEngines{state: EngineState{Role: upstream.Prefill}, err: verdict.Refuse(verdict.ReasonUpstreamRefused, 0, "no")}
 	c = newRoleController(gw, &memoryLog{}, refusing, "a")
-	assert.NilError(t, c.applyChange(t.Context(), d, upstream.Decode, 1))
+	assert.NilError(t, c.applyChange(t.Context(), d, roleChange{to: upstream.Decode, count: 1}))
 	assert.Equal(t, len(d.prefill.withdrawn), 1, "an engine that refused the order remains in service")
 	busy := &fakeEngines{state: EngineState{Role: upstream.Prefill, Busy: true}}
-	assert.Assert(t, newRoleController(gw, &memoryLog{}, busy, "a").applyChange(t.Context(), d, upstream.Decode, 1) != nil)
+	assert.Assert(t, newRoleController(gw, &memoryLog{}, busy, "a").applyChange(t.Context(), d, roleChange{to: upstream.Decode, count: 1}) != nil)
 	assert.Equal(t, len(busy.orders), 0)
 }
 
@@ -292,3 +293,85 @@
 	entries := []upstream.Entry{run("new", "1", 20), run("old", "1", 10), run("older", "1", 5), run("first", "2", 10), run("second", "2", 20), run("other", "3", 1), run("a", "4", 7), run("b", "4", 7)}
 	assert.DeepEqual(t, endedRuns(entries), map[string]bool{"old": true, "older": true, "first": true})
 }
+
+// modelFleet returns a controller of a fleet whose model service has the given engines, and which has served nothing.
+func modelFleet(t *testing.T, prefill, decode int) (*testGateway, *roleController, *fakeEngines) {
+	t.Helper()
+	gw := newTestGateway(t)
+	for _, e := range gw.state.Directory.Service("model") {
+		gw.state.Directory.Remove(e.ID)
+	}
+	for n := range prefill + decode {
+		role := upstream.Prefill
+		if n >= prefill {
+			role = upstream.Decode
+		}
+		gw.state.Directory.Put(upstream.Entry{ID: fmt.Sprint("e", n), Service: "model", Address: fmt.Sprint("1.2.3.5:", n), Role: role, Slots: 4})
+	}
+	engines := &fakeEngines{}
+	return gw, newRoleController(gw, &memoryLog{}, engines, "a"), engines
+}
+
+// Guards against a role that stays without engines at an instance that has measured nothing and got no requests, and
+// against orders while entries may be missing only because the store was unavailable.
+func TestMissingRoleNeedsNoMeasurements(t *testing.T) {
+	cases := []struct {
+		prefill, decode int
+		to              upstream.Role
+		orders          int
+	}{
+		{3, 0, upstream.Decode, 1}, {1, 0, upstream.Decode, 1}, {0, 3, upstream.Prefill, 1}, {0, 1, 0, 0}, {1, 1, 0, 0}, {8, 1, 0, 0},
+	}
+	for _, k := range cases {
+		gw, c, engines := modelFleet(t, k.prefill, k.decode)
+		engines.state = EngineState{Role: upstream.Prefill}
+		if k.to == upstream.Prefill {
+			engines.state.Role = upstream.Decode
+		}
+		for range missingRoleConfirmations - 1 {
+			for _, d := range gw.gateway.modelDispatchers() {
+				c.reconcile(t.Context(), d)
+			}
+		}
+		assert.Equal(t, len(engines.orders), 0)
+		for range 3 {
+			for _, d := range gw.gateway.modelDispatchers() {
+				c.reconcile(t.Context(), d)
+			}
+		}
+		assert.Equal(t, len(engines.orders), k.orders, "%d prefill, %d decode", k.prefill, k.decode)
+		if k.orders > 0 {
+			assert.Equal(t, engines.orders[0].Role, k.to)
+		}
+	}
+}
+
+// Guards against a second engine that is taken from a role while the first, ordered by an instance that has ended, is
+// still changing.
+func TestMissingRoleWaitsForAnEarlierOrder(t *testing.T) {
+	gw, c, engines := modelFleet(t, 2, 0)
+	engines.state = EngineState{Role: upstream.Prefill, Busy: true}
+	for range 2 * missingRoleConfirmations {
+		c.reconcile(t.Context(), modelDispatcher(gw))
+	}
+	assert.Equal(t, len(engines.stateReads), 1)
+	assert.Equal(t, len(engines.orders), 0)
+}
+
+// Guards against a takeover that waits a full period from the attempt that failed, and not from when the holder was seen.
+func TestTakeoverIsTriedWhenTheHolderMayBeReplaced(t *testing.T) {
+	gw, c, _ := modelFleet(t, 3, 0)
+	d := modelDispatcher(gw)
+	log := &memoryLog{}
+	_, _, err := newRoleController(gw, log, &fakeEngines{}, "ended").acquireLease(t.Context(), d.service)
+	assert.NilError(t, err)
+	c.Log = log
+	assert.Assert(t, c.observeHolders(t.Context()))
+	seen := boottime.Now() - takeoverLeases*c.Lease + c.Lease/2
+	c.observed[d.service] = holderObservation{c.observed[d.service].position, seen}
+	for range missingRoleConfirmations {
+		c.reconcile(t.Context(), d)
+	}
+	assert.Assert(t, c.pausedUntil[d.service] <= seen+takeoverLeases*c.Lease, "the next attempt is %v late", c.pausedUntil[d.service]-seen-takeoverLeases*c.Lease)
+	assert.Assert(t, c.confirmations[d.service] >= missingRoleConfirmations, "the change must be confirmed again")
+}
--- a/instance/routed/drill_test.go
+++ b/instance/routed/drill_test.go
@@ -73,14 +73,6 @@
 	return d.store.Calls() - before
 }
 
-// endAll ends all instances.
-func (d *drill) endAll() {
-	for _, i := range d.instances {
-		i.stop()
-	}
-	d.instances = nil
-}
-
 // start starts an instance of the fleet that has run before, and waits until it serves.
 func (d *drill) start(t *testing.T, name, key string) {
 	t.Helper()
--- /dev/null
+++ b/instance/routed/missing_role_test.go
@@ -0,0 +1,113 @@
+package routed_test
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cairnworks/cairnworks/platform/standin"
+)
+
+// restoreLimit is several times the time in which a fleet that has just started orders an engine to a missing role.
+const restoreLimit = 60 * time.Second
+
+// endAll ends all instances at once.
+func (f *partitionFleet) endAll() {
+	for _, i := range f.instances {
+		go i.stop()
+	}
+	for _, i := range f.instances {
+		i.stop()
+	}
+	f.instances = nil
+}
+
+// lose ends all engines of a stage for good.
+func (f *partitionFleet) lose(stage string) {
+	for _, e := range f.stage(stage) {
+		e.Lose()
+		f.running = slices.DeleteFunc(f.running, func(other *standin.Engine) bool { return other == e })
+	}
+}
+
+// startAll starts instances of a fleet that has run before.
+func (f *partitionFleet) startAll(t *testing.T, names ...string) {
+	t.Helper()
+	for _, name := range names {
+		f.startInstance(t, name, false)
+	}
+}
+
+// serves reports whether all instances serve requests of a kind.
+func (f *partitionFleet) serves(prefix string, kind standin.Kind) bool {
+	for _, i := range f.instances {
+		if status, _ := i.send(fmt.Sprintf("%s-%s-%d", prefix, i.settings.Instance, time.Now().UnixNano()), kind); status != http.StatusOK {
+			return false
+		}
+	}
+	return true
+}
+
+// Guards against a stage that stays without engines because the instances that measured the requests have ended: the
+// last engine of either stage is lost, and all instances end before, while or after another one is ordered to it.
+func TestRoleWithoutEnginesIsRestored(t *testing.T) {
+	names := []string{"i0", "i1", "i2"}
+	stages := map[string][]string{
+		standin.StageDecode:  {standin.StagePrefill, standin.StagePrefill, standin.StageDecode},
+		standin.StagePrefill: {standin.StagePrefill, standin.StageDecode, standin.StageDecode},
+	}
+	restarts := map[string]func(t *testing.T, f *partitionFleet){
+		"all at once": func(t *testing.T, f *partitionFleet) {
+			f.endAll()
+			f.startAll(t, names...)
+		},
+		"after the entry is removed": func(t *testing.T, f *partitionFleet) {
+			time.Sleep(4 * time.Second)
+			f.endAll()
+			f.startAll(t, names...)
+		},
+		"by other instances": func(t *testing.T, f *partitionFleet) {
+			f.endAll()
+			f.startAll(t, "j0", "j1", "j2")
+		},
+		"in series": func(t *testing.T, f *partitionFleet) {
+			for _, name := range names {
+				i := f.instances[0]
+				f.instances = f.instances[1:]
+				i.stop()
+				f.startInstance(t, name, false)
+			}
+			for n := range 3 {
+				time.Sleep(time.Duration(2*n) * time.Second)
+				f.endAll()
+				f.startAll(t, names...)
+			}
+		},
+	}
+	for lost, initial := range stages {
+		for name, restart := range restarts {
+			t.Run(lost+", "+name, func(t *testing.T) {
+				t.Parallel()
+				f := newFleet(t, len(names), map[string][]string{standin.ModelService: initial})
+				waitFor(t, func() bool { return f.serves("before", standin.Draft) })
+				f.lose(lost)
+				restart(t, f)
+				waitUpTo(t, restoreLimit, func() bool {
+					return f.serves("after", standin.Draft) && len(f.stage(standin.StagePrefill)) == 1 && len(f.stage(standin.StageDecode)) == 1
+				})
+			})
+		}
+	}
+}
+
+// Guards against a lone engine that is ordered to the stage in which it serves nothing, or left there.
+func TestLoneEngineDecodes(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, map[string][]string{standin.ModelService: {standin.StagePrefill}})
+	waitUpTo(t, restoreLimit, func() bool { return f.serves("lone", standin.Draft) })
+	assert.Equal(t, len(f.stage(standin.StageDecode)), 1)
+}
--- a/instance/routed/partition_test.go
+++ b/instance/routed/partition_test.go
@@ -145,13 +145,18 @@
 
 func waitFor(t *testing.T, condition func() bool) {
 	t.Helper()
-	for range 1000 {
+	waitUpTo(t, 10*time.Second, condition)
+}
+
+// waitUpTo waits until a condition is met, and fails the test after a limit.
+func waitUpTo(t *testing.T, limit time.Duration, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		if condition() {
 			return
 		}
-		time.Sleep(10 * time.Millisecond)
 	}
-	t.Fatal("the condition was not met within 10 s")
+	t.Fatalf("the condition was not met within %v", limit)
 }
 
 // send sends one request to an instance and returns the status and what is wrong with the answer.
