Quotas: what is charged without asking is bounded, and reports name empty buckets

Cause: requests below a fiftieth of the burst were charged to the home without asking unless its bucket was known to be empty. In a small fleet that was told by answers to polls only, every 2 s for 1 s; at the home itself it was not looked at without quota_order; a refusal was not remembered. Nothing bounded what was charged before the news came.

Change: an instance charges without asking at 1.2 times its equal share of the rate, with its share of a quarter of the burst, or one request; beyond that it asks. The home looks at its own bucket. Reports name empty buckets, each every 0.2 s, and a refusal counts as news. Unasked charges so exceed the refill by a fifth at most, whatever the load.

TestSmallRequestsAreChargedAfterwards demanded that 200 requests of 2 M tokens, twice the burst, pass at once, which is the fault. It now demands that 200 requests within the quota pass without asking, that they are charged, and that those beyond the share ask.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -214,6 +214,9 @@
 	g.dispatchers.addReport(r)
 	g.crashes.addReport(now, r, true)
 	g.statements.fillReport(now, r)
+	if g.quotas != nil {
+		g.quotas.FillReport(now, r)
+	}
 }
 
 // offered returns what this instance does for others.
--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -16,13 +16,11 @@
 
 // Limits and timings of quotas.
 const (
-	// uncheckedBurstRatio is the fraction of the burst up to which a request is charged without
-	// asking the home. Such a request is small compared with a bucket's allowed overdraft, and its
-	// caller waits only milliseconds.
-	uncheckedBurstRatio = 0.02
-	// emptyBucketTTL is how long the home is asked even for such a small request after the
-	// organisation's bucket was reported empty.
+	// emptyBucketTTL is how long the home is asked even for a small request after the organisation's
+	// bucket was reported empty.
 	emptyBucketTTL = time.Second
+	// emptyReportInterval is the interval at which an empty bucket is reported.
+	emptyReportInterval = 200 * time.Millisecond
 	// unansweredQuotaRetry is the Retry-After if the home does not answer. By then another one has
 	// been chosen.
 	unansweredQuotaRetry = 300 * time.Millisecond
@@ -102,6 +100,10 @@
 	// emptyUntil holds the organisations with empty buckets and until when the buckets are assumed
 	// to be empty.
 	emptyUntil map[fleet.Hash]time.Duration
+	// emptyReported holds the organisations with empty buckets here and when that was last reported.
+	emptyReported map[fleet.Hash]time.Duration
+	// unchecked bounds what this instance charges without asking.
+	unchecked *escrow.Allowances
 	// recentGrants holds recent answers by the ID of the ask.
 	recentGrants map[uint64]recentGrant
 }
@@ -124,7 +126,8 @@
 		now: now, bound: bound, self: fleet.Hub{Name: self.Name, Run: fleet.RunOf(self.Name, self.Incarnation)},
 		distributor: escrow.NewCreditSource(now()), home: escrow.NewHome(now()), limits: make(map[fleet.Hash]escrow.Limit),
 		upstreams: make(map[fleet.Hash]upstreamBucket),
-		bills:     make(map[fleet.Run]map[fleet.Hash]*bill), emptyUntil: make(map[fleet.Hash]time.Duration), recentGrants: make(map[uint64]recentGrant),
+		bills:     make(map[fleet.Run]map[fleet.Hash]*bill), emptyUntil: make(map[fleet.Hash]time.Duration),
+		emptyReported: make(map[fleet.Hash]time.Duration), unchecked: escrow.NewAllowances(), recentGrants: make(map[uint64]recentGrant),
 	}
 }
 
@@ -264,17 +267,22 @@
 	if limit.Rate <= 0 {
 		return q.self, true
 	}
-	if float64(tokens) > uncheckedBurstRatio*limit.Burst || q.now() < q.emptyUntil[org] {
-		return fleet.Hub{}, false
-	}
 	home, known := q.homeOf(org)
-	if q.inOrder && home == q.self && q.home.Short(uint64(org)) {
+	if !known || !limit.IsSmall(tokens) || q.mustAsk(home, org, limit, tokens) {
 		return fleet.Hub{}, false
 	}
-	if known {
-		q.addToBill(home, org, tokens)
+	q.addToBill(home, org, tokens)
+	return home, true
+}
+
+// mustAsk reports whether the home must be asked even for a small request. The caller must hold the lock.
+func (q *Quotas) mustAsk(home fleet.Hub, org fleet.Hash, limit escrow.Limit, tokens int64) bool {
+	if home == q.self {
+		return q.home.Short(uint64(org))
 	}
-	return home, known
+	now := q.now()
+	instances, _ := q.network.Size().Instances()
+	return now < q.emptyUntil[org] || !q.unchecked.Take(now, uint64(org), limit, tokens, instances)
 }
 
 // addToBill charges tokens to a bucket. The caller must hold the lock.
@@ -330,7 +338,7 @@
 		}
 		return QuotaDecision{Unanswered: true, Retry: unansweredQuotaRetry, Home: home.Name}
 	}
-	if q.inOrder && !g.Granted && !a.Upstream {
+	if !g.Granted && !g.Unknown && !a.Upstream {
 		// Small requests of the organisation ask too from now on.
 		q.mu.Lock()
 		q.emptyUntil[a.Organisation] = q.now() + emptyBucketTTL
@@ -434,6 +442,21 @@
 	}
 }
 
+// FillReport adds the organisations whose buckets are empty at this instance, unless that was reported
+// lately.
+func (q *Quotas) FillReport(now time.Duration, r *fleet.Report) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.distributeOwn(now)
+	for _, exhausted := range q.home.Exhausted() {
+		org := fleet.Hash(exhausted)
+		if last, reported := q.emptyReported[org]; !reported || now-last >= emptyReportInterval {
+			q.emptyReported[org] = now
+			r.Short = append(r.Short, org)
+		}
+	}
+}
+
 // FillPollAnswer adds the organisations whose buckets are empty at this instance.
 func (q *Quotas) FillPollAnswer(r *fleet.Report) {
 	q.mu.Lock()
@@ -489,6 +512,12 @@
 			delete(q.emptyUntil, org)
 		}
 	}
+	for org, last := range q.emptyReported {
+		if now-last > emptyBucketTTL {
+			delete(q.emptyReported, org)
+		}
+	}
+	q.unchecked.Sweep(now)
 	ended := func(run escrow.Run) bool { return !known(fleet.Run(run)) && fleet.Run(run) != q.self.Run }
 	q.distributor.Forget(ended)
 	for run := range q.bills {
--- a/gateway/quota_test.go
+++ b/gateway/quota_test.go
@@ -123,22 +123,36 @@
 	assert.Equal(t, d.Home, f.homeOf("wide").hub.Name)
 }
 
-// Guards against small requests that each need a round trip to the home, or that are not charged
+// Guards against small requests within the quota that each need a round trip to the home, or that are not charged
 // there.
 func TestSmallRequestsAreChargedAfterwards(t *testing.T) {
 	f := newQuotaFleet(4)
 	m, home := f.other("wide"), f.homeOf("wide")
+	small := QuotaRequest{Organisation: "wide", Tokens: 10_000}
 	home.unresponsive = true
-	for range 200 {
-		assert.Assert(t, m.Take(t.Context(), QuotaRequest{Organisation: "wide", Tokens: 10_000}).Admitted)
+	for range 100 {
+		for range 2 {
+			assert.Assert(t, m.Take(t.Context(), small).Admitted)
+		}
+		f.run(100 * time.Millisecond)
 	}
 	assert.Assert(t, len(m.suspects) == 0, "no home was asked")
+	level := home.HandleAsk(f.now, fleet.Ask{ID: 1 << 32, Organisation: fleet.HashOf("wide")}).Level
+	assert.Assert(t, home.HandleAsk(f.now, fleet.Ask{ID: 1 << 33, Organisation: fleet.HashOf("wide"), Tokens: int64(level)}).Granted)
+	charged := 0
+	for ; m.Take(t.Context(), small).Admitted; charged++ {
+		assert.Assert(t, len(m.suspects) == 0)
+	}
+	assert.Assert(t, charged > 0 && m.suspects[home.hub.Name], "requests beyond the instance's share ask")
+	clear(m.suspects)
 	home.unresponsive = false
-	f.run(200 * time.Millisecond)
-	d := m.Take(t.Context(), QuotaRequest{Organisation: "wide", Tokens: 10_000})
-	assert.Assert(t, !d.Admitted, "the bucket is reported empty")
-	f.run(2500 * time.Millisecond)
-	assert.Assert(t, m.Take(t.Context(), QuotaRequest{Organisation: "wide", Tokens: 10_000}).Admitted)
+	f.run(100 * time.Millisecond)
+	after := home.HandleAsk(f.now, fleet.Ask{ID: 1 << 34, Organisation: fleet.HashOf("wide")}).Level
+	assert.Assert(t, after <= 200_000-float64(charged)*10_000, "%.0f tokens after %d requests", after, charged)
+	f.run(5 * time.Second)
+	asks := f.asks
+	assert.Assert(t, m.Take(t.Context(), small).Admitted)
+	assert.Equal(t, f.asks, asks, "the bucket has tokens again")
 }
 
 // Guards against an organisation losing the tokens of requests that did not run.
