Callers: changed limits apply at once, also to kept connections

Cause: http.Server takes its limits once, from fields that must not change while it serves. They were set from the configuration known when the process began to listen, or from the defaults if the store did not answer within 2 s.

Change: the server has no limits of its own; a wrapper of callers' connections counts the bytes of heads and sets the deadlines of heads and idle connections by the configuration in force, also on open connections when it changes. Missing limits have their defaults.

--- a/instance/routed/readers.go
+++ b/instance/routed/readers.go
@@ -245,13 +245,11 @@
 		return false
 	}
 	i.quotas.SetLimits(index)
-	i.mu.Lock()
-	if c.Limits.HeaderBytes > 0 {
-		i.requestLimits = c.Limits
-	}
-	i.mu.Unlock()
+	limits := c.Limits.withDefaults()
+	i.callers.setLimits(limits)
 	i.log.Info("configuration applied", zap.Uint64("version", c.Version), zap.Uint64("offset", port.OffsetOf(record.Offset)),
-		zap.Int("routes", len(c.Set.Routes)), zap.Int("keys", len(c.Set.Keys)), zap.Int("bytes", len(record.Value)), zap.Duration("took", boottime.Now()-start))
+		zap.Int("routes", len(c.Set.Routes)), zap.Int("keys", len(c.Set.Keys)), zap.Int("bytes", len(record.Value)),
+		zap.Int("header_bytes", limits.HeaderBytes), zap.Duration("header_timeout", limits.HeaderTimeout), zap.Duration("idle_timeout", limits.IdleTimeout), zap.Duration("took", boottime.Now()-start))
 	return true
 }
 
--- a/instance/routed/routed.go
+++ b/instance/routed/routed.go
@@ -60,12 +60,6 @@
 	Limits  RequestLimits
 }
 
-// RequestLimits limits the size and duration of callers' requests.
-type RequestLimits struct {
-	HeaderBytes                int
-	HeaderTimeout, IdleTimeout time.Duration
-}
-
 const (
 	// memoryLimitFraction is the fraction of the process's memory that is set as the memory limit
 	// of the Go runtime. The rest is for memory that the limit does not cover: socket buffers,
@@ -94,9 +88,6 @@
 	sweepInterval = time.Second
 )
 
-// defaultRequestLimits apply until a configuration sets others.
-var defaultRequestLimits = RequestLimits{HeaderBytes: 16 << 10, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
-
 // Instance is one running instance.
 type Instance struct {
 	settings settings.Routed
@@ -118,16 +109,18 @@
 	// loggedHubs are the names of the hubs that were logged last.
 	loggedHubs []string
 
-	mu            sync.Mutex
-	requestLimits RequestLimits
-	draining      bool
+	// callers holds the connections of callers.
+	callers *callerConns
+
+	mu       sync.Mutex
+	draining bool
 }
 
 // New creates an instance, which Run starts.
 func New(s settings.Routed, adapters Adapters, log *zap.Logger) (*Instance, error) {
 	metrics := observe.NewMetrics()
 	adapters.Log = &instrumentedLog{adapters.Log, metrics}
-	i := &Instance{settings: s, adapters: adapters, log: log, metrics: metrics, createdAt: time.Now(), requestLimits: defaultRequestLimits}
+	i := &Instance{settings: s, adapters: adapters, log: log, metrics: metrics, createdAt: time.Now(), callers: newCallerConns()}
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryLimitFraction * 1e6))
 	}
@@ -294,10 +287,12 @@
 	i.serveMetrics(group)
 	i.log.Info("started", zap.String("instance", i.settings.Instance), zap.String("data_centre", i.settings.DataCentre),
 		zap.String("callers", i.settings.Callers), zap.Bool("first_start", i.settings.FirstStart))
-	server := i.callerServer(ctx)
+	i.awaitState(ctx)
+	server := i.callers.server(i.gateway)
+	server.ErrorLog = zap.NewStdLog(i.log.WithOptions(zap.IncreaseLevel(zap.WarnLevel)))
 	gated := newGatedListener(callers, i.settings.MaxRefusedShare, i.metrics.CountRefusedConnection)
 	go gated.watchLoad(runCtx, i.log)
-	group.Go(func() error { return ignoreServerClosed(server.Serve(gated)) })
+	group.Go(func() error { return ignoreServerClosed(server.Serve(i.callers.listener(gated))) })
 	select {
 	case <-ctx.Done():
 	case <-runCtx.Done():
@@ -311,22 +306,14 @@
 	return nil
 }
 
-// callerServer returns the server for callers. It first waits up to completeTimeout for the state
-// that is required to handle requests, which includes the configuration with the request limits.
-func (i *Instance) callerServer(ctx context.Context) *http.Server {
+// awaitState waits up to completeTimeout for the state that is required to handle requests.
+func (i *Instance) awaitState(ctx context.Context) {
 	const completeTimeout = 2 * time.Second
 	select {
 	case <-i.state.Complete():
 	case <-ctx.Done():
 	case <-time.After(completeTimeout):
 	}
-	i.mu.Lock()
-	requestLimits := i.requestLimits
-	i.mu.Unlock()
-	return &http.Server{
-		Handler: i.gateway, ReadHeaderTimeout: requestLimits.HeaderTimeout, IdleTimeout: requestLimits.IdleTimeout, MaxHeaderBytes: requestLimits.HeaderBytes,
-		ErrorLog: zap.NewStdLog(i.log.WithOptions(zap.IncreaseLevel(zap.WarnLevel))),
-	}
 }
 
 // startBackground starts the goroutines that maintain the instance's state and report it.
