Roles: an engine whose change never ends is awaited once

With a role missing, an engine that is already changing ended each attempt, so that one that stays busy would keep all others from being ordered. Found by reading the change that introduced it.

TestMissingRoleWaitsForAnEarlierOrder now has such an engine; with the code before it ended without an order to another one. The controller has one constructor, which the tests use as well.

--- a/gateway/roles.go
+++ b/gateway/roles.go
@@ -106,6 +106,8 @@
 	confirmations map[string]int
 	pausedUntil   map[string]time.Duration
 	observed      map[string]holderObservation
+	// awaited holds the engines whose earlier change was awaited once in place of ordering another engine.
+	awaited map[string]bool
 	// era is the era of the store in which the leases were read last. Of its leases, those that may be missing in it
 	// have ended by eraSettled.
 	era        uint64
@@ -119,9 +121,16 @@
 	firstSeen time.Duration
 }
 
+func newRoleController(g *Gateway, o RoleOptions) *roleController {
+	return &roleController{
+		RoleOptions: o, gateway: g, confirmations: make(map[string]int), pausedUntil: make(map[string]time.Duration),
+		observed: make(map[string]holderObservation), awaited: make(map[string]bool),
+	}
+}
+
 // RunRoles checks the split of engines periodically until ctx ends.
 func (g *Gateway) RunRoles(ctx context.Context, o RoleOptions) error {
-	c := &roleController{RoleOptions: o, gateway: g, confirmations: make(map[string]int), pausedUntil: make(map[string]time.Duration), observed: make(map[string]holderObservation)}
+	c := newRoleController(g, o)
 	if !o.FirstStart {
 		c.eraSettled = boottime.Now() + o.Lease
 	}
@@ -307,8 +316,9 @@
 		if errors.Is(err, errLeaseExpired) {
 			return err
 		}
-		if change.roleMissing && errors.Is(err, errRoleChanging) {
+		if change.roleMissing && errors.Is(err, errRoleChanging) && !c.awaited[entry.ID] {
 			// An order of an earlier holder may be providing the missing role.
+			c.awaited[entry.ID] = true
 			return nil
 		}
 		if err != nil {
@@ -317,6 +327,7 @@
 			continue
 		}
 		ordered++
+		clear(c.awaited)
 	}
 	if ordered == 0 {
 		return lastErr
--- a/gateway/roles_test.go
+++ b/gateway/roles_test.go
@@ -87,11 +87,8 @@
 	return o.err
 }
 
-func newRoleController(gw *testGateway, log port.KeyedLog, engines EngineController, holder string) *roleController {
-	return &roleController{
-		RoleOptions: RoleOptions{Engines: engines, Log: log, Holder: holder, IsLeader: func(string) bool { return true }, Lease: time.Second, FirstStart: true},
-		gateway:     gw.gateway, confirmations: map[string]int{}, pausedUntil: map[string]time.Duration{}, observed: map[string]holderObservation{},
-	}
+func newTestRoles(gw *testGateway, log port.KeyedLog, engines EngineController, holder string) *roleController {
+	return newRoleController(gw.gateway, RoleOptions{Engines: engines, Log: log, Holder: holder, IsLeader: func(string) bool { return true }, Lease: time.Second, FirstStart: true})
 }
 
 func modelDispatcher(gw *testGateway) *dispatcher {
@@ -108,7 +105,7 @@
 	d := modelDispatcher(gw)
 	crashed, _ := d.prefill.leastLoaded(nil)
 	engines := &fakeEngines{state: EngineState{Role: upstream.Prefill}, unreachable: crashed.ID}
-	c := newRoleController(gw, &memoryLog{}, engines, "a")
+	c := newTestRoles(gw, &memoryLog{}, engines, "a")
 	assert.NilError(t, c.applyChange(t.Context(), d, roleChange{to: upstream.Decode, count: 1}))
 	assert.Equal(t, len(engines.orders), 1)
 	// An engine that failed other requests is not asked.
@@ -125,7 +122,7 @@
 	gw := newTestGateway(t)
 	engines := &fakeEngines{state: EngineState{Role: upstream.Prefill, Orders: 3}}
 	d := modelDispatcher(gw)
-	c := newRoleController(gw, &memoryLog{}, engines, "a")
+	c := newTestRoles(gw, &memoryLog{}, engines, "a")
 	assert.NilError(t, c.applyChange(t.Context(), d, roleChange{to: upstream.Decode, count: 1}))
 	assert.DeepEqual(t, engines.orders, []Order{{Role: upstream.Decode, Holder: "a", Token: 1, Expect: 3}})
 	assert.Equal(t, len(d.prefill.withdrawn), 1)
@@ -152,7 +149,7 @@
 	log := &memoryLog{}
 	engines := &fakeEngines{state: EngineState{Role: upstream.Prefill}}
 	d := modelDispatcher(gw)
-	first, second := newRoleController(gw, log, engines, "a"), newRoleController(gw, log, engines, "b")
+	first, second := newTestRoles(gw, log, engines, "a"), newTestRoles(gw, log, engines, "b")
 	_, _, err := first.acquireLease(t.Context(), d.service)
 	assert.NilError(t, err)
 	_, _, err = second.acquireLease(t.Context(), d.service)
@@ -174,7 +171,7 @@
 	gw := newTestGateway(t)
 	log := &memoryLog{}
 	d := modelDispatcher(gw)
-	first, second := newRoleController(gw, log, &fakeEngines{}, "a"), newRoleController(gw, log, &fakeEngines{}, "b")
+	first, second := newTestRoles(gw, log, &fakeEngines{}, "a"), newTestRoles(gw, log, &fakeEngines{}, "b")
 	second.observeHolders(t.Context())
 	held, _, err := first.acquireLease(t.Context(), d.service)
 	assert.NilError(t, err)
@@ -187,7 +184,7 @@
 	token, _, err := second.acquireLease(t.Context(), d.service)
 	assert.NilError(t, err)
 	assert.Assert(t, token > held, "token %d after %d", token, held)
-	late := newRoleController(gw, log, &fakeEngines{}, "c")
+	late := newTestRoles(gw, log, &fakeEngines{}, "c")
 	late.eraSettled = boottime.Now() + late.Lease
 	_, _, err = late.acquireLease(t.Context(), d.service)
 	assert.ErrorIs(t, err, errEraNotSettled, "an instance that has just started does not know what the store has lost")
@@ -198,13 +195,13 @@
 func TestExpiredLeaseHolderGivesNoOrder(t *testing.T) {
 	gw := newTestGateway(t)
 	engines := &fakeEngines{state: EngineState{Role: upstream.Prefill}}
-	c := newRoleController(gw, &memoryLog{}, engines, "a")
+	c := newTestRoles(gw, &memoryLog{}, engines, "a")
 	d := modelDispatcher(gw)
 	err := c.orderChange(t.Context(), d, leastLoadedOrder(d, upstream.Decode, 1, boottime.Now()))
 	assert.ErrorContains(t, err, "lease")
 	assert.Equal(t, len(engines.orders), 0)
 	// If the write's answer is lost, it is unknown whether this instance holds the lease.
-	_, _, err = newRoleController(gw, &memoryLog{loseAnswers: true}, engines, "a").acquireLease(t.Context(), d.service)
+	_, _, err = newTestRoles(gw, &memoryLog{loseAnswers: true}, engines, "a").acquireLease(t.Context(), d.service)
 	assert.Assert(t, err != nil)
 }
 
@@ -214,16 +211,16 @@
 	gw := newTestGateway(t)
 	d := modelDispatcher(gw)
 	engines := &fakeEngines{state: EngineState{Role: upstream.Prefill}, err: verdict.Fail(verdict.MayHaveRun, verdict.ReasonTimeout, nil, "no answer")}
-	c := newRoleController(gw, &memoryLog{}, engines, "a")
+	c := newTestRoles(gw, &memoryLog{}, engines, "a")
 	assert.NilError(t, c.applyChange(t.Context(), d, roleChange{to: upstream.Decode, count: 1}))
 	assert.Assert(t, c.pausedUntil[d.service] > boottime.Now()+unansweredOrderPause/2)
 	assert.Equal(t, len(d.prefill.withdrawn), 1)
 	refusing := &fakeEngines{state: EngineState{Role: upstream.Prefill}, err: verdict.Refuse(verdict.ReasonUpstreamRefused, 0, "no")}
-	c = newRoleController(gw, &memoryLog{}, refusing, "a")
+	c = newTestRoles(gw, &memoryLog{}, refusing, "a")
 	assert.NilError(t, c.applyChange(t.Context(), d, roleChange{to: upstream.Decode, count: 1}))
 	assert.Equal(t, len(d.prefill.withdrawn), 1, "an engine that refused the order remains in service")
 	busy := &fakeEngines{state: EngineState{Role: upstream.Prefill, Busy: true}}
-	assert.Assert(t, newRoleController(gw, &memoryLog{}, busy, "a").applyChange(t.Context(), d, roleChange{to: upstream.Decode, count: 1}) != nil)
+	assert.Assert(t, newTestRoles(gw, &memoryLog{}, busy, "a").applyChange(t.Context(), d, roleChange{to: upstream.Decode, count: 1}) != nil)
 	assert.Equal(t, len(busy.orders), 0)
 }
 
@@ -238,7 +235,7 @@
 		d.recordCompletion(&Call{PromptTokens: 5_000}, 100, 1000, 10*time.Second)
 	}
 	engines := &fakeEngines{state: EngineState{Role: upstream.Prefill}}
-	c := newRoleController(gw, &memoryLog{}, engines, "a")
+	c := newTestRoles(gw, &memoryLog{}, engines, "a")
 	c.reconcile(t.Context(), d)
 	assert.Equal(t, len(engines.orders), 0)
 	c.reconcile(t.Context(), d)
@@ -260,16 +257,16 @@
 	gw := newTestGateway(t)
 	log := &memoryLog{}
 	d := modelDispatcher(gw)
-	_, _, err := newRoleController(gw, log, &fakeEngines{}, "a").acquireLease(t.Context(), d.service)
+	_, _, err := newTestRoles(gw, log, &fakeEngines{}, "a").acquireLease(t.Context(), d.service)
 	assert.NilError(t, err)
-	other := newRoleController(gw, log, &fakeEngines{}, "b")
+	other := newTestRoles(gw, log, &fakeEngines{}, "b")
 	other.observeHolders(t.Context())
 	seen := other.observed[d.service]
 	seen.firstSeen -= takeoverLeases*time.Second + time.Millisecond
 	other.observed[d.service] = seen
 	_, _, err = other.acquireLease(t.Context(), d.service)
 	assert.NilError(t, err)
-	restarted := newRoleController(gw, log, &fakeEngines{}, "b")
+	restarted := newTestRoles(gw, log, &fakeEngines{}, "b")
 	_, _, err = restarted.acquireLease(t.Context(), d.service)
 	assert.NilError(t, err, "an earlier run of the same instance")
 }
@@ -309,7 +306,7 @@
 		gw.state.Directory.Put(upstream.Entry{ID: fmt.Sprint("e", n), Service: "model", Address: fmt.Sprint("1.2.3.5:", n), Role: role, Slots: 4})
 	}
 	engines := &fakeEngines{}
-	return gw, newRoleController(gw, &memoryLog{}, engines, "a"), engines
+	return gw, newTestRoles(gw, &memoryLog{}, engines, "a"), engines
 }
 
 // Guards against a role that stays without engines at an instance that has measured nothing and got no requests, and
@@ -347,15 +344,25 @@
 }
 
 // Guards against a second engine that is taken from a role while the first, ordered by an instance that has ended, is
-// still changing.
+// still changing, and against an engine whose change never ends.
 func TestMissingRoleWaitsForAnEarlierOrder(t *testing.T) {
-	gw, c, engines := modelFleet(t, 2, 0)
+	gw, c, engines := modelFleet(t, 3, 0)
 	engines.state = EngineState{Role: upstream.Prefill, Busy: true}
-	for range 2 * missingRoleConfirmations {
-		c.reconcile(t.Context(), modelDispatcher(gw))
+	check := func() {
+		for range missingRoleConfirmations {
+			c.reconcile(t.Context(), modelDispatcher(gw))
+		}
 	}
-	assert.Equal(t, len(engines.stateReads), 1)
+	check()
+	check()
+	assert.Equal(t, len(engines.stateReads), 1, "no engine is asked while one is changing")
 	assert.Equal(t, len(engines.orders), 0)
+	stuck := engines.stateReads[0]
+	engines.before = func() { engines.state.Busy = len(engines.stateReads)%2 == 1 }
+	c.pausedUntil[modelDispatcher(gw).service] = 0
+	check()
+	assert.Equal(t, engines.stateReads[1], stuck)
+	assert.Equal(t, len(engines.orders), 1, "another engine is ordered")
 }
 
 // Guards against a takeover that waits a full period from the attempt that failed, and not from when the holder was seen.
@@ -363,7 +370,7 @@
 	gw, c, _ := modelFleet(t, 3, 0)
 	d := modelDispatcher(gw)
 	log := &memoryLog{}
-	_, _, err := newRoleController(gw, log, &fakeEngines{}, "ended").acquireLease(t.Context(), d.service)
+	_, _, err := newTestRoles(gw, log, &fakeEngines{}, "ended").acquireLease(t.Context(), d.service)
 	assert.NilError(t, err)
 	c.Log = log
 	assert.Assert(t, c.observeHolders(t.Context()))
