--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -256,67 +256,6 @@
 	}
 }
 
-// chargeUnchecked charges a small request to its organisation's home without asking.
-func (q *Quotas) chargeUnchecked(org fleet.Hash, tokens int64) (fleet.Hub, bool) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	limit, known := q.limits[org]
-	if !known {
-		return fleet.Hub{}, false
-	}
-	if limit.Rate <= 0 {
-		return q.self, true
-	}
-	home, known := q.homeOf(org)
-	if !known || !limit.IsSmall(tokens) || q.mustAsk(home, org, limit, tokens) {
-		return fleet.Hub{}, false
-	}
-	q.addToBill(home, org, tokens)
-	return home, true
-}
-
-// mustAsk reports whether the home must be asked even for a small request. The caller must hold the lock.
-func (q *Quotas) mustAsk(home fleet.Hub, org fleet.Hash, limit escrow.Limit, tokens int64) bool {
-	if home == q.self {
-		return q.home.Short(uint64(org))
-	}
-	now := q.now()
-	instances, _ := q.network.Size().Instances()
-	return now < q.emptyUntil[org] || !q.unchecked.Take(now, uint64(org), limit, tokens, instances)
-}
-
-// addToBill charges tokens to a bucket. The caller must hold the lock.
-func (q *Quotas) addToBill(home fleet.Hub, org fleet.Hash, tokens int64) {
-	at, known := q.bills[home.Run]
-	if !known {
-		at = make(map[fleet.Hash]*bill)
-		q.bills[home.Run] = at
-	}
-	b, known := at[org]
-	if !known {
-		b = &bill{}
-		at[org] = b
-	}
-	b.tokens += tokens
-	b.reports = 0
-	if home == q.self {
-		q.home.Charge(escrow.Run(q.self.Run), uint64(org), b.tokens)
-	}
-}
-
-// Refund returns the tokens of a request that did not run.
-func (q *Quotas) Refund(organisation string, tokens int64) {
-	org := fleet.HashOf(organisation)
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if limit, known := q.limits[org]; !known || limit.Rate <= 0 {
-		return
-	}
-	if home, known := q.homeOf(org); known {
-		q.addToBill(home, org, -tokens)
-	}
-}
-
 // askHome asks the home of a bucket for tokens.
 func (q *Quotas) askHome(ctx context.Context, a fleet.Ask) QuotaDecision {
 	q.mu.Lock()
@@ -426,60 +365,6 @@
 	return out
 }
 
-// FillReportFor adds the receiver's shares of the rates and its bills to a report.
-func (q *Quotas) FillReportFor(now time.Duration, to fleet.Run, r *fleet.Report) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.distributeOwn(now)
-	if shards := q.shardsOf(to); len(shards) > 0 {
-		r.Shares = q.distributor.Transfer(escrow.Run(to), shards)
-	}
-	for org, b := range q.bills[to] {
-		if b.reports < billReports {
-			b.reports++
-			r.Bills = append(r.Bills, fleet.Bill{Organisation: org, Tokens: b.tokens})
-		}
-	}
-}
-
-// FillReport adds the organisations whose buckets are empty at this instance, unless that was reported
-// lately.
-func (q *Quotas) FillReport(now time.Duration, r *fleet.Report) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.distributeOwn(now)
-	for _, exhausted := range q.home.Exhausted() {
-		org := fleet.Hash(exhausted)
-		if last, reported := q.emptyReported[org]; !reported || now-last >= emptyReportInterval {
-			q.emptyReported[org] = now
-			r.Short = append(r.Short, org)
-		}
-	}
-}
-
-// FillPollAnswer adds the organisations whose buckets are empty at this instance.
-func (q *Quotas) FillPollAnswer(r *fleet.Report) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	for _, org := range q.home.Exhausted() {
-		r.Short = append(r.Short, fleet.Hash(org))
-	}
-}
-
-// ApplyReport applies another instance's shares, bills and list of empty buckets.
-func (q *Quotas) ApplyReport(now time.Duration, r *fleet.Report) {
-	from := escrow.Run(fleet.RunOf(r.Instance, r.Incarnation))
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.home.Receive(now, from, r.Shares)
-	for _, b := range r.Bills {
-		q.home.Charge(from, uint64(b.Organisation), b.Tokens)
-	}
-	for _, org := range r.Short {
-		q.emptyUntil[org] = now + emptyBucketTTL
-	}
-}
-
 // HandleAsk answers another instance's ask.
 func (q *Quotas) HandleAsk(now time.Duration, a fleet.Ask) fleet.Grant {
 	q.mu.Lock()
