Callers: a read that ends while a request is served keeps the phase

With requests sent together, a read that began while the connection was idle may end while the next request is served; the connection then counted as reading a head, and deadlines that the handler set had no effect. Found by reading the change.

TestReadThatEndsWhileServingKeepsThePhase failed before.

--- a/instance/routed/callerconn.go
+++ b/instance/routed/callerconn.go
@@ -159,6 +159,10 @@
 func (c *callerConn) enter(phase connPhase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.enterLocked(phase)
+}
+
+func (c *callerConn) enterLocked(phase connPhase) {
 	if c.phase == phase && !c.since.IsZero() {
 		return
 	}
@@ -205,15 +209,22 @@
 		p = p[:min(len(p), left)]
 	}
 	n, err := c.Conn.Read(p)
-	if n > 0 && inHead {
-		c.enter(readingHead)
-		c.mu.Lock()
-		c.headBytes += n
-		c.mu.Unlock()
+	if n > 0 {
+		c.countHead(n)
 	}
 	return n, err
 }
 
+// countHead counts bytes that were read of a head. A read that began before a request was served may end while it is.
+func (c *callerConn) countHead(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != serving {
+		c.enterLocked(readingHead)
+		c.headBytes += n
+	}
+}
+
 // refuseHead answers a request whose head is too large.
 func (c *callerConn) refuseHead() {
 	deadline := time.Now().Add(unreadHeadTime)
