--- a/instance/routed/limits_test.go
+++ b/instance/routed/limits_test.go
@@ -91,14 +91,15 @@
 
 // Limits and pauses of the tests. Pauses lie far from both timeouts.
 const (
-	shortTimeoutMS, longTimeoutMS = 500, 60_000
-	pauseBetween                  = 2 * time.Second
+	shortTimeoutMS, longTimeoutMS = 300, 60_000
+	pauseBetween                  = time.Second
 )
 
 // Guards against limits that are taken once, when the process starts: requests that the configuration in force allows are
 // refused, and others accepted, until it is started again. Each limit is raised, lowered and raised while connections
 // are kept.
 func TestChangedLimitsApplyToKeptConnections(t *testing.T) {
+	t.Parallel()
 	cases := map[string]struct {
 		low, high func(*standin.Limits)
 		// use uses a kept connection within the high limit and returns the status.
--- a/instance/routed/missing_role_test.go
+++ b/instance/routed/missing_role_test.go
@@ -55,6 +55,7 @@
 // Guards against a stage that stays without engines because the instances that measured the requests have ended: the
 // last engine of either stage is lost, and all instances end before, while or after another one is ordered to it.
 func TestRoleWithoutEnginesIsRestored(t *testing.T) {
+	t.Parallel()
 	names := []string{"i0", "i1", "i2"}
 	stages := map[string][]string{
 		standin.StageDecode:  {standin.StagePrefill, standin.StagePrefill, standin.StageDecode},
