--- a/gateway/quota_test.go
+++ b/gateway/quota_test.go
@@ -149,8 +149,16 @@
 	f.run(100 * time.Millisecond)
 	after := home.HandleAsk(f.now, fleet.Ask{ID: 1 << 34, Organisation: fleet.HashOf("wide")}).Level
 	assert.Assert(t, after <= 200_000-float64(charged)*10_000, "%.0f tokens after %d requests", after, charged)
-	f.run(5 * time.Second)
+	d := m.Take(t.Context(), small)
+	for d.Admitted {
+		d = m.Take(t.Context(), small)
+	}
+	assert.Assert(t, !d.Unanswered && d.Level < 10_000, "the bucket is empty: %+v", d)
 	asks := f.asks
+	assert.Assert(t, !m.Take(t.Context(), small).Admitted, "the bucket was reported empty")
+	assert.Assert(t, f.asks > asks)
+	f.run(5 * time.Second)
+	asks = f.asks
 	assert.Assert(t, m.Take(t.Context(), small).Admitted)
 	assert.Equal(t, f.asks, asks, "the bucket has tokens again")
 }
