Roles: engines that are listed and answer nothing do not count

Callers saw every model request refused: the last decode engines stopped answering while their entries were still renewed, then all instances were killed. 0 of 149 requests were served from 12 s after the restart on, for as long as the entries stayed, beside two idle prefill engines.

Cause: the division of engines counted what is listed. The instances knew that the engines could not be reached (they refused with upstream_unreachable) and no change was planned. An order that measurements called for could take the last working engine from a role for the same reason.

Change: the leading instance watches which engines answer. Work on requests at any instance is a sign of life; a role without one for two seconds is asked for its state. A role that answers nothing gets an engine after the same time as one without entries, and an order leaves one engine that answers.

--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -155,6 +155,14 @@
 	return d.poolSettings
 }
 
+// pool returns the engines of a role.
+func (d *dispatcher) pool(role upstream.Role) *pool {
+	if role == upstream.Prefill {
+		return d.prefill
+	}
+	return d.decode
+}
+
 // recheck makes the actor check the queue.
 func (d *dispatcher) recheck() { d.gateway.dispatchers.system.Root.Send(d.pid, recheckMessage{}) }
 
--- a/gateway/outcomes.go
+++ b/gateway/outcomes.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"time"
 
 	"github.com/cairnworks/cairnworks/boottime"
@@ -37,12 +38,14 @@
 	// observers are called with all new outcomes of an upstream, wherever they were observed. They are called with the
 	// pool locked and must not use it.
 	observers []func(now time.Duration, id string, ended fleet.Totals)
+	// worked is when an upstream was last seen to answer a request, or to go on with its answer.
+	worked map[string]time.Duration
 	// onWork, if set, is called like observers with all new work, also that of requests that have not ended.
 	onWork func(now time.Duration, id string, done fleet.Totals)
 }
 
 func newOutcomes() outcomes {
-	return outcomes{own: make(map[string]fleet.Totals), changed: make(map[string]time.Duration), peers: make(map[string]map[string]fleet.Totals)}
+	return outcomes{own: make(map[string]fleet.Totals), changed: make(map[string]time.Duration), peers: make(map[string]map[string]fleet.Totals), worked: make(map[string]time.Duration)}
 }
 
 // record adds an outcome of this instance.
@@ -88,6 +91,9 @@
 }
 
 func (o *outcomes) notify(now time.Duration, id string, added fleet.Totals) {
+	if added.Ended > added.Failed || added.Work > 0 {
+		o.worked[id] = now
+	}
 	if o.onWork != nil && added.Work > 0 {
 		o.onWork(now, id, added)
 	}
@@ -110,6 +116,7 @@
 			delete(o.changed, id)
 		}
 	}
+	maps.DeleteFunc(o.worked, func(id string, _ time.Duration) bool { return !exists(id) })
 	for _, last := range o.peers {
 		for id := range last {
 			if !exists(id) {
@@ -143,6 +150,13 @@
 	p.outcomes.record(boottime.Now(), id, ended)
 }
 
+// lastWorked returns when each upstream was last seen to work on a request, at any instance.
+func (p *pool) lastWorked() map[string]time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return maps.Clone(p.outcomes.worked)
+}
+
 // observeOutcomes sets a function that is called with all new outcomes of upstreams of the pool.
 func (p *pool) observeOutcomes(observe func(now time.Duration, id string, ended fleet.Totals)) {
 	p.mu.Lock()
--- a/gateway/roles.go
+++ b/gateway/roles.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/cairnworks/cairnworks/boottime"
+	"github.com/cairnworks/cairnworks/decision/liveness"
 	"github.com/cairnworks/cairnworks/decision/split"
 	"github.com/cairnworks/cairnworks/object"
 	"github.com/cairnworks/cairnworks/port"
@@ -22,8 +24,8 @@
 	roleCheckInterval = time.Second
 	// roleConfirmations is the number of consecutive checks that must call for a change.
 	roleConfirmations = 2
-	// missingRoleConfirmations is the same for changes that rest on the list of engines alone. After
-	// the store was unavailable, entries of working engines may be missing for two seconds.
+	// missingRoleConfirmations is the same for roles without engines that answer. After the store was
+	// unavailable, entries of working engines may be missing for two seconds.
 	missingRoleConfirmations = 4
 	// roleSettleTime is how long no further change is made after a change, in addition to the time
 	// that the engine is unavailable, so that the pools' loads can settle.
@@ -90,10 +92,15 @@
 type roleController struct {
 	RoleOptions
 	gateway *Gateway
-	// confirmations counts the consecutive checks that called for a change, by service.
+	// confirmations counts the consecutive checks that called for the pending change, by service.
 	confirmations map[string]int
+	pending       map[string]pendingChange
 	pausedUntil   map[string]time.Duration
-	observed      map[string]holderObservation
+	// restoring is set if the last order was to give an engine to a role that had none.
+	restoring map[string]bool
+	observed  map[string]holderObservation
+	// liveness holds what is known of the engines of each service.
+	liveness map[string]*liveness.Tracker
 	// awaited holds the engines whose earlier change was awaited once in place of ordering another engine.
 	awaited map[string]bool
 	// era is the era of the store in which the leases were read last. Of its leases, those that may be missing in it
@@ -105,8 +112,9 @@
 
 func newRoleController(g *Gateway, o RoleOptions) *roleController {
 	return &roleController{
-		RoleOptions: o, gateway: g, confirmations: make(map[string]int), pausedUntil: make(map[string]time.Duration),
-		observed: make(map[string]holderObservation), awaited: make(map[string]bool),
+		RoleOptions: o, gateway: g, confirmations: make(map[string]int), pending: make(map[string]pendingChange), pausedUntil: make(map[string]time.Duration),
+		observed: make(map[string]holderObservation), restoring: make(map[string]bool), awaited: make(map[string]bool),
+		liveness: make(map[string]*liveness.Tracker),
 	}
 }
 
@@ -151,20 +159,29 @@
 
 // reconcile changes engines of a service if enough consecutive checks have called for it.
 func (c *roleController) reconcile(ctx context.Context, d *dispatcher) {
-	if boottime.Now() < c.pausedUntil[d.service] || c.gateway.shutdown.started() {
+	if c.gateway.shutdown.started() {
 		return
 	}
-	change := c.desiredChange(d)
-	if change.count == 0 || !c.IsLeader(d.service) {
+	paused := boottime.Now() < c.pausedUntil[d.service]
+	leader := c.IsLeader(d.service)
+	change := c.desiredChange(ctx, d, leader)
+	if paused && (!change.roleMissing() || c.restoring[d.service]) {
+		return
+	}
+	if change.count == 0 {
 		c.confirmations[d.service] = 0
 		return
 	}
-	if c.confirmations[d.service]++; c.confirmations[d.service] < change.confirmations() {
+	c.confirm(d.service, change)
+	if paused || !leader || !c.confirmed(d.service) {
+		return
+	}
+	if change = c.limitToSpare(ctx, d, change); change.count == 0 {
 		return
 	}
 	work := d.workload()
 	c.gateway.log.Info("role change planned", zap.String("service", d.service), zap.Stringer("to", change.to), zap.Int("engines", change.count),
-		zap.Bool("role_missing", change.roleMissing), zap.Float64("samples", work.Samples), zap.Float64("prompt_tokens", work.MeanPrompt),
+		zap.Stringer("reason", change.reason), zap.Float64("samples", work.Samples), zap.Float64("prompt_tokens", work.MeanPrompt),
 		zap.Float64("prefill_tokens_per_s", work.PrefillSpeed), zap.Float64("decode_engine_s", work.MeanDecodeWork))
 	err := c.applyChange(ctx, d, change)
 	if !errors.Is(err, errHeldByOther) && !errors.Is(err, errEraNotSettled) {
@@ -183,7 +200,7 @@
 		return c.eraSettled - boottime.Now()
 	case errors.Is(err, errHeldByOther):
 		return c.observed[service].firstSeen + takeoverLeases*c.Lease - boottime.Now()
-	case change.roleMissing:
+	case change.roleMissing():
 		return missingRolePause
 	default:
 		return takeoverLeases * c.Lease
@@ -192,42 +209,117 @@
 
 // roleChange is a number of engines that should change their role.
 type roleChange struct {
-	to    upstream.Role
-	count int
-	// roleMissing is set if the change follows from a role without engines, and not from
-	// measurements.
-	roleMissing bool
+	to     upstream.Role
+	count  int
+	reason changeReason
+	// silentSince is since when the engines of the role have been silent.
+	silentSince time.Duration
+}
+
+// changeReason is what calls for a change.
+type changeReason int
+
+const (
+	// measuredWork is the work that requests were measured to be.
+	measuredWork changeReason = iota
+	// noEngine is a role without engines, and silentEngines one whose engines are all listed and answer nothing.
+	noEngine
+	silentEngines
+)
+
+func (r changeReason) String() string {
+	return [...]string{"measured work", "no engine", "silent engines"}[r]
 }
 
-func (r roleChange) confirmations() int {
-	if r.roleMissing {
-		return missingRoleConfirmations
+// roleMissing reports whether the change gives an engine to a role that has none.
+func (r roleChange) roleMissing() bool { return r.reason != measuredWork }
+
+// pendingChange is a change that consecutive checks have called for.
+type pendingChange struct {
+	roleChange
+	// since is when the role began to be missing, as far as this instance has seen.
+	since time.Duration
+}
+
+// confirm counts a check that calls for a change. Instances that do not lead count as well: one that begins to lead need
+// not begin to count.
+func (c *roleController) confirm(service string, change roleChange) {
+	now := boottime.Now()
+	since := now
+	if change.reason == silentEngines {
+		since = change.silentSince
+	}
+	last := c.pending[service]
+	switch {
+	case c.confirmations[service] == 0 || last.to != change.to || last.roleMissing() != change.roleMissing():
+		c.confirmations[service] = 0
+	default:
+		// The entries of silent engines may have been removed meanwhile.
+		since = min(since, last.since)
 	}
-	return roleConfirmations
+	c.pending[service] = pendingChange{change, since}
+	c.confirmations[service]++
 }
 
-// desiredChange returns how many engines should change, and to which role.
-func (c *roleController) desiredChange(d *dispatcher) (change roleChange) {
-	prefill, decode := 0, 0
-	entries := c.gateway.state.Directory.Service(d.service)
-	ended := endedRuns(entries)
-	for _, e := range entries {
-		switch {
-		case e.Leaving || ended[e.ID]:
-		case e.Role == upstream.Prefill:
-			prefill++
-		case e.Role == upstream.Decode:
-			decode++
-		}
+// confirmed reports whether enough checks have called for the pending change.
+func (c *roleController) confirmed(service string) bool {
+	count, change := c.confirmations[service], c.pending[service]
+	if !change.roleMissing() {
+		return count >= roleConfirmations
 	}
+	const missingTime = (missingRoleConfirmations - 1) * roleCheckInterval
+	return count >= missingRoleConfirmations || count >= roleConfirmations && boottime.Now()-change.since >= missingTime
+}
+
+// from returns the role that loses engines.
+func (r roleChange) from() upstream.Role {
+	if r.to == upstream.Prefill {
+		return upstream.Decode
+	}
+	return upstream.Prefill
+}
+
+// desiredChange returns how many engines should change, and to which role. ask is set if engines of which nothing is known
+// are to be asked whether they answer.
+func (c *roleController) desiredChange(ctx context.Context, d *dispatcher, ask bool) roleChange {
+	engines := c.enginesByRole(d)
+	prefill, decode := len(engines[upstream.Prefill]), len(engines[upstream.Decode])
+	reason, silentSince := noEngine, time.Duration(0)
 	want, measured := d.desiredPrefill(prefill+decode, prefill)
-	if !measured {
+	if prefill > 0 && decode > 0 && ask {
+		var silent upstream.Role
+		var found bool
+		if silent, silentSince, found = c.silentRole(ctx, d, engines); found {
+			reason, measured = silentEngines, false
+			if silent == upstream.Prefill {
+				prefill = 0
+			} else {
+				decode = 0
+			}
+		}
+	}
+	if measured {
+		reason = measuredWork
+	} else {
 		want = split.BothRoles(prefill+decode, prefill)
 	}
 	if want > prefill {
-		return roleChange{to: upstream.Prefill, count: want - prefill, roleMissing: !measured}
+		return roleChange{to: upstream.Prefill, count: want - prefill, reason: reason, silentSince: silentSince}
 	}
-	return roleChange{to: upstream.Decode, count: prefill - want, roleMissing: !measured}
+	return roleChange{to: upstream.Decode, count: prefill - want, reason: reason, silentSince: silentSince}
+}
+
+// enginesByRole returns the listed engines of a service that have not ended and are not leaving.
+func (c *roleController) enginesByRole(d *dispatcher) map[upstream.Role][]upstream.Entry {
+	entries := c.gateway.state.Directory.Service(d.service)
+	ended := endedRuns(entries)
+	out := make(map[upstream.Role][]upstream.Entry)
+	for _, e := range entries {
+		if !e.Leaving && !ended[e.ID] {
+			out[e.Role] = append(out[e.Role], e)
+		}
+	}
+	return out
 }
 
 // endedRuns returns the entries whose process has ended, since a later run is listed at the same address. An
@@ -258,17 +350,17 @@
 		return err
 	}
 	c.pausedUntil[d.service] = boottime.Now() + time.Duration(d.settings().RoleChangeMS)*time.Millisecond + roleSettleTime
-	from, pool := upstream.Decode, d.decode
-	if to == upstream.Decode {
-		from, pool = upstream.Prefill, d.prefill
-	}
+	from, pool := change.from(), d.pool(change.from())
 	d.sync()
 	entries := c.gateway.state.Directory.Service(d.service)
 	ejected := union(c.gateway.outliers.ejected(entries), endedRuns(entries))
-	excluded := union(union(ejected, c.gateway.unavailableUpstreams(d.service)), map[string]bool{})
+	excluded := c.silentEngines(d, entries)
+	for _, others := range []map[string]bool{ejected, c.gateway.unavailableUpstreams(d.service)} {
+		maps.Copy(excluded, others)
+	}
 	ordered, lastErr := 0, fmt.Errorf("no %s engine can change", from)
 	candidates := orderCandidates * count
-	if change.roleMissing {
+	if change.roleMissing() {
 		candidates = len(entries)
 	}
 	for attempt := 0; ordered < count && attempt < candidates; attempt++ {
@@ -277,11 +369,11 @@
 			break
 		}
 		excluded[entry.ID] = true
-		err := c.orderChange(ctx, d, roleOrder{entry: entry, pool: pool, from: from, to: to, token: token, until: until})
+		err := c.orderChange(ctx, d, roleOrder{entry: entry, pool: pool, from: from, to: to, missing: change.roleMissing(), token: token, until: until})
 		if errors.Is(err, errLeaseExpired) {
 			return err
 		}
-		if change.roleMissing && errors.Is(err, errRoleChanging) && !c.awaited[entry.ID] {
+		if change.roleMissing() && errors.Is(err, errRoleChanging) && !c.awaited[entry.ID] {
 			// An order of an earlier holder may be providing the missing role.
 			c.awaited[entry.ID] = true
 			return nil
@@ -292,6 +384,7 @@
 			continue
 		}
 		ordered++
+		c.restoring[d.service] = change.roleMissing()
 		clear(c.awaited)
 	}
 	if ordered == 0 {
@@ -311,8 +404,10 @@
 	entry    upstream.Entry
 	pool     *pool
 	from, to upstream.Role
-	token    uint64
-	until    time.Duration
+	// missing is set if the role has no engines.
+	missing bool
+	token   uint64
+	until   time.Duration
 }
 
 // orderChange orders one engine to change its role. An error means that no order was sent.
@@ -320,7 +415,7 @@
 	entry, pool, from, to, token, until := o.entry, o.pool, o.from, o.to, o.token, o.until
 	call, cancel := context.WithTimeout(ctx, roleCallTimeout)
 	defer cancel()
-	state, err := c.Engines.State(call, entry)
+	state, err := c.state(call, d, entry)
 	if err != nil {
 		return err
 	}
@@ -341,7 +436,10 @@
 	case verdict.From(err).Ran == verdict.NotRun:
 		pool.restore(entry.ID)
 	default:
-		c.pausedUntil[d.service] = boottime.Now() + unansweredOrderPause
+		if !o.missing {
+			// A second engine in the role costs less than none for as long.
+			c.pausedUntil[d.service] = boottime.Now() + unansweredOrderPause
+		}
 	}
 	return nil
 }
--- a/gateway/roles_test.go
+++ b/gateway/roles_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -61,22 +62,26 @@
 
 // fakeEngines records the orders sent to engines.
 type fakeEngines struct {
+	mu     sync.Mutex
 	orders []Order
 	state  EngineState
 	err    error
 	before func()
-	// unreachable is the ID of an engine that does not answer.
+	// unreachable is the ID of an engine that does not answer, and silent are those of more.
 	unreachable string
+	silent      map[string]bool
 	// stateReads holds the IDs of the engines whose state was read.
 	stateReads []string
 }
 
 func (o *fakeEngines) State(_ context.Context, e upstream.Entry) (EngineState, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	if o.before != nil {
 		o.before()
 	}
 	o.stateReads = append(o.stateReads, e.ID)
-	if e.ID == o.unreachable {
+	if e.ID == o.unreachable || o.silent[e.ID] {
 		return EngineState{}, errors.New("connection refused")
 	}
 	return o.state, nil
@@ -374,11 +379,45 @@
 	assert.NilError(t, err)
 	c.Log, c.Lease = log, time.Minute
 	assert.Assert(t, c.observeHolders(t.Context()))
-	seen := boottime.Now() - takeoverLeases*c.Lease + c.Lease/2
+	delay := takeoverLeases * c.Lease
+	seen := boottime.Now() - delay + c.Lease/2
 	c.observed[d.service] = holderObservation{c.observed[d.service].position, seen}
 	for range missingRoleConfirmations {
 		c.reconcile(t.Context(), d)
 	}
-	assert.Assert(t, c.pausedUntil[d.service] <= seen+takeoverLeases*c.Lease, "the next attempt is %v late", c.pausedUntil[d.service]-seen-takeoverLeases*c.Lease)
+	assert.Assert(t, c.pausedUntil[d.service] <= seen+delay, "the next attempt is %v late", c.pausedUntil[d.service]-seen-delay)
 	assert.Assert(t, c.confirmations[d.service] >= missingRoleConfirmations, "the change must be confirmed again")
 }
+
+// Guards against orders that take the last engine that answers from its role, because the others are listed and answer nothing.
+func TestLastAnsweringEngineKeepsItsRole(t *testing.T) {
+	gw, c, engines := modelFleet(t, 2, 4)
+	d := modelDispatcher(gw)
+	for range 20 {
+		d.recordPrefill(50_000, 10*time.Second, false)
+		d.recordCompletion(&Call{PromptTokens: 50_000}, 1, 1, 10*time.Millisecond)
+	}
+	engines.state = EngineState{Role: upstream.Decode}
+	engines.silent = map[string]bool{"e3": true, "e4": true, "e5": true}
+	for range 2 * roleConfirmations {
+		c.reconcile(t.Context(), d)
+	}
+	assert.Equal(t, len(engines.orders), 0)
+	delete(engines.silent, "e5")
+	for range 2 * roleConfirmations {
+		c.reconcile(t.Context(), d)
+	}
+	assert.Equal(t, len(engines.orders), 1, "one can be spared")
+}
+
+// Guards against engines that are asked for their state while they show by requests that they answer.
+func TestWorkingEnginesAreNotAsked(t *testing.T) {
+	gw, c, engines := modelFleet(t, 2, 2)
+	gw.gateway.Features.EjectFailing = true
+	d := modelDispatcher(gw)
+	for _, e := range gw.state.Directory.Service("model") {
+		gw.gateway.recordOutcome(d.pool(e.Role), e.ID, outcome{work: 1})
+	}
+	c.reconcile(t.Context(), d)
+	assert.Equal(t, len(engines.stateReads), 0)
+}
--- a/instance/routed/missing_role_test.go
+++ b/instance/routed/missing_role_test.go
@@ -27,9 +27,12 @@
 }
 
 // lose ends all engines of a stage for good.
-func (f *partitionFleet) lose(stage string) {
+func (f *partitionFleet) lose(stage string) { f.take(stage, (*standin.Engine).Lose) }
+
+// take removes all engines of a stage in some way.
+func (f *partitionFleet) take(stage string, end func(*standin.Engine)) {
 	for _, e := range f.stage(stage) {
-		e.Lose()
+		end(e)
 		f.running = slices.DeleteFunc(f.running, func(other *standin.Engine) bool { return other == e })
 	}
 }
@@ -61,7 +64,59 @@
 		standin.StageDecode:  {standin.StagePrefill, standin.StagePrefill, standin.StageDecode},
 		standin.StagePrefill: {standin.StagePrefill, standin.StageDecode, standin.StageDecode},
 	}
-	restarts := map[string]func(t *testing.T, f *partitionFleet){
+	restarts := restartsOf(names)
+	for lost, initial := range stages {
+		for name, restart := range restarts {
+			t.Run(lost+", "+name, func(t *testing.T) {
+				t.Parallel()
+				f := newFleet(t, len(names), map[string][]string{standin.ModelService: initial})
+				waitFor(t, func() bool { return f.serves("before", standin.Draft) })
+				f.lose(lost)
+				restart(t, f)
+				waitUpTo(t, restoreLimit, func() bool {
+					return f.serves("after", standin.Draft) && len(f.stage(standin.StagePrefill)) == 1 && len(f.stage(standin.StageDecode)) == 1
+				})
+			})
+		}
+	}
+}
+
+// Guards against a stage that stays without engines that answer, because those that do not are still listed: they have ended
+// or hang, and their entries are renewed.
+func TestSilentRoleIsRestored(t *testing.T) {
+	t.Parallel()
+	names := []string{"i0", "i1", "i2"}
+	stages := map[string][]string{
+		standin.StageDecode:  {standin.StagePrefill, standin.StagePrefill, standin.StageDecode, standin.StageDecode},
+		standin.StagePrefill: {standin.StagePrefill, standin.StagePrefill, standin.StageDecode, standin.StageDecode},
+	}
+	ends := map[string]func(*standin.Engine){
+		"ended": (*standin.Engine).Close, "hung": func(e *standin.Engine) { e.Hang() },
+	}
+	restarts := restartsOf(names)
+	delete(restarts, "after the entry is removed")
+	restarts["no restart"] = func(*testing.T, *partitionFleet) {}
+	for lost, initial := range stages {
+		for how, end := range ends {
+			for name, restart := range restarts {
+				t.Run(fmt.Sprintf("%s, %s, %s", lost, how, name), func(t *testing.T) {
+					t.Parallel()
+					f := newFleet(t, len(names), map[string][]string{standin.ModelService: initial})
+					waitFor(t, func() bool { return f.serves("before", standin.Draft) })
+					f.take(lost, end)
+					restart(t, f)
+					waitUpTo(t, restoreLimit, func() bool {
+						return f.serves("after", standin.Draft) && len(f.stage(standin.StagePrefill)) == 1 && len(f.stage(standin.StageDecode)) == 1
+					})
+				})
+			}
+		}
+	}
+}
+
+// restartsOf returns the ways in which all instances of a fleet end and others start.
+func restartsOf(names []string) map[string]func(t *testing.T, f *partitionFleet) {
+	return map[string]func(t *testing.T, f *partitionFleet){
 		"all at once": func(t *testing.T, f *partitionFleet) {
 			f.endAll()
 			f.startAll(t, names...)
@@ -89,20 +144,6 @@
 			}
 		},
 	}
-	for lost, initial := range stages {
-		for name, restart := range restarts {
-			t.Run(lost+", "+name, func(t *testing.T) {
-				t.Parallel()
-				f := newFleet(t, len(names), map[string][]string{standin.ModelService: initial})
-				waitFor(t, func() bool { return f.serves("before", standin.Draft) })
-				f.lose(lost)
-				restart(t, f)
-				waitUpTo(t, restoreLimit, func() bool {
-					return f.serves("after", standin.Draft) && len(f.stage(standin.StagePrefill)) == 1 && len(f.stage(standin.StageDecode)) == 1
-				})
-			})
-		}
-	}
 }
 
 // Guards against a lone engine that is ordered to the stage in which it serves nothing, or left there.
