Roles: an engine for a missing role is ordered as soon as the lease allows

Callers saw model requests refused for up to 18 s after all instances were killed beside the loss of the last decode engine: the order came 6.0 s after the restart, 11.0 s after if instances of other names took over, and the engine needs 6 s to change.

Cause: waits that follow one another though they guard against different things, and a holder that is watched for three leases although it gives orders for half of one.

Change: the first check is made once the state is read, checks count before an instance leads, a holder that gives no more orders releases its lease, and one that has not is watched for half a lease, the time limit of an order and a lease. Changes that follow from measurements wait as before.

--- a/gateway/roles.go
+++ b/gateway/roles.go
@@ -99,6 +99,8 @@
 	// restoring is set if the last order was to give an engine to a role that had none.
 	restoring map[string]bool
 	observed  map[string]holderObservation
+	// held are the leases of this instance that are to be released.
+	held map[string]heldLease
 	// liveness holds what is known of the engines of each service.
 	liveness map[string]*liveness.Tracker
 	// awaited holds the engines whose earlier change was awaited once in place of ordering another engine.
@@ -113,7 +115,7 @@
 func newRoleController(g *Gateway, o RoleOptions) *roleController {
 	return &roleController{
 		RoleOptions: o, gateway: g, confirmations: make(map[string]int), pending: make(map[string]pendingChange), pausedUntil: make(map[string]time.Duration),
-		observed: make(map[string]holderObservation), restoring: make(map[string]bool), awaited: make(map[string]bool),
+		observed: make(map[string]holderObservation), restoring: make(map[string]bool), awaited: make(map[string]bool), held: make(map[string]heldLease),
 		liveness: make(map[string]*liveness.Tracker),
 	}
 }
@@ -124,20 +126,26 @@
 	if !o.FirstStart {
 		c.eraSettled = boottime.Now() + o.Lease
 	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-g.state.Complete():
+	}
 	ticker := time.NewTicker(roleCheckInterval)
 	defer ticker.Stop()
 	observed := false
 	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
 		if !observed && (c.MayLead == nil || c.MayLead()) {
 			observed = c.observeHolders(ctx)
 		}
 		for _, d := range g.modelDispatchers() {
 			c.reconcile(ctx, d)
+			c.releaseIfUnused(ctx, d.service)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
 		}
 	}
 }
@@ -199,7 +207,7 @@
 	case errors.Is(err, errEraNotSettled):
 		return c.eraSettled - boottime.Now()
 	case errors.Is(err, errHeldByOther):
-		return c.observed[service].firstSeen + takeoverLeases*c.Lease - boottime.Now()
+		return c.observed[service].firstSeen + c.takeoverDelay(change) - boottime.Now()
 	case change.roleMissing():
 		return missingRolePause
 	default:
@@ -345,7 +353,7 @@
 // applyChange acquires the lease and gives the orders.
 func (c *roleController) applyChange(ctx context.Context, d *dispatcher, change roleChange) error {
 	to, count := change.to, change.count
-	token, until, err := c.acquireLease(ctx, d.service)
+	token, until, err := c.acquireLease(ctx, d.service, change)
 	if err != nil {
 		return err
 	}
@@ -440,6 +448,7 @@
 			// A second engine in the role costs less than none for as long.
 			c.pausedUntil[d.service] = boottime.Now() + unansweredOrderPause
 		}
+		c.keepLease(d.service, unansweredOrderPause)
 	}
 	return nil
 }
