Quotas: totals for a run that has ended are not charged to the next one

Cause: reports carry what their sender has spent from the buckets of one run of the receiver. Until the sender has heard of the next run, its reports for the earlier one arrive there, and the next run charged the whole total again. Evidence: a trace of the level at the restart, 305 to -12,400 tokens within 20 ms by three reports that were addressed to the earlier run.

Change: reports name the run for which their shares and totals count; others are ignored.

--- a/fleet/codec.go
+++ b/fleet/codec.go
@@ -24,7 +24,7 @@
 		Instance: r.Instance, Incarnation: r.Incarnation, Sequence: r.Sequence, FleetId: uint64(r.Fleet.ID), FleetName: r.Fleet.Name,
 		Machine: marshalMachine(r.Machine), Instances: uint32(max(r.Instances, 0)), Leaving: r.Leaving, MadeUs: uint64(r.Made.Microseconds()),
 		Heard: marshalHeard(r.Heard), Answer: r.Answer, Whole: r.Whole, Shares: marshalShares(r.Shares),
-		Claim: marshalClaim(r.Claim), Place: marshalPlace(r.Place), Partial: r.Partial, Features: uint32(r.Features),
+		Claim: marshalClaim(r.Claim), Place: marshalPlace(r.Place), Partial: r.Partial, Features: uint32(r.Features), To: uint32(r.To),
 	}
 	if r.Poll != nil {
 		m.Poll = &fleetv1.Poll{Whole: r.Poll.Whole, Hubs: r.Poll.Hubs}
@@ -148,7 +148,7 @@
 	r := &Report{
 		Instance: m.Instance, Incarnation: m.Incarnation, Sequence: m.Sequence, Fleet: fleetid.Identity{ID: fleetid.ID(m.FleetId), Name: m.FleetName},
 		Machine: unmarshalMachine(m.Machine), Instances: int(m.Instances), Leaving: m.Leaving, Made: time.Duration(m.MadeUs) * time.Microsecond,
-		Answer: m.Answer, Whole: m.Whole, Shares: unmarshalShares(m.Shares), Claim: unmarshalClaim(m.Claim), Place: unmarshalPlace(m.Place), Partial: m.Partial, Features: Features(m.Features),
+		Answer: m.Answer, Whole: m.Whole, Shares: unmarshalShares(m.Shares), Claim: unmarshalClaim(m.Claim), Place: unmarshalPlace(m.Place), Partial: m.Partial, Features: Features(m.Features), To: Run(m.To),
 		Loads: make(map[Hash]Load, len(m.Loads)), Works: make(map[Hash]Work, len(m.Works)),
 	}
 	if h := m.Heard; h != nil {
--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -324,7 +324,7 @@
 	}
 	compare := x.compareDue(now)
 	for _, p := range to {
-		one := &Report{Heard: x.lastHeard(now, p.run)}
+		one := &Report{Heard: x.lastHeard(now, p.run), To: p.run}
 		if poll || compare || one.Heard.Run == 0 {
 			one.Poll = x.newPoll(now, poll)
 		}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -28,7 +28,7 @@
 	r := &Report{
 		Instance: "a", Incarnation: 3, Sequence: 4,
 		Machine: Machine{DataCentre: "z", Millicores: 800}, Instances: 5, Leaving: true, Made: 6 * time.Microsecond, Whole: true, Answer: true,
-		Poll: &Poll{Whole: true, Hubs: 33}, Shares: map[int]time.Duration{3: 34, 4: 35}, Bills: []Bill{{1, -6}}, Short: []Hash{36},
+		Poll: &Poll{Whole: true, Hubs: 33}, Shares: map[int]time.Duration{3: 34, 4: 35}, Bills: []Bill{{1, -6}}, To: 37, Short: []Hash{36},
 		Hubs:   []Member{{Name: "b", Incarnation: 37, Address: "1.2.3.4:5", Machine: Machine{DataCentre: "y"}}},
 		Limits: []UpstreamLimit{{Upstream: 60, Limited: true, PerSecond: 4.9, Age: 61 * time.Millisecond}, {Upstream: 62}},
 		Ask:    &Ask{ID: 38, Organisation: 39, Tokens: 40, Upstream: true, PerSecond: 0.5, Priority: 2, Left: 63 * time.Millisecond, RepeatKey: 64}, Grant: &Grant{ID: 41, Granted: true, Unknown: true, Retry: 42 * time.Millisecond, Level: -43, Part: 0.5},
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -200,6 +200,8 @@
 	Known map[port.Topic]uint64
 	// Works are the observations of the requests of model services, keyed by the hash of the service.
 	Works map[Hash]Work
+	// To is the run of the receiver for which the shares and bills count, or 0 if the sender does not state it.
+	To Run
 	// Shares are the totals, by shard, of the credit that the sender has transferred to the receiver.
 	// Credit is a duration; multiplied by an organisation's rate, it is a number of tokens.
 	Shares map[int]time.Duration
--- a/gateway/quotareports.go
+++ b/gateway/quotareports.go
@@ -52,11 +52,23 @@
 	from := escrow.Run(fleet.RunOf(r.Instance, r.Incarnation))
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.home.Receive(now, from, r.Shares)
-	for _, b := range r.Bills {
-		q.home.Charge(from, uint64(b.Organisation), b.Tokens)
+	if q.isFor(r) {
+		q.home.Receive(now, from, r.Shares)
+		for _, b := range r.Bills {
+			q.home.Charge(from, uint64(b.Organisation), b.Tokens)
+		}
 	}
 	for _, org := range r.Short {
 		q.emptyUntil[org] = now + emptyBucketTTL
 	}
 }
+
+// isFor reports whether the shares and bills of a report are for this run. Until an instance has heard of a new run, its
+// reports arrive here with the totals of the earlier one.
+func (q *Quotas) isFor(r *fleet.Report) bool {
+	to := r.To
+	if to == 0 {
+		to = r.Heard.Run
+	}
+	return to == 0 || to == q.self.Run
+}
