Fleet: the bound on traffic counts the run for which a report is

Reports name the run of their receiver since; the test of the traffic of a large fleet did not contain it.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -72,7 +72,7 @@
 	busy := Load{Requests: 1, Tokens: 12_000, Totals: Totals{Ended: 3000, Failed: 100, Work: 2_000_000, Busy: time.Hour}}
 	poll := &Report{
 		Instance: "edge-dubrovnik-e-17", Incarnation: 1 << 60, Sequence: 30_000, Fleet: fleetid.Identity{ID: 1 << 60}, Instances: 295, Made: time.Hour,
-		Machine: Machine{DataCentre: "dubrovnik-e", Millicores: 192}, Heard: Heard{1 << 30, 500 * time.Millisecond, time.Hour}, Poll: &Poll{Hubs: 1 << 60},
+		Machine: Machine{DataCentre: "dubrovnik-e", Millicores: 192}, Heard: Heard{1 << 30, 500 * time.Millisecond, time.Hour}, To: 1 << 30, Poll: &Poll{Hubs: 1 << 60},
 		Known: map[port.Topic]uint64{port.TopicUpstreams: 3000, port.TopicConfiguration: 3000},
 		Notes: notes, Loads: map[Hash]Load{1 << 30: busy, 1 << 31: busy},
 		Shares: map[int]time.Duration{1: time.Minute, 2: time.Minute, 3: time.Minute, 4: time.Minute},
