Tests: twelve more tests of ./instance/routed run beside others

These twelve wait for most of their time and share nothing: each has its own fleet, store and ports. No check or bound is changed. Measured at load 11 to 13 on eight cores, with the race detector: 233 s with six of them, 172 and 168 s with all.

--- a/instance/routed/deployments_test.go
+++ b/instance/routed/deployments_test.go
@@ -16,6 +16,7 @@
 // of the other deployment would be accepted, those with keys of this one refused, and
 // configurations published here would no longer be applied.
 func TestDeploymentsDoNotExchangeState(t *testing.T) {
+	t.Parallel()
 	own, other := start(t, respondSigned), startNamed(t, "b", respondSigned)
 	own.store.put("keyed.instances", "b", fmt.Sprintf(`{"incarnation":1,"address":%q,"beat":1}`, other.settings.Reports))
 	other.eventually(t, func() bool {
@@ -42,6 +43,7 @@
 // An instance that has not read its fleet ID yet must not apply reports of another deployment with
 // the same fleet name, and must not continue to use them afterwards.
 func TestInstanceWithoutFleetIDAppliesNoReports(t *testing.T) {
+	t.Parallel()
 	const name = "rota"
 	other := prepare(t, "b", respondSigned)
 	other.settings.Fleet = name
--- a/instance/routed/drill_test.go
+++ b/instance/routed/drill_test.go
@@ -111,6 +111,7 @@
 // Guards against an instance that holds its position in a log for valid after the store came back from a copy, and
 // ignores all that is written until the log is longer than it was.
 func TestChangesAfterTheStoreCameBackAreApplied(t *testing.T) {
+	t.Parallel()
 	for _, size := range []int{1, 4} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			t.Parallel()
--- a/instance/routed/invalid_entries_test.go
+++ b/instance/routed/invalid_entries_test.go
@@ -55,6 +55,7 @@
 // Guards against an instance that ends, stops following the list of upstreams or refuses requests because of invalid
 // entries.
 func TestInvalidEntriesAreIgnored(t *testing.T) {
+	t.Parallel()
 	f := prepare(t, "a", respondSigned)
 	sound := f.engine.Listener.Addr().String()
 	put := func(when string) {
--- a/instance/routed/malformed_test.go
+++ b/instance/routed/malformed_test.go
@@ -12,6 +12,7 @@
 
 // Guards against answers with a malformed head that reach callers, or end their connections without an answer.
 func TestAnswerWithMalformedHeadIsReplaced(t *testing.T) {
+	t.Parallel()
 	reachEngines(t, func(t *testing.T, f *partitionFleet) {
 		for _, e := range f.running {
 			e.SetEnding(standin.Malformed)
--- a/instance/routed/partition_test.go
+++ b/instance/routed/partition_test.go
@@ -253,6 +253,7 @@
 // Guards against requests that circle among instances or wait for their deadlines while no instance reaches
 // the engines, against refusals that do not say when to come back, and against a fleet that does not recover.
 func TestServiceThatNobodyReachesIsRefused(t *testing.T) {
+	t.Parallel()
 	for name, partition := range partitions {
 		if name == "new connections refused" {
 			continue // Open connections serve.
--- a/instance/routed/routed_test.go
+++ b/instance/routed/routed_test.go
@@ -243,6 +243,7 @@
 // cannot know which keys are valid. It must refuse requests and report that it is not ready until
 // the store is reachable again.
 func TestKeysAreRejectedAfterLongStoreOutage(t *testing.T) {
+	t.Parallel()
 	f := start(t, respondSigned)
 	f.store.setDown(true)
 	f.eventually(t, func() bool { status, _, _ := f.request("k"); return status == http.StatusServiceUnavailable })
@@ -291,6 +292,7 @@
 // An upstream that left during a store outage must be removed, even if its absence is found by a
 // full read during the time in which removed entries are kept. It once received work indefinitely.
 func TestUpstreamMissingAfterOutageIsRemoved(t *testing.T) {
+	t.Parallel()
 	f := start(t, respondSigned)
 	f.store.setDown(true)
 	f.eventually(t, func() bool { return !f.ready() })
@@ -316,6 +318,7 @@
 // An instance that has not read the list of instances must not spend quotas as if it were the only
 // instance of the fleet.
 func TestInstanceWithoutInstanceListSpendsNoQuota(t *testing.T) {
+	t.Parallel()
 	f := prepare(t, "a", respondSigned)
 	f.store.put("keyed.op", "config", `{"version":2,"routes":[{"name":"r","host":"h.example","path-prefix":"/x/","route-type":"unsafe","service":"s","timeout-ms":5000}],
  "services":[{"name":"s"}],"limits":{"max-header-bytes":16384,"max-body-bytes":1000,"header-timeout-ms":3000,"idle-timeout-ms":15000},
--- a/instance/routed/unframed_test.go
+++ b/instance/routed/unframed_test.go
@@ -56,6 +56,7 @@
 // Guards against a stream that an engine broke off inside an event, without a length or chunks, and that
 // reaches its caller as a complete answer.
 func TestStreamBrokenOffInsideAnEventIsNotComplete(t *testing.T) {
+	t.Parallel()
 	reachEngines(t, func(t *testing.T, f *partitionFleet) {
 		for _, e := range f.running {
 			e.SetEnding(standin.BrokenOff)
@@ -72,6 +73,7 @@
 // Guards against a resumable stream that is not resumed because the end of its connection counts as the end
 // of the answer.
 func TestStreamBrokenOffInsideAnEventIsResumed(t *testing.T) {
+	t.Parallel()
 	reachEngines(t, func(t *testing.T, f *partitionFleet) {
 		broken := false
 		for _, e := range f.running {
@@ -92,6 +94,7 @@
 // Guards against whole answers without a length or chunks that do not arrive whole, and against a length
 // that the caller is told and the engine did not state.
 func TestAnswerWithoutAStatedEndArrivesWhole(t *testing.T) {
+	t.Parallel()
 	reachEngines(t, func(t *testing.T, f *partitionFleet) {
 		for _, e := range f.running {
 			e.SetEnding(standin.Unframed)
