--- a/instance/routed/drill_test.go
+++ b/instance/routed/drill_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -83,16 +84,23 @@
 
 // statusOf returns the status of a request with a key, or 0 without an answer.
 func (i *linkedInstance) statusOf(id, key string) int {
+	status, _ := i.answerTo(id, key)
+	return status
+}
+
+// answerTo returns the status of a request with a key and its body, or 0 and the error without an answer.
+func (i *linkedInstance) answerTo(id, key string) (status int, body string) {
 	req, err := standin.Request(i.settings.Callers, id, key, standin.Read)
 	if err != nil {
-		return 0
+		return 0, err.Error()
 	}
 	resp, err := i.client.Do(req)
 	if err != nil {
-		return 0
+		return 0, err.Error()
 	}
 	defer resp.Body.Close()
-	return resp.StatusCode
+	read, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(read)
 }
 
 // checkRefused checks that all instances refuse a key from revokeTime on, and that they serve another one then.
@@ -103,7 +111,8 @@
 		for n := range 5 {
 			id := fmt.Sprintf("%s-%s-%d", withdrawn, i.settings.Instance, n)
 			assert.Equal(t, i.statusOf(id, withdrawn), http.StatusUnauthorized, "%s serves a withdrawn key", i.settings.Instance)
-			assert.Equal(t, i.statusOf("v"+id, valid), http.StatusOK, "%s refuses a valid key", i.settings.Instance)
+			status, body := i.answerTo("v"+id, valid)
+			assert.Equal(t, status, http.StatusOK, "%s refuses a valid key: %s", i.settings.Instance, body)
 		}
 	}
 }
