--- a/instance/routed/missing_role_test.go
+++ b/instance/routed/missing_role_test.go
@@ -26,9 +26,6 @@
 	f.instances = nil
 }
 
-// lose ends all engines of a stage for good.
-func (f *partitionFleet) lose(stage string) { f.take(stage, (*standin.Engine).Lose) }
-
 // take removes all engines of a stage in some way.
 func (f *partitionFleet) take(stage string, end func(*standin.Engine)) {
 	for _, e := range f.stage(stage) {
@@ -55,97 +52,94 @@
 	return true
 }
 
-// Guards against a stage that stays without engines because the instances that measured the requests have ended: the
-// last engine of either stage is lost, and all instances end before, while or after another one is ordered to it.
-func TestRoleWithoutEnginesIsRestored(t *testing.T) {
-	t.Parallel()
-	names := []string{"i0", "i1", "i2"}
-	stages := map[string][]string{
+// roleLoss are tests in which a stage loses all its engines, and the instances end in different ways.
+type roleLoss struct {
+	// initial are the stages of the engines at first, by the stage that is lost.
+	initial map[string][]string
+	// ways are the ways in which each of its engines is lost.
+	ways         map[string]func(*standin.Engine)
+	restarts     map[string]func(t *testing.T, f *partitionFleet)
+	ejectFailing bool
+	restored     func(f *partitionFleet) bool
+}
+
+var fleetNames = []string{"i0", "i1", "i2"}
+
+var (
+	// lastOfStage has one engine of the stage that is lost, and twoOfStage two.
+	lastOfStage = map[string][]string{
 		standin.StageDecode:  {standin.StagePrefill, standin.StagePrefill, standin.StageDecode},
 		standin.StagePrefill: {standin.StagePrefill, standin.StageDecode, standin.StageDecode},
 	}
-	restarts := restartsOf(names)
-	for lost, initial := range stages {
-		for name, restart := range restarts {
-			t.Run(lost+", "+name, func(t *testing.T) {
-				t.Parallel()
-				f := newFleet(t, len(names), map[string][]string{standin.ModelService: initial})
-				waitFor(t, func() bool { return f.serves("before", standin.Draft) })
-				f.lose(lost)
-				restart(t, f)
-				waitUpTo(t, restoreLimit, func() bool {
-					return f.serves("after", standin.Draft) && len(f.stage(standin.StagePrefill)) == 1 && len(f.stage(standin.StageDecode)) == 1
-				})
-			})
-		}
-	}
-}
-
-// Guards against a stage that stays without engines that answer, because those that do not are still listed: they have ended
-// or hang, and their entries are renewed.
-func TestSilentRoleIsRestored(t *testing.T) {
-	t.Parallel()
-	names := []string{"i0", "i1", "i2"}
-	stages := map[string][]string{
+	twoOfStage = map[string][]string{
 		standin.StageDecode:  {standin.StagePrefill, standin.StagePrefill, standin.StageDecode, standin.StageDecode},
 		standin.StagePrefill: {standin.StagePrefill, standin.StagePrefill, standin.StageDecode, standin.StageDecode},
 	}
-	ends := map[string]func(*standin.Engine){
-		"ended": (*standin.Engine).Close, "hung": func(e *standin.Engine) { e.Hang() },
-	}
-	restarts := restartsOf(names)
-	delete(restarts, "after the entry is removed")
-	restarts["no restart"] = func(*testing.T, *partitionFleet) {}
-	for lost, initial := range stages {
-		for how, end := range ends {
-			for name, restart := range restarts {
+)
+
+func (l roleLoss) test(t *testing.T) {
+	t.Parallel()
+	for lost, initial := range l.initial {
+		for how, end := range l.ways {
+			for name, restart := range l.restarts {
 				t.Run(fmt.Sprintf("%s, %s, %s", lost, how, name), func(t *testing.T) {
 					t.Parallel()
-					f := newFleet(t, len(names), map[string][]string{standin.ModelService: initial})
+					f := newFleet(t, 0, map[string][]string{standin.ModelService: initial})
+					f.ejectFailing = l.ejectFailing
+					for _, name := range fleetNames {
+						f.addInstance(t, name)
+					}
 					waitFor(t, func() bool { return f.serves("before", standin.Draft) })
 					f.take(lost, end)
 					restart(t, f)
-					waitUpTo(t, restoreLimit, func() bool {
-						return f.serves("after", standin.Draft) && len(f.stage(standin.StagePrefill)) == 1 && len(f.stage(standin.StageDecode)) == 1
-					})
+					waitUpTo(t, restoreLimit, func() bool { return l.restored(f) })
 				})
 			}
 		}
 	}
 }
 
+// servesWithBothStages reports whether the fleet serves with the two engines that are left, one of each stage.
+func servesWithBothStages(f *partitionFleet) bool {
+	return f.serves("after", standin.Draft) && len(f.stage(standin.StagePrefill)) == 1 && len(f.stage(standin.StageDecode)) == 1
+}
+
+// Guards against a stage that stays without engines because the instances that measured the requests have ended: the
+// last engine of either stage is lost, and all instances end before, while or after another one is ordered to it.
+func TestRoleWithoutEnginesIsRestored(t *testing.T) {
+	roleLoss{
+		initial: lastOfStage, ways: map[string]func(*standin.Engine){"lost": (*standin.Engine).Lose},
+		restarts: restartsOf(fleetNames), restored: servesWithBothStages,
+	}.test(t)
+}
+
+// Guards against a stage that stays without engines that answer, because those that do not are still listed: they have ended
+// or hang, and their entries are renewed.
+func TestSilentRoleIsRestored(t *testing.T) {
+	roleLoss{
+		initial:  twoOfStage,
+		ways:     map[string]func(*standin.Engine){"ended": (*standin.Engine).Close, "hung": func(e *standin.Engine) { e.Hang() }},
+		restarts: restartsWhileListed(fleetNames), restored: servesWithBothStages,
+	}.test(t)
+}
+
 // Guards against a stage that stays without engines that serve, because those that fail all requests report their state.
 func TestFailingRoleIsRestored(t *testing.T) {
-	t.Parallel()
-	names := []string{"i0", "i1", "i2"}
-	stages := map[string][]string{
-		standin.StageDecode:  {standin.StagePrefill, standin.StagePrefill, standin.StageDecode},
-		standin.StagePrefill: {standin.StagePrefill, standin.StageDecode, standin.StageDecode},
-	}
-	failures := map[string]func(*standin.Engine){
-		"errors": func(e *standin.Engine) { e.SetFailing(1) }, "silence": func(e *standin.Engine) { e.HangInRequests() },
-	}
+	roleLoss{
+		initial:      lastOfStage,
+		ways:         map[string]func(*standin.Engine){"errors": func(e *standin.Engine) { e.SetFailing(1) }, "silence": func(e *standin.Engine) { e.HangInRequests() }},
+		restarts:     restartsWhileListed(fleetNames),
+		ejectFailing: true,
+		restored:     func(f *partitionFleet) bool { return f.serves("after", standin.Draft) },
+	}.test(t)
+}
+
+// restartsWhileListed returns the ways of restartsOf in which the entries of lost engines stay, and that without a restart.
+func restartsWhileListed(names []string) map[string]func(t *testing.T, f *partitionFleet) {
 	restarts := restartsOf(names)
 	delete(restarts, "after the entry is removed")
 	restarts["no restart"] = func(*testing.T, *partitionFleet) {}
-	for stage, initial := range stages {
-		for how, fail := range failures {
-			for name, restart := range restarts {
-				t.Run(fmt.Sprintf("%s, %s, %s", stage, how, name), func(t *testing.T) {
-					t.Parallel()
-					f := newFleet(t, 0, map[string][]string{standin.ModelService: initial})
-					f.ejectFailing = true
-					for _, name := range names {
-						f.addInstance(t, name)
-					}
-					waitFor(t, func() bool { return f.serves("before", standin.Draft) })
-					f.take(stage, fail)
-					restart(t, f)
-					waitUpTo(t, restoreLimit, func() bool { return f.serves("after", standin.Draft) })
-				})
-			}
-		}
-	}
+	return restarts
 }
 
 // restartsOf returns the ways in which all instances of a fleet end and others start.
